Thin whole path: answers, agreed configuration, six entries, routed streams, claims, moves

Cause: nothing stood yet. Change: schema and generated code, questionnaire with placed findings, Raft core, write-ahead log, state machine, peer transport, tree of followers, router, gates, move planner, the entry, the operators' command line and stand-ins.

--- /dev/null
+++ b/bluebell/bluebellmove/planner.go
@@ -0,0 +1,169 @@
+package bluebellmove
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+)
+
+// ByRoute are counts on each route.
+type ByRoute map[string]Counts
+
+// Input is what a decision rests on.
+type Input struct {
+	// Now is the time in nanoseconds since 1970.
+	Now  int64
+	Move *pb.Move
+	// Old and New are all outcomes that are known so far.
+	Old, New ByRoute
+	// Loaded of Usable endpoints have the new version.
+	Loaded, Usable int
+}
+
+// Action is what is to be done; the zero Action is to wait.
+type Action struct {
+	// Step is to be proposed, if set.
+	Step *pb.StepMove
+	// Late is set when the move is not expected to finish in time.
+	Late bool
+	// Why is one line for the log.
+	Why string
+}
+
+// Planner decides on the moves of one target after another.
+type Planner struct {
+	policy *pb.Policy
+	// what the present step started from
+	target, version string
+	step            uint64
+	stepAt          int64
+	oldAt, newAt    ByRoute
+}
+
+// NewPlanner returns a planner that has seen nothing.
+func NewPlanner(policy *pb.Policy) *Planner { return &Planner{policy: policy} }
+
+// SetPolicy takes a new policy into use.
+func (p *Planner) SetPolicy(policy *pb.Policy) { p.policy = policy }
+
+// Decide returns the next action.
+func (p *Planner) Decide(in Input) Action {
+	m := in.Move
+	if m.Target != p.target || m.ToVersion != p.version || m.Step != p.step {
+		p.target, p.version, p.step, p.stepAt = m.Target, m.ToVersion, m.Step, in.Now
+		p.oldAt, p.newAt = maps.Clone(in.Old), maps.Clone(in.New)
+	}
+	if m.Phase == pb.Phase_Loading {
+		return p.decideLoading(in)
+	}
+	judgement, why := p.judge(in)
+	if judgement == Bad {
+		return p.takeBack(m, why)
+	}
+	if m.Phase == pb.Phase_Watching {
+		return p.decideWatching(in, why)
+	}
+	return p.decideShare(in, judgement, why)
+}
+
+func (p *Planner) decideLoading(in Input) Action {
+	if in.Loaded == 0 {
+		late := in.Now > in.Move.StartedAt+(in.Move.FinishBy-in.Move.StartedAt)/2
+		return Action{Late: late, Why: fmt.Sprintf("waiting for the first of %d endpoints to load", in.Usable)}
+	}
+	return p.stepTo(in.Move, pb.Phase_Canary, p.policy.CanaryShare, fmt.Sprintf("%d of %d endpoints loaded", in.Loaded, in.Usable))
+}
+
+// judge returns the worst judgement of any route with traffic.
+func (p *Planner) judge(in Input) (Judgement, string) {
+	routes := slices.Sorted(maps.Keys(in.New))
+	worst, why := Good, "no traffic yet"
+	traffic := false
+	for _, route := range routes {
+		next := in.New[route].minus(p.newAt[route])
+		if next.Total == 0 {
+			continue
+		}
+		old := in.Old[route].minus(p.oldAt[route])
+		rates := Rates{
+			GoodRate: p.policy.GoodFailureRate, BadMargin: p.policy.BadFailureRate,
+			FalseAlarm:  p.policy.FalseAlarm / float64(len(routes)),
+			MissedAlarm: p.policy.MissedAlarm / float64(len(routes)),
+		}
+		j := rates.judge(old, next)
+		if !traffic || j > worst {
+			worst = j
+			why = fmt.Sprintf("route %s: %v after %d calls, %d failed, %d slow; old version: %d calls, %d failed, %d slow",
+				route, j, next.Total, next.Failed, next.Slow, old.Total, old.Failed, old.Slow)
+		}
+		traffic = true
+	}
+	if !traffic {
+		worst = Undecided
+	}
+	return worst, why
+}
+
+func (p *Planner) decideWatching(in Input, why string) Action {
+	if in.Now-p.stepAt < int64(p.policy.WatchFor.AsDuration()) {
+		return Action{Why: why}
+	}
+	return p.stepTo(in.Move, pb.Phase_Done, 1, why)
+}
+
+func (p *Planner) decideShare(in Input, j Judgement, why string) Action {
+	m := in.Move
+	budget, late := p.stepBudget(in)
+	overdue := in.Now-p.stepAt >= budget
+	idle := p.idle(in)
+	pass := j == Good || overdue && (j == LeansGood || idle)
+	if !pass {
+		return Action{Late: late || overdue, Why: why}
+	}
+	if m.Share >= 1 {
+		return p.stepTo(m, pb.Phase_Watching, 1, why)
+	}
+	next := min(m.Share*p.policy.RampFactor, 1)
+	if reach := float64(in.Loaded) / float64(max(in.Usable, 1)); next > reach {
+		return Action{Late: late, Why: fmt.Sprintf("share %.3f waits for loads: %d of %d endpoints", next, in.Loaded, in.Usable)}
+	}
+	return p.stepTo(m, pb.Phase_Ramping, next, why)
+}
+
+// stepBudget divides the remaining time among the remaining steps.
+func (p *Planner) stepBudget(in Input) (budget int64, late bool) {
+	share := max(in.Move.Share, p.policy.CanaryShare)
+	steps := math.Ceil(math.Log(1/share)/math.Log(p.policy.RampFactor)) + 1
+	watch := int64(p.policy.WatchFor.AsDuration())
+	remaining := in.Move.FinishBy - watch - p.stepAt
+	if remaining <= 0 {
+		return int64(time.Second), true
+	}
+	return int64(float64(remaining) / steps), false
+}
+
+// idle tells whether neither version had any traffic in this step.
+func (p *Planner) idle(in Input) bool {
+	var total Counts
+	for route, c := range in.Old {
+		total = total.plus(c.minus(p.oldAt[route]))
+	}
+	for route, c := range in.New {
+		total = total.plus(c.minus(p.newAt[route]))
+	}
+	return total.Total == 0
+}
+
+func (p *Planner) takeBack(m *pb.Move, why string) Action {
+	return p.stepTo(m, pb.Phase_TakenBack, 0, why)
+}
+
+func (p *Planner) stepTo(m *pb.Move, phase pb.Phase, share float64, why string) Action {
+	return Action{Why: why, Step: &pb.StepMove{
+		Target: m.Target, ToVersion: m.ToVersion, Phase: phase, Share: share, FromStep: m.Step, Reason: why,
+	}}
+}
--- /dev/null
+++ b/bluebell/bluebellstate/move.go
@@ -0,0 +1,110 @@
+package bluebellstate
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+)
+
+// shareSlack allows for rounding when shares are compared.
+const shareSlack = 1e-9
+
+// MoveActive tells whether a move is neither done nor taken back.
+func MoveActive(m *pb.Move) bool {
+	return m.Phase != pb.Phase_Done && m.Phase != pb.Phase_TakenBack
+}
+
+// MoveOf returns the latest move of a target, or nil.
+func MoveOf(v *pb.View, target string) *pb.Move {
+	for _, m := range v.Moves {
+		if m.Target == target {
+			return m
+		}
+	}
+	return nil
+}
+
+// withMove starts a move. The finished move of the same target is forgotten.
+func withMove(v *pb.View, s *pb.StartMove, now int64) (*pb.View, error) {
+	from := VersionOf(v, s.Target)
+	switch old := MoveOf(v, s.Target); {
+	case from == "":
+		return nil, fmt.Errorf("target %q is not in the configuration", s.Target)
+	case s.ToVersion == "" || s.ToVersion == from:
+		return nil, fmt.Errorf("target %s is served by version %q already", s.Target, from)
+	case s.FinishBy <= now:
+		return nil, errors.New("the time set for the move has passed")
+	case old != nil && MoveActive(old):
+		return nil, fmt.Errorf("target %s has a move to version %s in phase %v", s.Target, old.ToVersion, old.Phase)
+	}
+	next := cloneView(v)
+	next.Moves = slices.DeleteFunc(next.Moves, func(m *pb.Move) bool { return m.Target == s.Target })
+	next.Moves = append(next.Moves, &pb.Move{
+		Target: s.Target, FromVersion: from, ToVersion: s.ToVersion,
+		StartedAt: now, FinishBy: s.FinishBy,
+		Phase: pb.Phase_Loading, Step: 1, PhaseSince: now,
+	})
+	return next, nil
+}
+
+// stepMove advances a move or takes it back.
+func (m *Machine) stepMove(s *pb.StepMove) *pb.Result {
+	old := MoveOf(m.view, s.Target)
+	if old == nil || old.ToVersion != s.ToVersion || !MoveActive(old) {
+		return m.refuse("target %s has no running move to version %s", s.Target, s.ToVersion)
+	}
+	back := s.Phase == pb.Phase_TakenBack
+	if !back && s.FromStep != old.Step {
+		r := m.refuse("the move is at step %d, not %d", old.Step, s.FromStep)
+		r.Verdict = pb.Verdict_Conflict
+		return r
+	}
+	if err := checkStep(old, s, m.view.Configuration.GetPolicy()); err != nil {
+		return m.refuse("%v", err)
+	}
+	next := cloneView(m.view)
+	changed := &pb.Move{
+		Target: old.Target, FromVersion: old.FromVersion, ToVersion: old.ToVersion,
+		StartedAt: old.StartedAt, FinishBy: old.FinishBy,
+		Phase: s.Phase, Share: s.Share, Step: old.Step + 1, Reason: s.Reason, PhaseSince: m.now,
+	}
+	for i, mv := range next.Moves {
+		if mv == old {
+			next.Moves[i] = changed
+		}
+	}
+	if s.Phase == pb.Phase_Done {
+		for i, tv := range next.Versions {
+			if tv.Target == s.Target {
+				next.Versions[i] = &pb.TargetVersion{Target: s.Target, Version: s.ToVersion}
+			}
+		}
+	}
+	m.publish(next)
+	return &pb.Result{Verdict: pb.Verdict_Accepted, Revision: m.view.Revision}
+}
+
+// checkStep holds every proposer, whatever it believes, to the order of phases
+// and to the share that each phase may give.
+func checkStep(old *pb.Move, s *pb.StepMove, p *pb.Policy) error {
+	legal := false
+	switch s.Phase {
+	case pb.Phase_TakenBack:
+		legal = s.Share == 0
+	case pb.Phase_Canary:
+		legal = old.Phase == pb.Phase_Loading && s.Share <= p.GetCanaryShare()+shareSlack
+	case pb.Phase_Ramping:
+		legal = (old.Phase == pb.Phase_Canary || old.Phase == pb.Phase_Ramping) &&
+			s.Share <= old.Share*p.GetRampFactor()+shareSlack && s.Share <= 1
+	case pb.Phase_Watching:
+		legal = old.Phase == pb.Phase_Ramping && s.Share == 1 && old.Share >= 1-shareSlack
+	case pb.Phase_Done:
+		legal = old.Phase == pb.Phase_Watching && s.Share == 1
+	}
+	if !legal {
+		return fmt.Errorf("a move in phase %v at share %.3f cannot step to %v at %.3f", old.Phase, old.Share, s.Phase, s.Share)
+	}
+	return nil
+}
--- /dev/null
+++ b/bluebellctl/main.go
@@ -0,0 +1,120 @@
+// Command bluebellctl is the operators' command line: it generates and checks the
+// configuration, has changes agreed, and shows what is in force.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"bluebellhaven.org/bluebell/bluebellconfig"
+)
+
+// Exit codes.
+const (
+	exitFailed     = 1
+	exitFindings   = 2
+	exitNotInForce = 3
+	exitConflict   = 4
+	exitRefused    = 5
+)
+
+type arguments struct {
+	Generate *generateCommand `arg:"subcommand:generate" help:"generate the configuration and the settings of each VM from the answers"`
+	Check    *checkCommand    `arg:"subcommand:check" help:"check answers, and that generated files are up to date"`
+	Diff     *diffCommand     `arg:"subcommand:diff" help:"show where a configuration differs from the one in force"`
+	Apply    *applyCommand    `arg:"subcommand:apply" help:"have a configuration agreed and wait until it is in force"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"show what is in force, VM by VM"`
+	Domain   *domainCommand   `arg:"subcommand:domain" help:"order a failure domain out or in"`
+	Endpoint *endpointCommand `arg:"subcommand:endpoint" help:"drain an endpoint or take it back into use"`
+	Move     *moveCommand     `arg:"subcommand:move" help:"start, watch or take back a version move"`
+	Why      *whyCommand      `arg:"subcommand:why" help:"show why a request went where it did"`
+	Members  *membersCommand  `arg:"subcommand:members" help:"replace the members of the agreed log, one voter at a time"`
+	KeyHash  *keyHashCommand  `arg:"subcommand:keyhash" help:"print the hash under which a key is declared"`
+}
+
+// Description explains the command in its help.
+func (arguments) Description() string {
+	return "bluebellctl operates bluebellhaven. Answers are in version control; the configuration is generated from them."
+}
+
+// Epilogue shows how the commands work together.
+func (arguments) Epilogue() string {
+	return `A new deployment:
+  bluebellctl generate answers.jsonc generated/
+  bluebellentry --bootstrap generated/vm-NAME.jsonc      on each VM, the first time
+  export BLUEBELL_OPERATOR_KEY=...
+  bluebellctl apply generated/configuration.jsonc
+
+Exit codes: 0 done, 1 failed, 2 findings in the input, 3 agreed but not in force
+everywhere, 4 another change was first, 5 refused.`
+}
+
+// exitError carries the exit code of a failure.
+type exitError struct {
+	code int
+	err  error
+}
+
+var _ error = (*exitError)(nil)
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+func exitWith(code int, format string, args ...any) error {
+	return &exitError{code, fmt.Errorf(format, args...)}
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	err := run(&args)
+	if errors.Is(err, errNoCommand) {
+		parser.WriteHelp(os.Stderr)
+		os.Exit(exitFindings)
+	}
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var findings bluebellconfig.Findings
+	var coded *exitError
+	switch {
+	case errors.As(err, &coded):
+		os.Exit(coded.code)
+	case errors.As(err, &findings):
+		os.Exit(exitFindings)
+	}
+	os.Exit(exitFailed)
+}
+
+var errNoCommand = errors.New("a command is needed")
+
+func run(args *arguments) error {
+	switch {
+	case args.Generate != nil:
+		return args.Generate.run()
+	case args.Check != nil:
+		return args.Check.run()
+	case args.Diff != nil:
+		return args.Diff.run()
+	case args.Apply != nil:
+		return args.Apply.run()
+	case args.Status != nil:
+		return args.Status.run()
+	case args.Domain != nil:
+		return args.Domain.run()
+	case args.Endpoint != nil:
+		return args.Endpoint.run()
+	case args.Move != nil:
+		return args.Move.run()
+	case args.Why != nil:
+		return args.Why.run()
+	case args.Members != nil:
+		return args.Members.run()
+	case args.KeyHash != nil:
+		return args.KeyHash.run()
+	}
+	return errNoCommand
+}
--- /dev/null
+++ b/bluebellentry/internal/bluebelldispatch/reply.go
@@ -0,0 +1,72 @@
+package bluebelldispatch
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"bluebellhaven.org/bluebellentry/internal/bluebellupstream"
+)
+
+// Reply is the answer to a call: a body, or a stream of events.
+type Reply struct {
+	Status      int
+	ContentType string
+	// Body is the whole answer, unless Streamed.
+	Body     []byte
+	Streamed bool
+	// Replayed is set when the answer was stored for an earlier attempt.
+	Replayed bool
+	Endpoint string
+	Version  string
+	// CachedBlocks were reused by the endpoint, of Blocks in the prompt.
+	CachedBlocks, Blocks int
+
+	header   http.Header
+	exchange *bluebellupstream.Exchange
+	events   *bluebellupstream.Events
+	// first is the event that was read before the reply was handed on.
+	first    []byte
+	firstEnd error
+	// finish is called once, with the error that ended the reply early.
+	finish func(err error)
+	ended  bool
+}
+
+// Next returns the next event of a stream: io.EOF at its end, and another error
+// when it broke.
+func (r *Reply) Next() ([]byte, error) {
+	event, err := r.first, r.firstEnd
+	r.first, r.firstEnd = nil, nil
+	if event == nil && err == nil {
+		event, err = r.events.Next()
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		r.end(nil)
+	case err != nil:
+		r.end(err)
+	default:
+		if cached := cachedBlocks(event, r.Blocks); cached > 0 {
+			r.CachedBlocks = cached
+		}
+	}
+	return event, err
+}
+
+// Close ends the reply. A stream that was not read to its end is cancelled at the
+// endpoint; that a caller goes away says nothing about the endpoint.
+func (r *Reply) Close() { r.end(nil) }
+
+func (r *Reply) end(err error) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	if r.exchange != nil {
+		r.exchange.Close()
+	}
+	if r.finish != nil {
+		r.finish(err)
+	}
+}
--- /dev/null
+++ b/bluebellentry/internal/bluebelldispatch/usage.go
@@ -0,0 +1,50 @@
+package bluebelldispatch
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+)
+
+// errEnd is the end of a stream.
+var errEnd = io.EOF
+
+// usage is the part of an answer in which model engines tell what they reused.
+type usage struct {
+	Usage *struct {
+		PromptTokens  int `json:"prompt_tokens"`
+		PromptDetails struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+// cachedBlocks returns how many of a prompt's blocks an engine reused.
+func cachedBlocks(data []byte, blocks int) int {
+	if blocks == 0 || !bytes.Contains(data, []byte(`"usage"`)) {
+		return 0
+	}
+	var u usage
+	if json.Unmarshal(data, &u) != nil || u.Usage == nil || u.Usage.PromptTokens <= 0 {
+		return 0
+	}
+	share := float64(u.Usage.PromptDetails.CachedTokens) / float64(u.Usage.PromptTokens)
+	return min(max(int(share*float64(blocks)+0.5), 0), blocks)
+}
+
+// decodeCallError reads the error that another VM answered with.
+func decodeCallError(status int, body []byte) *CallError {
+	var e pb.ErrorBody
+	if err := (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(body, &e); err != nil || e.Error == nil {
+		return unknown(502, CodeEndpointFailed, time.Second, "a VM of the system gave an answer that cannot be read")
+	}
+	return &CallError{
+		Status: status, Code: Code(e.Error.Code), Text: e.Error.Message, Run: e.Error.Run,
+		Retry: e.Error.Retry, RetryAfter: e.Error.RetryAfter.AsDuration(),
+	}
+}
--- /dev/null
+++ b/bluebellentry/internal/bluebellfront/answer.go
@@ -0,0 +1,72 @@
+package bluebellfront
+
+import (
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/gofiber/fiber/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebellentry/internal/bluebelldispatch"
+)
+
+const jsonType = "application/json"
+
+// sendError answers with the typed error body.
+func (f *Front) sendError(c fiber.Ctx, requestID string, e *bluebelldispatch.CallError) error {
+	f.cfg.Refused(e.Code)
+	f.cfg.Logger.Info("refused", "RequestID", requestID, "Status", e.Status, "Code", e.Code, "Run", e.Run, "Text", e.Text)
+	c.Set(bluebelldispatch.HeaderError, string(e.Code))
+	c.Set(bluebelldispatch.HeaderRequestID, requestID)
+	if e.Retry {
+		c.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	return f.sendMessage(c, e.Status, errorBody(requestID, e))
+}
+
+func errorBody(requestID string, e *bluebelldispatch.CallError) *pb.ErrorBody {
+	body := &pb.CallError{
+		Code: string(e.Code), Message: e.Text, Run: e.Run, Retry: e.Retry, RequestID: requestID,
+	}
+	if e.Retry {
+		body.RetryAfter = durationpb.New(e.RetryAfter)
+	}
+	return &pb.ErrorBody{Error: body}
+}
+
+func (f *Front) sendMessage(c fiber.Ctx, status int, m proto.Message) error {
+	data, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return err
+	}
+	c.Set("Content-Type", jsonType)
+	return c.Status(status).Send(data)
+}
+
+// handleError answers what the library refuses by itself.
+func (f *Front) handleError(c fiber.Ctx, err error) error {
+	status := http.StatusInternalServerError
+	var fe *fiber.Error
+	if errors.As(err, &fe) {
+		status = fe.Code
+	}
+	code := bluebelldispatch.CodeBadRequest
+	switch status {
+	case http.StatusRequestEntityTooLarge:
+		code = bluebelldispatch.CodeTooLarge
+	case http.StatusNotFound, http.StatusMethodNotAllowed:
+		code = bluebelldispatch.CodeUnknownTarget
+	}
+	return f.sendError(c, f.cfg.NewID(), &bluebelldispatch.CallError{
+		Status: status, Code: code, Text: err.Error(), Run: pb.RunState_NotRun,
+	})
+}
+
+func refuse(status int, code bluebelldispatch.Code, text string) *bluebelldispatch.CallError {
+	return &bluebelldispatch.CallError{Status: status, Code: code, Text: text, Run: pb.RunState_NotRun}
+}
--- /dev/null
+++ b/bluebellentry/internal/bluebellnode/metrics.go
@@ -0,0 +1,56 @@
+package bluebellnode
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"bluebellhaven.org/bluebellentry/internal/bluebelldispatch"
+)
+
+// reportEvery is how often tally hands values to the scrape endpoint.
+const reportEvery = time.Second
+
+// metrics are the measured values of one process.
+type metrics struct {
+	scope    tally.Scope
+	reporter prometheus.Reporter
+}
+
+func newMetrics() *metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "bluebell", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, reportEvery)
+	return &metrics{scope: scope, reporter: reporter}
+}
+
+func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
+
+func (m *metrics) refused(code bluebelldispatch.Code) {
+	m.scope.Tagged(map[string]string{"code": string(code)}).Counter("refused").Inc(1)
+}
+
+func (m *metrics) counters() bluebelldispatch.Counters {
+	firstTokenBuckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+	return bluebelldispatch.Counters{
+		Retry: func(target string) {
+			m.scope.Tagged(map[string]string{"target": target}).Counter("retries").Inc(1)
+		},
+		FirstToken: func(target, version, domain string, d time.Duration) {
+			m.scope.Tagged(map[string]string{"target": target, "version": version, "failure_domain": domain}).
+				Histogram("first_token", firstTokenBuckets).RecordDuration(d)
+		},
+		Blocks: func(target string, cached, total int) {
+			scope := m.scope.Tagged(map[string]string{"target": target})
+			scope.Counter("blocks").Inc(int64(total))
+			scope.Counter("blocks_recomputed").Inc(int64(total - cached))
+		},
+		Crash: func(endpoint string) {
+			m.scope.Tagged(map[string]string{"endpoint": endpoint}).Counter("endpoint_crashes").Inc(1)
+		},
+	}
+}
--- /dev/null
+++ b/bluebellentry/internal/bluebellupstream/event.go
@@ -0,0 +1,89 @@
+package bluebellupstream
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// maxEventBytes bounds one server-sent event.
+const maxEventBytes = 1 << 20
+
+// ErrTruncated is returned when a stream ends before its last event.
+var ErrTruncated = errors.New("the stream ended before it was complete")
+
+var (
+	dataField = []byte("data:")
+	doneData  = []byte("[DONE]")
+)
+
+// Events reads server-sent events. A stream is complete only with the event
+// [DONE].
+type Events struct {
+	exchange *Exchange
+	reader   *bufio.Reader
+	done     bool
+}
+
+// Next returns the data of the next event. It returns io.EOF after [DONE], and
+// another error when the stream broke.
+func (e *Events) Next() ([]byte, error) {
+	if e.done {
+		return nil, io.EOF
+	}
+	var data []byte
+	for {
+		line, err := e.line()
+		if err != nil {
+			return nil, e.exchange.fail(ReadingAnswer, err)
+		}
+		if len(line) == 0 && data != nil {
+			break
+		}
+		field, ok := bytes.CutPrefix(line, dataField)
+		if !ok {
+			// Comments and other fields carry nothing that is relayed.
+			continue
+		}
+		if data != nil {
+			data = append(data, '\n')
+		}
+		data = append(data, bytes.TrimPrefix(field, []byte(" "))...)
+		if len(data) > maxEventBytes {
+			return nil, e.exchange.fail(ReadingAnswer, errors.New("an event is too large"))
+		}
+	}
+	if !bytes.Equal(data, doneData) {
+		return data, nil
+	}
+	e.done = true
+	e.drain()
+	return nil, io.EOF
+}
+
+// line returns the next line without its end.
+func (e *Events) line() ([]byte, error) {
+	var line []byte
+	for {
+		part, err := e.reader.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case err == nil:
+			return bytes.TrimRight(line, "\r\n"), nil
+		case errors.Is(err, io.EOF):
+			return nil, ErrTruncated
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		case len(line) > maxEventBytes:
+			return nil, errors.New("a line is too long")
+		}
+	}
+}
+
+// drain reads what follows the last event: nothing but the end of the body lets
+// the connection be used again.
+func (e *Events) drain() {
+	n, err := io.Copy(io.Discard, io.LimitReader(e.reader, 16))
+	e.exchange.complete = err == nil && n < 16
+}
