Routing by one block time per target, error-diffused version shares, token pace as evidence

Cause: endpoints with a low measured block time drew unknown prompts from their home (267 of 2,445 decisions, 4,085 of 10,900 recomputed blocks); a sticky share left a canary without traffic; queueing at few loaded endpoints looked like a slow version; a load was ordered twice before health showed it. Change: block time is shared by a target's endpoints unless one is twice as slow; the share is kept by error diffusion; the token pace is judged apart from the first token; a carried order is not repeated for 3 s.

--- a/bluebell/bluebellmove/ledger.go
+++ b/bluebell/bluebellmove/ledger.go
@@ -1,6 +1,7 @@
 package bluebellmove
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -8,12 +9,18 @@
 )
 
 const (
-	// slowQuantile of the serving version's times is the mark of slowness, when
-	// exceeded by slowFactor.
+	// slowQuantile of the serving version's times is the mark of slowness.
 	slowQuantile = 0.9
-	slowFactor   = 1.5
-	// quantileStep is the relative step of the estimate.
-	quantileStep = 0.05
+	// slowFirstToken is the multiple of the mark above which a first token is
+	// slow. It is wide because the work ahead at an endpoint is only estimated.
+	slowFirstToken = 3.0
+	// slowToken is the same for the time between tokens, which hardly depends on
+	// the work ahead.
+	slowToken = 1.5
+	// markSamples are the latest times of the serving version that the quantile
+	// is taken of; it is taken anew after each markEvery of them.
+	markSamples = 64
+	markEvery   = 8
 )
 
 // Outcome is the end of one call.
@@ -22,15 +29,28 @@
 	Failed                 bool
 	// FirstToken is the time to the first token or the answer.
 	FirstToken time.Duration
-	// Blocks that were computed for it.
+	// Blocks that were computed for it, or ahead of it.
 	Blocks int
+	// TokenTime is the time between two tokens, or 0 if it was not measured.
+	TokenTime time.Duration
 	// Serving is set when Version is not the new one of a move.
 	Serving bool
 }
 
 type ledgerKey struct{ target, version, route string }
 
-type routeKey struct{ target, route string }
+// measure is what is timed.
+type measure int
+
+const (
+	firstTokenMeasure measure = iota
+	tokenMeasure
+)
+
+type markKey struct {
+	target, route string
+	measure       measure
+}
 
 // Ledger counts outcomes at one VM since its start. It is safe for concurrent
 // use.
@@ -40,14 +60,34 @@
 
 	mu     sync.Mutex
 	counts map[ledgerKey]Counts
-	// marks are estimates of the serving version's times for one block.
-	marks map[routeKey]float64
+	marks  map[markKey]*mark
+}
+
+// mark is the high quantile of the serving version's latest times.
+type mark struct {
+	samples []float64
+	next    int
+	value   float64
+}
+
+func (m *mark) add(time float64) {
+	if len(m.samples) < markSamples {
+		m.samples = append(m.samples, time)
+	} else {
+		m.samples[m.next%markSamples] = time
+	}
+	m.next++
+	if m.next%markEvery != 0 {
+		return
+	}
+	sorted := slices.Sorted(slices.Values(m.samples))
+	m.value = sorted[int(slowQuantile*float64(len(sorted)-1))]
 }
 
 // NewLedger returns an empty ledger. StartedAt, in nanoseconds since 1970, tells
 // its counts from those of an earlier process.
 func NewLedger(vm string, startedAt int64) *Ledger {
-	return &Ledger{vm: vm, startedAt: startedAt, counts: map[ledgerKey]Counts{}, marks: map[routeKey]float64{}}
+	return &Ledger{vm: vm, startedAt: startedAt, counts: map[ledgerKey]Counts{}, marks: map[markKey]*mark{}}
 }
 
 // Add counts one outcome.
@@ -66,26 +106,30 @@
 	l.counts[k] = c
 }
 
-// slow compares a time for one block with the serving version's high quantile,
-// which it estimates by stochastic approximation (Robbins and Monro, 1951).
+// slow compares a call's times with the serving version's marks.
 func (l *Ledger) slow(o Outcome) bool {
-	k := routeKey{o.Target, o.Route}
-	time := o.FirstToken.Seconds() / float64(o.Blocks+1)
-	mark, known := l.marks[k]
-	if !known {
-		if o.Serving {
-			l.marks[k] = time
-		}
-		return false
+	block := o.FirstToken.Seconds() / float64(o.Blocks+1)
+	slow := l.exceeds(o, firstTokenMeasure, block, slowFirstToken)
+	if o.TokenTime > 0 {
+		slow = l.exceeds(o, tokenMeasure, o.TokenTime.Seconds(), slowToken) || slow
 	}
+	return slow
+}
+
+// exceeds tells whether a time is above a multiple of its mark. Nothing is before
+// there is a mark.
+func (l *Ledger) exceeds(o Outcome, m measure, time, factor float64) bool {
+	k := markKey{o.Target, o.Route, m}
+	mk := l.marks[k]
+	if mk == nil {
+		mk = &mark{}
+		l.marks[k] = mk
+	}
+	value := mk.value
 	if o.Serving {
-		if time > mark {
-			l.marks[k] = mark * (1 + quantileStep*slowQuantile)
-		} else {
-			l.marks[k] = mark * (1 - quantileStep*(1-slowQuantile))
-		}
+		mk.add(time)
 	}
-	return time > slowFactor*mark
+	return value > 0 && time > factor*value
 }
 
 // Evidence returns the counts of the targets with a move.
--- a/bluebell/bluebellmove/planner.go
+++ b/bluebell/bluebellmove/planner.go
@@ -34,6 +34,10 @@
 	Why string
 }
 
+// loadingReach is the part of the loaded endpoints' capacity that a version may
+// use while other endpoints load it.
+const loadingReach = 0.5
+
 // Planner decides on the moves of one target after another.
 type Planner struct {
 	policy *pb.Policy
@@ -122,18 +126,27 @@
 	idle := p.idle(in)
 	pass := j == Good || overdue && (j == LeansGood || idle)
 	if !pass {
-		return Action{Late: late || overdue, Why: why}
+		return Action{Late: late || in.Now-p.stepAt >= 2*budget, Why: why}
 	}
 	if m.Share >= 1 {
 		return p.stepTo(m, pb.Phase_Watching, 1, why)
 	}
 	next := min(m.Share*p.policy.RampFactor, 1)
-	if reach := float64(in.Loaded) / float64(max(in.Usable, 1)); next > reach {
+	if next > reach(in) {
 		return Action{Late: late, Why: fmt.Sprintf("share %.3f waits for loads: %d of %d endpoints", next, in.Loaded, in.Usable)}
 	}
 	return p.stepTo(m, pb.Phase_Ramping, next, why)
 }
 
+// reach is the largest share that the loaded endpoints may get. While some still
+// load it leaves room for the new version's empty caches.
+func reach(in Input) float64 {
+	if in.Loaded >= in.Usable {
+		return 1
+	}
+	return loadingReach * float64(in.Loaded) / float64(in.Usable)
+}
+
 // stepBudget divides the remaining time among the remaining steps.
 func (p *Planner) stepBudget(in Input) (budget int64, late bool) {
 	share := max(in.Move.Share, p.policy.CanaryShare)
--- a/bluebell/bluebellroute/load.go
+++ b/bluebell/bluebellroute/load.go
@@ -10,6 +10,9 @@
 	defaultBlockTime = 40 * time.Millisecond
 	// blockTimeWeight is the weight of one new measurement.
 	blockTimeWeight = 0.1
+	// slowRatio is how many times slower than its target's endpoints one must be
+	// to be thought slow. Below it, measurements differ by chance.
+	slowRatio = 2
 	// firstSuspicion is how long an endpoint or VM that failed is avoided; it
 	// doubles with each failure in a row.
 	firstSuspicion = 500 * time.Millisecond
@@ -31,8 +34,8 @@
 	failures      int
 }
 
-// expect returns the time until blocks would be computed, and whether the
-// endpoint has failed a short time ago.
+// expect returns the blocks that wait, the time measured for one block (0 before
+// any was measured), and whether the endpoint has failed a short time ago.
 func (l *load) expect(now time.Duration) (pending int, blockTime time.Duration, suspect bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -69,7 +72,11 @@
 	defer l.mu.Unlock()
 	l.failures = 0
 	l.suspectUntil = 0
-	if blockTime > 0 {
+	switch {
+	case blockTime <= 0:
+	case l.blockTime == 0:
+		l.blockTime = blockTime
+	default:
 		l.blockTime += time.Duration(blockTimeWeight * float64(blockTime-l.blockTime))
 	}
 }
@@ -98,7 +105,7 @@
 	defer s.mu.Unlock()
 	l := s.loads[name]
 	if l == nil {
-		l = &load{blockTime: defaultBlockTime}
+		l = &load{}
 		s.loads[name] = l
 	}
 	return l
--- a/bluebell/bluebellroute/router.go
+++ b/bluebell/bluebellroute/router.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -18,10 +19,13 @@
 )
 
 const (
-	// Share of a prompt's blocks expected at the first and second endpoint in
-	// rendezvous order when nothing is known of the prompt.
-	firstPrior  = 0.8
-	secondPrior = 0.15
+	// firstPrior is the share of a prompt's blocks expected at the first endpoint
+	// in rendezvous order when nothing is known of the prompt.
+	firstPrior = 0.8
+	// strayCost is what it costs later to place an unknown prompt anywhere but at
+	// the first endpoint, as a share of its blocks: the other entries expect it
+	// there.
+	strayCost = 0.5
 	// suspectDelay is added to the expected time at an endpoint that failed a
 	// short time ago.
 	suspectDelay = time.Minute
@@ -66,10 +70,18 @@
 	Candidates   int
 	Expected     time.Duration
 	Reason       string
+
+	// known is set when an endpoint is known to hold a part of the prompt.
+	known bool
 }
 
-// Missing returns the number of blocks that are believed to need computing.
-func (d *Decision) Missing() int { return len(d.Blocks) - d.CachedBlocks }
+// Missing returns the number of blocks that are expected to need computing.
+func (d *Decision) Missing() int {
+	if !d.known && d.Endpoint.Name == d.Home {
+		return int(math.Ceil(float64(len(d.Blocks)) * (1 - firstPrior)))
+	}
+	return len(d.Blocks) - d.CachedBlocks
+}
 
 // Router decides for one VM. It is safe for concurrent use.
 type Router struct {
@@ -78,6 +90,8 @@
 	beliefs *beliefTable
 	loads   loadSet
 	vms     loadSet
+	targets loadSet
+	meters  meterSet
 }
 
 // NewRouter returns a router with an empty table.
@@ -85,6 +99,8 @@
 	r := &Router{
 		cfg: cfg, beliefs: newBeliefTable(),
 		loads: loadSet{loads: map[string]*load{}}, vms: loadSet{loads: map[string]*load{}},
+		targets: loadSet{loads: map[string]*load{}},
+		meters:  meterSet{meters: map[string]*shareMeter{}},
 	}
 	r.table.Store(&Table{})
 	return r
@@ -118,7 +134,7 @@
 	if len(q.Blocks) > 0 {
 		key = uint64(q.Blocks[0])
 	}
-	version := tg.chooseVersion(key)
+	version := r.chooseVersion(t, tg, key, q)
 	d, ok := r.pickVersion(now, t, tg, version, key, q)
 	if !ok && version != tg.version {
 		d, ok = r.pickVersion(now, t, tg, tg.version, key, q)
@@ -130,10 +146,16 @@
 	return d, nil
 }
 
-// chooseVersion gives the new version of a move its share of the keys. A key
-// that has it keeps it while the share grows.
-func (tg *target) chooseVersion(key uint64) string {
-	if tg.next != "" && unit(mix(key, tg.moveSeed)) < tg.nextShare {
+// chooseVersion gives the new version of a move its share of the requests. A
+// prompt that hashes to it keeps it while the share grows.
+func (r *Router) chooseVersion(t *Table, tg *target, key uint64, q *Query) string {
+	if tg.next == "" || tg.nextShare <= 0 {
+		return tg.version
+	}
+	var holders [maxHolders]holder
+	sticky := unit(mix(key, tg.moveSeed)) < tg.nextShare
+	cached := r.findHolders(t, tg.version, q.Blocks, &holders) > 0
+	if r.meters.get(q.Target, tg.next).take(tg.nextShare, sticky, cached) {
 		return tg.next
 	}
 	return tg.version
@@ -141,13 +163,14 @@
 
 func (r *Router) pickVersion(now time.Duration, t *Table, tg *target, version string, key uint64, q *Query) (Decision, bool) {
 	candidates := tg.byVersion[version]
-	first, second := rankTwo(candidates, key)
+	first := firstRanked(candidates, key)
 	var holders [maxHolders]holder
 	found := r.findHolders(t, version, q.Blocks, &holders)
-	best := Decision{Candidates: len(candidates), Version: version}
+	best := Decision{Candidates: len(candidates), Version: version, known: found > 0}
 	if first != nil {
 		best.Home = first.Name
 	}
+	usual := r.usualBlockTime(q.Target)
 	var bestScore uint64
 	for _, e := range candidates {
 		if excluded(q.Excluded, e.Name) {
@@ -163,7 +186,7 @@
 				cached = h.blocks
 			}
 		}
-		expected := r.expected(now, tg, e, cached, len(q.Blocks), found > 0, e == first, e == second)
+		expected := r.expected(now, tg, e, usual, cached, len(q.Blocks), found > 0, e == first)
 		if ownerSuspect {
 			expected += suspectDelay
 		}
@@ -194,16 +217,19 @@
 }
 
 // expected returns the time to the first token at an endpoint.
-func (r *Router) expected(now time.Duration, tg *target, e *Endpoint, cached, blocks int, known, first, second bool) time.Duration {
-	pending, blockTime, suspect := e.load.expect(now)
+func (r *Router) expected(now time.Duration, tg *target, e *Endpoint, usual time.Duration, cached, blocks int, known, first bool) time.Duration {
+	pending, own, suspect := e.load.expect(now)
+	blockTime := usual
+	if own > slowRatio*usual {
+		blockTime = own
+	}
 	missing := float64(max(blocks, 1) - cached)
-	if !known {
-		switch {
-		case first:
-			missing *= 1 - firstPrior
-		case second:
-			missing *= 1 - secondPrior
-		}
+	switch {
+	case known:
+	case first:
+		missing *= 1 - firstPrior
+	default:
+		missing *= 1 + strayCost
 	}
 	if tg.kind == pb.Kind_Service {
 		missing = 1
@@ -215,6 +241,14 @@
 	return wait
 }
 
+// usualBlockTime is the time for one block at any endpoint of a target.
+func (r *Router) usualBlockTime(target string) time.Duration {
+	if _, usual, _ := r.targets.get(target).expect(0); usual > 0 {
+		return usual
+	}
+	return defaultBlockTime
+}
+
 // findHolders looks up who holds the longest parts of a prompt.
 func (r *Router) findHolders(t *Table, version string, blocks []Block, holders *[maxHolders]holder) int {
 	found := 0
@@ -253,20 +287,16 @@
 	return e.Owners[start], true
 }
 
-// rankTwo returns the first and second endpoint in rendezvous order.
-func rankTwo(candidates []*Endpoint, key uint64) (first, second *Endpoint) {
-	var firstScore, secondScore uint64
+// firstRanked returns the first endpoint in rendezvous order.
+func firstRanked(candidates []*Endpoint, key uint64) *Endpoint {
+	var first *Endpoint
+	var firstScore uint64
 	for _, e := range candidates {
-		score := mix(key, e.seed)
-		switch {
-		case first == nil || score > firstScore:
-			second, secondScore = first, firstScore
+		if score := mix(key, e.seed); first == nil || score > firstScore {
 			first, firstScore = e, score
-		case second == nil || score > secondScore:
-			second, secondScore = e, score
 		}
 	}
-	return first, second
+	return first
 }
 
 func excluded(names []string, name string) bool {
@@ -288,13 +318,15 @@
 func (r *Router) Finish(d *Decision) { d.Endpoint.load.done(d.Missing()) }
 
 // Learn takes in what an answer shows: the endpoint now holds all blocks, and
-// how long it took to compute those that were not cached.
-func (r *Router) Learn(now time.Duration, d *Decision, cachedBlocks int, firstToken time.Duration) {
+// how long it took to compute those that were not cached and those that waited
+// ahead of them. FirstToken is 0 where that was not measured.
+func (r *Router) Learn(now time.Duration, d *Decision, cachedBlocks, ahead int, firstToken time.Duration) {
 	blockTime := time.Duration(0)
 	if computed := len(d.Blocks) - cachedBlocks; computed > 0 {
-		blockTime = firstToken / time.Duration(computed)
+		blockTime = firstToken / time.Duration(computed+ahead)
 	}
 	d.Endpoint.load.measured(blockTime)
+	r.targets.get(d.Endpoint.Target).measured(blockTime)
 	seed := versionSeed(d.Version)
 	for _, b := range d.Blocks {
 		r.beliefs.set(mix(uint64(b), seed), belief{d.Endpoint.Name, d.Endpoint.Incarnation, now})
--- a/bluebell/bluebellsync/follow.go
+++ b/bluebell/bluebellsync/follow.go
@@ -141,10 +141,7 @@
 		f.source, f.cursor, f.sent, f.epoch = source, 0, 0, 0
 	}
 	for {
-		wait := maxWait
-		if f.cfg.Hub.View().Revision == 0 {
-			wait = 0
-		}
+		wait := f.cfg.Hub.pollFor()
 		if !f.askOnce(ctx, source, wait) {
 			return false
 		}
--- a/bluebell/bluebellsync/hub.go
+++ b/bluebell/bluebellsync/hub.go
@@ -9,11 +9,15 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellstate"
 )
 
 // maxWait is the longest time that a long poll is held.
 const maxWait = time.Second
 
+// moveWait replaces maxWait while a move runs: the next poll carries evidence.
+const moveWait = 200 * time.Millisecond
+
 // standingTimeout is how long a VM that says nothing is still listed.
 const standingTimeout = 10 * time.Second
 
@@ -164,7 +168,15 @@
 }
 
 func (h *Hub) mergeEvidence(counts []*pb.Evidence) {
+	for k := range h.evidence {
+		if !h.moving(k.target) {
+			delete(h.evidence, k)
+		}
+	}
 	for _, e := range counts {
+		if !h.moving(e.Target) {
+			continue
+		}
 		k := evidenceKey{e.VM, e.Target, e.Version, e.Route}
 		old := h.evidence[k]
 		if old == nil || e.StartedAt > old.StartedAt ||
@@ -174,6 +186,13 @@
 	}
 }
 
+// moving tells whether a target has a move that runs; evidence on others is not
+// spread.
+func (h *Hub) moving(target string) bool {
+	m := bluebellstate.MoveOf(h.view, target)
+	return m != nil && bluebellstate.MoveActive(m)
+}
+
 func (h *Hub) reply(r *pb.WatchRequest) (*pb.WatchReply, <-chan struct{}) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -205,6 +224,19 @@
 	}
 }
 
+// pollFor returns how long the next poll may be held.
+func (h *Hub) pollFor() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.view.Revision == 0:
+		return 0
+	case len(h.evidence) > 0:
+		return moveWait
+	}
+	return maxWait
+}
+
 // request makes the next request to a source.
 func (h *Hub) request(cursor, sent uint64, epoch int64, wait time.Duration) (*pb.WatchRequest, uint64) {
 	h.mu.Lock()
--- a/bluebellctl/operate.go
+++ b/bluebellctl/operate.go
@@ -109,9 +109,11 @@
 		return exitWith(exitRefused, "refused: %s", result.Text)
 	}
 	agreed := time.Since(startedAt)
-	configuration, err := client.Configuration()
-	if err != nil {
-		return err
+	configuration := command.GetApply()
+	if configuration == nil {
+		if configuration, err = client.Configuration(); err != nil {
+			return err
+		}
 	}
 	var vms []string
 	for _, v := range configuration.VMs {
--- a/bluebellentry/internal/bluebelldispatch/call.go
+++ b/bluebellentry/internal/bluebelldispatch/call.go
@@ -17,8 +17,9 @@
 	Target    string
 	Kind      pb.Kind
 	Method    string
-	// Path at the endpoint, with its query.
+	// Path at the endpoint, and EntryPath at another VM, with their query.
 	Path        string
+	EntryPath   string
 	ContentType string
 	Body        []byte
 	// Stream asks for server-sent events.
--- a/bluebellentry/internal/bluebelldispatch/dispatcher.go
+++ b/bluebellentry/internal/bluebelldispatch/dispatcher.go
@@ -241,6 +241,8 @@
 
 // runOwned waits for a slot and sends a call to an endpoint that this VM owns.
 func (d *Dispatcher) runOwned(ctx context.Context, c *Call, decision *bluebellroute.Decision) (*Reply, *CallError) {
+	// The other owners have as much waiting there, as far as is known here.
+	ahead := d.cfg.Router.Pending(decision.Endpoint.Name) * len(decision.Endpoint.Owners)
 	d.cfg.Router.Start(decision)
 	var once sync.Once
 	computed := func() { once.Do(func() { d.cfg.Router.Finish(decision) }) }
@@ -260,13 +262,13 @@
 	computed()
 	firstToken := d.cfg.Now() - startedAt
 	if callErr != nil {
-		d.outcome(c, decision, true, firstToken, 0)
+		d.outcome(c, decision, ended{failed: true, firstToken: firstToken, ahead: ahead})
 		slot.release(false)
 		return nil, callErr
 	}
 	reply.finish = func(err error) {
 		failed := err != nil
-		d.outcome(c, decision, failed, firstToken, reply.CachedBlocks)
+		d.outcome(c, decision, ended{failed, firstToken, reply.tokenTime(), reply.CachedBlocks, ahead})
 		slot.release(!failed)
 		if failed && asUpstream(err).BrokenOff {
 			d.reportCrash(context.WithoutCancel(ctx), c, decision.Endpoint.Name)
@@ -278,19 +280,27 @@
 	return reply, nil
 }
 
+// ended is what was measured of one call at an endpoint.
+type ended struct {
+	failed                bool
+	firstToken, tokenTime time.Duration
+	// cached blocks of its prompt, and blocks that waited ahead of it
+	cached, ahead int
+}
+
 // outcome feeds what an endpoint showed back into the decisions.
-func (d *Dispatcher) outcome(c *Call, decision *bluebellroute.Decision, failed bool, firstToken time.Duration, cached int) {
+func (d *Dispatcher) outcome(c *Call, decision *bluebellroute.Decision, e ended) {
 	now := d.cfg.Now()
-	if failed {
+	if e.failed {
 		d.cfg.Router.EndpointFailed(now, decision.Endpoint.Name)
 	} else {
-		d.cfg.Router.Learn(now, decision, cached, firstToken)
-		d.cfg.Count.FirstToken(c.Target, decision.Version, decision.Endpoint.FailureDomain, firstToken)
-		d.cfg.Count.Blocks(c.Target, cached, len(c.Blocks))
+		d.cfg.Router.Learn(now, decision, e.cached, e.ahead, e.firstToken)
+		d.cfg.Count.FirstToken(c.Target, decision.Version, decision.Endpoint.FailureDomain, e.firstToken)
+		d.cfg.Count.Blocks(c.Target, e.cached, len(c.Blocks))
 	}
 	d.cfg.Ledger.Add(bluebellmove.Outcome{
-		Target: c.Target, Version: decision.Version, Route: routeOf(c.Path), Failed: failed,
-		FirstToken: firstToken, Blocks: len(c.Blocks) - cached,
+		Target: c.Target, Version: decision.Version, Route: routeOf(c.Path), Failed: e.failed,
+		FirstToken: e.firstToken, Blocks: len(c.Blocks) - e.cached + e.ahead, TokenTime: e.tokenTime,
 		Serving: !d.cfg.Router.Table().Moving(c.Target, decision.Version),
 	})
 }
@@ -313,7 +323,7 @@
 	if c.Key != "" {
 		header.Set("Idempotency-Key", c.Key)
 	}
-	reply, err := d.exchange(ctx, c, decision, decision.Endpoint.Address, header)
+	reply, err := d.exchange(ctx, c, decision, decision.Endpoint.Address, c.Path, header)
 	if err == nil {
 		return reply, d.checkStatus(c, decision, reply)
 	}
@@ -341,7 +351,7 @@
 }
 
 // exchange sends a call to an address and reads the start of the answer.
-func (d *Dispatcher) exchange(ctx context.Context, c *Call, decision *bluebellroute.Decision, address string, header http.Header) (*Reply, *bluebellupstream.Error) {
+func (d *Dispatcher) exchange(ctx context.Context, c *Call, decision *bluebellroute.Decision, address, path string, header http.Header) (*Reply, *bluebellupstream.Error) {
 	header.Set("Content-Type", c.ContentType)
 	header.Set(HeaderRequestID, c.RequestID)
 	policy := d.cfg.View().Configuration.GetPolicy()
@@ -350,7 +360,7 @@
 		within = policy.GetCallTimeout().AsDuration()
 	}
 	x, err := d.cfg.Pool.Do(ctx, bluebellupstream.Request{
-		Address: address, Method: c.Method, Path: c.Path, Header: header, Body: c.Body,
+		Address: address, Method: c.Method, Path: path, Header: header, Body: c.Body,
 		Fresh: c.NonIdempotent, FirstByteWithin: within, SilentFor: policy.GetStreamTimeout().AsDuration(),
 	})
 	if err != nil {
@@ -363,7 +373,7 @@
 		}
 	}
 	reply := &Reply{
-		Status: x.Status(), ContentType: x.Header().Get("Content-Type"), header: x.Header(), exchange: x,
+		Status: x.Status(), ContentType: x.Header().Get("Content-Type"), header: x.Header(), exchange: x, now: d.cfg.Now,
 		Endpoint: decision.Endpoint.Name, Version: decision.Version, Blocks: len(c.Blocks),
 	}
 	if err := d.readStart(c, reply); err != nil {
@@ -434,7 +444,7 @@
 		header.Set("Idempotency-Key", c.Key)
 	}
 	d.cfg.Router.Start(decision)
-	reply, upErr := d.exchange(ctx, c, decision, d.cfg.VMAddress(decision.Owner), header)
+	reply, upErr := d.exchange(ctx, c, decision, d.cfg.VMAddress(decision.Owner), c.EntryPath, header)
 	d.cfg.Router.Finish(decision)
 	now := d.cfg.Now()
 	if upErr != nil {
@@ -453,7 +463,7 @@
 	}
 	reply.finish = func(err error) {
 		if err == nil {
-			d.cfg.Router.Learn(d.cfg.Now(), decision, reply.CachedBlocks, 0)
+			d.cfg.Router.Learn(d.cfg.Now(), decision, reply.CachedBlocks, 0, 0)
 		}
 	}
 	if !reply.Streamed {
--- a/bluebellentry/internal/bluebelldispatch/reply.go
+++ b/bluebellentry/internal/bluebelldispatch/reply.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"bluebellhaven.org/bluebellentry/internal/bluebellupstream"
 )
@@ -28,6 +29,10 @@
 	// first is the event that was read before the reply was handed on.
 	first    []byte
 	firstEnd error
+	// reading is the time spent on waiting for eventsRead events after the first.
+	now        func() time.Duration
+	reading    time.Duration
+	eventsRead int
 	// finish is called once, with the error that ended the reply early.
 	finish func(err error)
 	ended  bool
@@ -39,7 +44,10 @@
 	event, err := r.first, r.firstEnd
 	r.first, r.firstEnd = nil, nil
 	if event == nil && err == nil {
+		startedAt := r.now()
 		event, err = r.events.Next()
+		r.reading += r.now() - startedAt
+		r.eventsRead++
 	}
 	switch {
 	case errors.Is(err, io.EOF):
@@ -54,6 +62,18 @@
 	return event, err
 }
 
+// minTokens is the least number of events that a token time is taken of.
+const minTokens = 4
+
+// tokenTime returns the time between two events, or 0 if there were too few. The
+// time that the caller took to read them is not part of it.
+func (r *Reply) tokenTime() time.Duration {
+	if r.eventsRead < minTokens {
+		return 0
+	}
+	return r.reading / time.Duration(r.eventsRead)
+}
+
 // Close ends the reply. A stream that was not read to its end is cancelled at the
 // endpoint; that a caller goes away says nothing about the endpoint.
 func (r *Reply) Close() { r.end(nil) }
--- a/bluebellentry/internal/bluebellfront/caller.go
+++ b/bluebellentry/internal/bluebellfront/caller.go
@@ -36,7 +36,7 @@
 			return f.sendError(c, call.RequestID, refuse(http.StatusBadRequest, bluebelldispatch.CodeBadRequest, err.Error()))
 		}
 		call.Target, call.Kind, call.Stream = request.Model, pb.Kind_Model, request.Stream
-		call.Path = c.Path()
+		call.Path = strings.Clone(c.Path())
 		call.Blocks = bluebellroute.Blocks(nil, call.Customer.Name, call.Target, prompt)
 		return f.dispatch(c, call)
 	}
@@ -78,6 +78,7 @@
 	call := &bluebelldispatch.Call{
 		RequestID: f.cfg.NewID(), Method: strings.Clone(c.Method()),
 		ContentType: strings.Clone(c.Get("Content-Type")), Body: bytes.Clone(c.Body()),
+		EntryPath: strings.Clone(c.OriginalURL()),
 	}
 	d := f.lookup()
 	if d.configuration == nil {
--- a/bluebellentry/internal/bluebellmover/mover.go
+++ b/bluebellentry/internal/bluebellmover/mover.go
@@ -21,6 +21,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -47,6 +48,9 @@
 	// so that no entry still sends to it.
 	unloadAfter    = 10 * time.Second
 	proposeTimeout = 2 * time.Second
+	// shownWithin is the time in which the health of an endpoint shows an order
+	// that it has carried out; after it the order is given again.
+	shownWithin = 3 * time.Second
 	// HeaderOrderSignature proves that an order comes from the system.
 	HeaderOrderSignature = "X-Bluebell-Order-Signature"
 )
@@ -88,15 +92,24 @@
 	late     map[string]bool
 
 	mu sync.Mutex
-	// busy holds the endpoints with an order in flight.
-	busy   map[string]Order
-	orders conc.WaitGroup
+	// busy holds the endpoints with an order in flight, carried those whose last
+	// order succeeded.
+	busy    map[string]Order
+	carried map[string]carriedOrder
+	orders  conc.WaitGroup
+}
+
+// carriedOrder is an order that an endpoint has carried out.
+type carriedOrder struct {
+	order Order
+	at    time.Duration
 }
 
 // New returns a mover that does nothing until its VM leads.
 func New(cfg Config) *Mover {
 	return &Mover{
 		cfg: cfg, planners: map[string]*bluebellmove.Planner{}, late: map[string]bool{}, busy: map[string]Order{},
+		carried: map[string]carriedOrder{},
 	}
 }
 
@@ -191,7 +204,7 @@
 
 // reconcile orders endpoints to hold the versions that they should.
 func (m *Mover) reconcile(ctx context.Context, view *pb.View, table *bluebellroute.Table) {
-	for _, e := range sortedEndpoints(table) {
+	for _, e := range inOrder(table) {
 		if !e.Usable {
 			continue
 		}
@@ -204,17 +217,23 @@
 	}
 }
 
-func sortedEndpoints(t *bluebellroute.Table) []*bluebellroute.Endpoint {
-	var all []*bluebellroute.Endpoint
-	for _, e := range t.Endpoints() {
-		all = append(all, e)
+// inOrder returns the endpoints in an order that goes round the failure domains,
+// so that none of them is the only one with a new version.
+func inOrder(t *bluebellroute.Table) []*bluebellroute.Endpoint {
+	byDomain := map[string][]*bluebellroute.Endpoint{}
+	for _, name := range slices.Sorted(maps.Keys(t.Endpoints())) {
+		e := t.Endpoint(name)
+		byDomain[e.FailureDomain] = append(byDomain[e.FailureDomain], e)
 	}
-	slices.SortFunc(all, func(a, b *bluebellroute.Endpoint) int {
-		if a.Name < b.Name {
-			return -1
+	domains := slices.Sorted(maps.Keys(byDomain))
+	var all []*bluebellroute.Endpoint
+	for round := 0; len(all) < len(t.Endpoints()); round++ {
+		for _, d := range domains {
+			if round < len(byDomain[d]) {
+				all = append(all, byDomain[d][round])
+			}
 		}
-		return 1
-	})
+	}
 	return all
 }
 
@@ -255,6 +274,9 @@
 			loads++
 		}
 	}
+	if last := m.carried[e.Name]; last.order == order && m.cfg.Now() < last.at+shownWithin {
+		return
+	}
 	if _, has := m.busy[e.Name]; has || order.Kind == "Load" && loads >= maxLoads {
 		return
 	}
@@ -266,6 +288,9 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		delete(m.busy, e.Name)
+		if err == nil {
+			m.carried[e.Name] = carriedOrder{order, m.cfg.Now()}
+		}
 	})
 }
 
--- a/bluebellentry/internal/bluebellnode/node.go
+++ b/bluebellentry/internal/bluebellnode/node.go
@@ -33,7 +33,7 @@
 const (
 	electionTimeout = time.Second
 	heartbeatEvery  = 100 * time.Millisecond
-	evidenceEvery   = 500 * time.Millisecond
+	evidenceEvery   = 200 * time.Millisecond
 	// drainFor bounds the time that running streams get at a planned stop.
 	drainFor    = 5 * time.Minute
 	shutdownFor = 5 * time.Second
