--- a/bluebell/bluebellraft/node.go
+++ b/bluebell/bluebellraft/node.go
@@ -126,6 +126,7 @@
 		members = &pb.Members{}
 	}
 	n.log = newLog(stored.Snapshot, stored.Entries, members)
+	n.log.commit = max(n.log.commit, min(stored.HardState.Commit, n.log.lastIndex()))
 	n.members = n.log.members(n.log.lastIndex())
 	n.lastContact = now
 	n.resetElection(now)
@@ -232,7 +233,7 @@
 func (n *Node) Ready() Ready {
 	r := Ready{Snapshot: n.install, Messages: n.messages, Entries: n.log.unstable()}
 	if n.hardStateChanged() {
-		r.HardState = &pb.HardState{Term: n.term, Vote: n.vote}
+		r.HardState = &pb.HardState{Term: n.term, Vote: n.vote, Commit: n.saved.Commit}
 	}
 	r.Committed = n.log.takeCommitted()
 	n.messages, n.install = nil, nil
@@ -254,6 +255,14 @@
 	}
 }
 
+// CommitState returns a hard state that also holds the commit index. A node whose
+// storage saves it before the effects of an entry show will show them again right
+// after a restart, without hearing from a leader.
+func (n *Node) CommitState() *pb.HardState {
+	n.saved = &pb.HardState{Term: n.saved.Term, Vote: n.saved.Vote, Commit: n.log.applied}
+	return n.saved
+}
+
 func (n *Node) hardStateChanged() bool {
 	return n.saved.Term != n.term || n.saved.Vote != n.vote
 }
--- a/bluebell/bluebellstate/claim.go
+++ b/bluebell/bluebellstate/claim.go
@@ -125,10 +125,11 @@
 	t.byMinute[minute] = append(t.byMinute[minute], k)
 }
 
-// forget drops claims of keys older than the retention. What is forgotten once
-// stays refused, also when the retention is raised later.
+// forget drops claims of keys that were made in a minute that is wholly older
+// than the retention. What is forgotten once stays refused, also when the
+// retention is raised later.
 func (t *claimTable) forget(now int64, retention time.Duration) {
-	until := minuteOf(now - int64(retention))
+	until := minuteOf(now-int64(retention)) - 1
 	if until <= t.forgottenMinute {
 		return
 	}
--- a/bluebell/bluebellvoter/voter.go
+++ b/bluebell/bluebellvoter/voter.go
@@ -126,7 +126,10 @@
 		waiters:   map[uint64]waiter{},
 		done:      make(chan struct{}),
 	}
-	v.publish()
+	// What was in force before a restart is in force again before anything else.
+	if err := v.carryOut(); err != nil {
+		return nil, fmt.Errorf("voter %s: %w", cfg.ID, err)
+	}
 	v.updateStatus()
 	return v, nil
 }
@@ -271,7 +274,9 @@
 				return err
 			}
 		}
-		v.publish()
+		if err := v.publish(); err != nil {
+			return err
+		}
 		if err := v.compact(); err != nil {
 			return err
 		}
@@ -303,16 +308,22 @@
 	return nil
 }
 
-func (v *Voter) publish() {
+// publish shows a new view. The commit index is made durable first, so that a
+// restart does not take back what was in force.
+func (v *Voter) publish() error {
 	view := v.machine.View()
 	if view == v.published {
-		return
+		return nil
 	}
 	if v.published != nil && view.Revision < v.published.Revision {
 		panic(fmt.Sprintf("revision went back from %d to %d", v.published.Revision, view.Revision))
 	}
+	if err := v.wal.Save(bluebellraft.Ready{HardState: v.node.CommitState()}); err != nil {
+		return err
+	}
 	v.published = view
 	v.cfg.Publish(view)
+	return nil
 }
 
 func (v *Voter) compact() error {
--- a/bluebell/bluebellwal/log.go
+++ b/bluebell/bluebellwal/log.go
@@ -26,10 +26,8 @@
 	generation uint64
 	file       File
 	size       uint64
-	// records since the start of the generation
-	records   int
-	hardState *pb.HardState
-	failed    error
+	hardState  *pb.HardState
+	failed     error
 }
 
 // Open reads the durable state in a folder and starts a new generation of it.
--- a/bluebellentry/internal/bluebelldispatch/dispatcher.go
+++ b/bluebellentry/internal/bluebelldispatch/dispatcher.go
@@ -325,16 +325,16 @@
 	}
 	reply, err := d.exchange(ctx, c, decision, decision.Endpoint.Address, c.Path, header)
 	if err == nil {
-		return reply, d.checkStatus(c, decision, reply)
+		return reply, d.checkStatus(decision, reply)
 	}
 	if err.BrokenOff && err.Sent {
 		d.reportCrash(ctx, c, decision.Endpoint.Name)
 	}
-	return nil, exchangeError(c, "endpoint "+decision.Endpoint.Name, err)
+	return nil, exchangeError("endpoint "+decision.Endpoint.Name, err)
 }
 
 // checkStatus turns an endpoint's own failure into an error.
-func (d *Dispatcher) checkStatus(c *Call, decision *bluebellroute.Decision, reply *Reply) *CallError {
+func (d *Dispatcher) checkStatus(decision *bluebellroute.Decision, reply *Reply) *CallError {
 	if reply.Status < 500 && reply.Status != http.StatusTooManyRequests {
 		return nil
 	}
@@ -343,7 +343,7 @@
 }
 
 // exchangeError says what is certain after a failed exchange.
-func exchangeError(c *Call, peer string, err *bluebellupstream.Error) *CallError {
+func exchangeError(peer string, err *bluebellupstream.Error) *CallError {
 	if !err.Sent {
 		return notRun(502, CodeEndpointFailed, 100*time.Millisecond, "%s cannot be reached: %v", peer, err)
 	}
@@ -451,7 +451,7 @@
 		if ctx.Err() == nil {
 			d.cfg.Router.VMFailed(now, decision.Owner)
 		}
-		return nil, exchangeError(c, "VM "+decision.Owner, upErr)
+		return nil, exchangeError("VM "+decision.Owner, upErr)
 	}
 	d.cfg.Router.VMAnswered(decision.Owner)
 	if pending, err := strconv.Atoi(reply.header.Get(HeaderPending)); err == nil {
--- a/bluebellentry/internal/bluebellfront/front.go
+++ b/bluebellentry/internal/bluebellfront/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,8 +13,6 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
 
-	"net/http"
-
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebellentry/internal/bluebelldispatch"
 )
