Scripted scenarios against whole deployments, in-process and as killed processes

Cause: nothing proved the path under cuts, kills and lost disks. Change: a small test language on testscript with scenarios for orders, partitions, racing operators, signal 9, replaced disks, moves, poison and customers' isolation. Found on the way: a planned stop waited ten minutes for unagreed claims; a VM with a replaced disk followed no views; an entry said ready before it knew any endpoint; millisecond noise took back a good version.

--- a/bluebell/bluebellmove/ledger.go
+++ b/bluebell/bluebellmove/ledger.go
@@ -17,6 +17,9 @@
 	// slowToken is the same for the time between tokens, which hardly depends on
 	// the work ahead.
 	slowToken = 1.5
+	// A time is slow only if it is also this much above its mark: less is noise.
+	minSlowFirstToken = 50 * time.Millisecond
+	minSlowToken      = 5 * time.Millisecond
 	// markSamples are the latest times of the serving version that the quantile
 	// is taken of; it is taken anew after each markEvery of them.
 	markSamples = 64
@@ -108,17 +111,17 @@
 
 // slow compares a call's times with the serving version's marks.
 func (l *Ledger) slow(o Outcome) bool {
-	block := o.FirstToken.Seconds() / float64(o.Blocks+1)
-	slow := l.exceeds(o, firstTokenMeasure, block, slowFirstToken)
+	blocks := float64(o.Blocks + 1)
+	slow := l.exceeds(o, firstTokenMeasure, o.FirstToken.Seconds()/blocks, slowFirstToken, minSlowFirstToken.Seconds()/blocks)
 	if o.TokenTime > 0 {
-		slow = l.exceeds(o, tokenMeasure, o.TokenTime.Seconds(), slowToken) || slow
+		slow = l.exceeds(o, tokenMeasure, o.TokenTime.Seconds(), slowToken, minSlowToken.Seconds()) || slow
 	}
 	return slow
 }
 
-// exceeds tells whether a time is above a multiple of its mark. Nothing is before
-// there is a mark.
-func (l *Ledger) exceeds(o Outcome, m measure, time, factor float64) bool {
+// exceeds tells whether a time is above a multiple of its mark, and by no less
+// than a margin. Nothing is before there is a mark.
+func (l *Ledger) exceeds(o Outcome, m measure, time, factor, margin float64) bool {
 	k := markKey{o.Target, o.Route, m}
 	mk := l.marks[k]
 	if mk == nil {
@@ -129,7 +132,7 @@
 	if o.Serving {
 		mk.add(time)
 	}
-	return value > 0 && time > factor*value
+	return value > 0 && time > max(factor*value, value+margin)
 }
 
 // Evidence returns the counts of the targets with a move.
--- a/bluebell/bluebellstate/change.go
+++ b/bluebell/bluebellstate/change.go
@@ -11,12 +11,15 @@
 // withConfiguration returns a view with a new configuration. What operators
 // ordered of failure domains and endpoints that are still there stays in force,
 // and the version of a known target is changed by moves only.
-func withConfiguration(v *pb.View, c *pb.Configuration) (*pb.View, error) {
+func withConfiguration(v *pb.View, c *pb.Configuration, now int64) (*pb.View, error) {
 	if len(c.FailureDomains) == 0 || len(c.Voters) == 0 || c.Policy == nil {
 		return nil, errors.New("configuration has no failure domains, voters or policy; generate it with bluebellctl")
 	}
 	next := cloneView(v)
 	next.Configuration = c
+	if v.Configuration != nil && !sameOwners(v.Configuration, c) {
+		next.OwnersChangedAt = now
+	}
 	next.FailureDomainsOut = slices.DeleteFunc(next.FailureDomainsOut, func(name string) bool {
 		return !hasFailureDomain(c, name)
 	})
@@ -39,6 +42,16 @@
 	return next, nil
 }
 
+// sameOwners tells whether no endpoint's slots can pass to other owners.
+func sameOwners(a, b *pb.Configuration) bool {
+	sameVMs := slices.EqualFunc(a.VMs, b.VMs, func(x, y *pb.VM) bool {
+		return x.Name == y.Name && x.FailureDomain == y.FailureDomain
+	})
+	return sameVMs && slices.EqualFunc(a.Endpoints, b.Endpoints, func(x, y *pb.Endpoint) bool {
+		return x.Name == y.Name && x.FailureDomain == y.FailureDomain && x.Slots == y.Slots && x.ColdSlots == y.ColdSlots
+	})
+}
+
 func withFailureDomain(v *pb.View, s *pb.SetFailureDomain) (*pb.View, error) {
 	if !hasFailureDomain(v.Configuration, s.Name) {
 		return nil, fmt.Errorf("failure domain %q is not in the configuration", s.Name)
--- a/bluebell/bluebellstate/machine.go
+++ b/bluebell/bluebellstate/machine.go
@@ -94,7 +94,7 @@
 	var err error
 	switch body := c.Body.(type) {
 	case *pb.Command_Apply:
-		next, err = withConfiguration(m.view, body.Apply)
+		next, err = withConfiguration(m.view, body.Apply, m.now)
 	case *pb.Command_SetFailureDomain:
 		next, err = withFailureDomain(m.view, body.SetFailureDomain)
 	case *pb.Command_SetEndpoint:
@@ -193,5 +193,6 @@
 		DeclaredRevision:  v.DeclaredRevision,
 		DeclaredBy:        v.DeclaredBy,
 		DeclaredChange:    v.DeclaredChange,
+		OwnersChangedAt:   v.OwnersChangedAt,
 	}
 }
--- a/bluebell/bluebellstate/move.go
+++ b/bluebell/bluebellstate/move.go
@@ -52,6 +52,9 @@
 // stepMove advances a move or takes it back.
 func (m *Machine) stepMove(s *pb.StepMove) *pb.Result {
 	old := MoveOf(m.view, s.Target)
+	if back := pb.Phase_TakenBack; old != nil && old.ToVersion == s.ToVersion && old.Phase == back && s.Phase == back {
+		return &pb.Result{Verdict: pb.Verdict_Accepted, Revision: m.view.Revision}
+	}
 	if old == nil || old.ToVersion != s.ToVersion || !MoveActive(old) {
 		return m.refuse("target %s has no running move to version %s", s.Target, s.ToVersion)
 	}
--- a/bluebell/bluebellsync/follow.go
+++ b/bluebell/bluebellsync/follow.go
@@ -67,8 +67,9 @@
 	Sources func() []string
 	// Watch asks one source.
 	Watch func(ctx context.Context, source string, r *pb.WatchRequest) (*pb.WatchReply, error)
-	// TakeViews is unset on voters, which have their views from the log.
-	TakeViews bool
+	// TakeViews tells whether this VM follows views. Voters do not: they have
+	// theirs from the log, and show none that a restart could take back.
+	TakeViews func() bool
 	Now       func() time.Duration
 	Sleep     func(ctx context.Context, d time.Duration)
 	Logger    *log.Logger
@@ -172,7 +173,7 @@
 	f.cfg.Hub.Report(reply.Health)
 	stale := reply.StaleFor.AsDuration()
 	fresh := stale < staleAfter
-	if f.cfg.TakeViews && reply.View != nil && f.mayTake(fresh) {
+	if f.cfg.TakeViews() && reply.View != nil && f.mayTake(fresh) {
 		f.cfg.Hub.Offer(reply.View)
 	}
 	if fresh {
--- a/bluebell/bluebellsync/hub.go
+++ b/bluebell/bluebellsync/hub.go
@@ -221,6 +221,7 @@
 		FailureDomainsOut: v.FailureDomainsOut, EndpointsDrained: v.EndpointsDrained,
 		Moves: v.Moves, PoisonDigests: v.PoisonDigests, Versions: v.Versions,
 		DeclaredRevision: v.DeclaredRevision, DeclaredBy: v.DeclaredBy, DeclaredChange: v.DeclaredChange,
+		OwnersChangedAt: v.OwnersChangedAt,
 	}
 }
 
--- /dev/null
+++ b/bluebellentry/bluebellscenario/cluster_test.go
@@ -0,0 +1,458 @@
+package bluebellscenario_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"bluebellhaven.org/bluebell/bluebellconfig"
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellwal"
+	"bluebellhaven.org/bluebellentry/internal/bluebellnode"
+	"bluebellhaven.org/bluebellfake/bluebellengine"
+)
+
+const (
+	operatorKey = "operator-key"
+	secret      = "a secret of the whole cluster"
+	awaitFor    = 30 * time.Second
+	awaitEvery  = 20 * time.Millisecond
+)
+
+// nextNet numbers the clusters of one test process: each has loopback addresses
+// of its own.
+var nextNet atomic.Int32
+
+// cluster is a whole deployment with stand-ins for its endpoints.
+type cluster struct {
+	dir           string
+	processes     bool
+	network       *network
+	questionnaire *pb.Questionnaire
+	configuration *pb.Configuration
+	settings      map[string]*pb.ProcessSettings
+	engines       map[string]*bluebellengine.Engine
+	listeners     []net.Listener
+	vms           map[string]*runningVM
+	keys          map[string]string
+	lastChange    *pb.Command
+	logs          io.Writer
+}
+
+type runningVM struct {
+	stop func()
+	kill func()
+	done chan error
+}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// newCluster writes the answers, generates the configuration and starts the
+// stand-ins.
+func newCluster(dir string, processes bool, logs io.Writer) (*cluster, error) {
+	c := &cluster{
+		dir: dir, processes: processes, network: newNetwork(), settings: map[string]*pb.ProcessSettings{},
+		engines: map[string]*bluebellengine.Engine{}, vms: map[string]*runningVM{}, keys: map[string]string{}, logs: logs,
+	}
+	base := fmt.Sprintf("127.%d.%d", 64+os.Getpid()%128, nextNet.Add(1)%200)
+	c.questionnaire = answers(dir, base)
+	text, err := bluebellconfig.Format(c.questionnaire)
+	if err != nil {
+		return nil, err
+	}
+	q, findings := bluebellconfig.ReadQuestionnaire("answers", text)
+	if !findings.Empty() {
+		return nil, findings
+	}
+	c.configuration = bluebellconfig.Generate(q)
+	c.configuration.Policy.WarmAfter = durationpb.New(time.Second)
+	for _, s := range bluebellconfig.ProcessSettings(q, c.configuration) {
+		c.settings[s.VM.Name] = s
+		c.network.domains[s.VM.Address] = s.VM.FailureDomain
+	}
+	if err := os.WriteFile(q.SecretFile, []byte(secret), 0o600); err != nil {
+		return nil, err
+	}
+	weights := bluebellengine.NewWeightStore(2, 50*time.Millisecond)
+	for _, e := range q.Endpoints {
+		if err := c.startEngine(e, weights); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// answers is a small deployment: three failure domains with two VMs, a model
+// with two endpoints and a service with one endpoint in each.
+func answers(dir, base string) *pb.Questionnaire {
+	q := &pb.Questionnaire{
+		Name: "scenario", TolerateLostVMs: 1, SecretFile: filepath.Join(dir, "secret"), KeyRetention: durationpb.New(time.Hour),
+		Targets: []*pb.Target{
+			{Name: "notes", Kind: pb.Kind_Model, Version: "v1"},
+			{Name: "orders", Kind: pb.Kind_Service, Version: "v1", NonIdempotentPaths: []string{"/jobs"}},
+		},
+		Customers:  []*pb.Customer{{Name: "north", KeyHash: hash("north-key"), Share: 2}, {Name: "south", KeyHash: hash("south-key"), Share: 1}},
+		Operators:  []*pb.Operator{{Name: "op", KeyHash: hash(operatorKey)}, {Name: "op2", KeyHash: hash(operatorKey + "2")}},
+		Importance: &pb.Importance{FirstToken: 3, Recomputation: 3, VersionMoves: 1, FailureDomainService: 3},
+		Work: []*pb.Work{
+			{Name: "quotes", Target: "notes", QueueFor: durationpb.New(2 * time.Second), FirstTokenWithin: durationpb.New(3 * time.Second)},
+			{Name: "jobs", Target: "orders", QueueFor: durationpb.New(2 * time.Second), FirstTokenWithin: durationpb.New(3 * time.Second)},
+		},
+	}
+	for i, d := range []string{"gyor", "papa", "tata"} {
+		q.FailureDomains = append(q.FailureDomains, &pb.FailureDomain{Name: d, Region: "hu-west"})
+		for j := range 2 {
+			vm := &pb.VM{Name: fmt.Sprintf("%s-%d", d, j+1), FailureDomain: d, Address: fmt.Sprintf("%s.%d", base, 10*i+j+1), CallerPort: 18080, PeerPort: 18081}
+			if j == 0 {
+				vm.DataFolder = filepath.Join(dir, "data", vm.Name)
+			}
+			q.VMs = append(q.VMs, vm)
+			q.Endpoints = append(q.Endpoints, &pb.Endpoint{
+				Name: fmt.Sprintf("notes-%s-%d", d, j+1), FailureDomain: d, Target: "notes", Slots: 8, ColdSlots: 2, HonoursFencing: true, ChecksOrders: true,
+				Address: fmt.Sprintf("%s.%d:19000", base, 100+10*i+j),
+			})
+		}
+		q.Endpoints = append(q.Endpoints, &pb.Endpoint{
+			Name: "orders-" + d, FailureDomain: d, Target: "orders", Slots: 8, ColdSlots: 4, HonoursFencing: true, ChecksOrders: true,
+			Address: fmt.Sprintf("%s.%d:19000", base, 100+10*i+5),
+		})
+	}
+	return q
+}
+
+func (c *cluster) startEngine(e *pb.Endpoint, weights *bluebellengine.WeightStore) error {
+	listener, err := net.Listen("tcp", e.Address)
+	if err != nil {
+		return err
+	}
+	c.listeners = append(c.listeners, listener)
+	host, _, err := net.SplitHostPort(e.Address)
+	if err != nil {
+		return err
+	}
+	c.network.domains[host] = e.FailureDomain
+	engine := bluebellengine.New(bluebellengine.Config{
+		Name: e.Name, Service: e.Target == "orders", Versions: []string{"v1"}, ColdSlots: int(e.ColdSlots),
+		WarmAfter: 500 * time.Millisecond, BlockTime: time.Millisecond, TokenTime: time.Millisecond, CacheBlocks: 10000,
+		Weights: weights, OrderSecret: []byte(secret), HonoursFencing: true,
+	})
+	c.engines[e.Name] = engine
+	go func() {
+		// The listener is closed at the end of the test.
+		_ = engine.Serve(listener)
+	}()
+	return nil
+}
+
+// start starts the process of a VM, as a process of its own or in this one.
+func (c *cluster) start(vm string, bootstrap bool) error {
+	if c.processes {
+		return c.startProcess(vm, bootstrap)
+	}
+	s := c.settings[vm]
+	logger := log.NewWithOptions(c.logs, log.Options{Formatter: log.LogfmtFormatter, Level: log.InfoLevel, Prefix: vm, ReportTimestamp: true})
+	node, err := bluebellnode.New(bluebellnode.Config{
+		Settings: s, Secret: []byte(secret), Bootstrap: bootstrap, FS: bluebellwal.OS(),
+		Dial: c.network.dialer(s.VM.FailureDomain), Logger: logger,
+	})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &runningVM{stop: cancel, done: make(chan error, 1)}
+	c.vms[vm] = r
+	go func() { r.done <- node.Run(ctx) }()
+	return nil
+}
+
+func (c *cluster) startProcess(vm string, bootstrap bool) error {
+	text, err := bluebellconfig.Format(c.settings[vm])
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(c.dir, "vm-"+vm+".jsonc")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return err
+	}
+	arguments := []string{file, "--balancer-delay", "10ms"}
+	if bootstrap {
+		arguments = append(arguments, "--bootstrap")
+	}
+	command := exec.Command("bluebellentry", arguments...)
+	command.Stderr = c.logs
+	if err := command.Start(); err != nil {
+		return err
+	}
+	r := &runningVM{done: make(chan error, 1)}
+	r.stop = func() { _ = command.Process.Signal(syscall.SIGTERM) }
+	r.kill = func() { _ = command.Process.Signal(syscall.SIGKILL) }
+	c.vms[vm] = r
+	go func() { r.done <- command.Wait() }()
+	return nil
+}
+
+// end stops a VM as planned, or kills it.
+func (c *cluster) end(vm string, kill bool) error {
+	r := c.vms[vm]
+	if r == nil {
+		return fmt.Errorf("VM %s does not run", vm)
+	}
+	delete(c.vms, vm)
+	if kill {
+		r.kill()
+		<-r.done
+		return nil
+	}
+	r.stop()
+	select {
+	case err := <-r.done:
+		return err
+	case <-time.After(awaitFor):
+		return fmt.Errorf("VM %s does not stop", vm)
+	}
+}
+
+func (c *cluster) close() {
+	for vm := range c.vms {
+		r := c.vms[vm]
+		if r.kill != nil {
+			r.kill()
+		} else {
+			r.stop()
+		}
+		<-r.done
+	}
+	for _, l := range c.listeners {
+		_ = l.Close()
+	}
+}
+
+// await polls until a condition holds.
+func await(what string, condition func() (bool, string)) error {
+	deadline := time.Now().Add(awaitFor)
+	for {
+		ok, seen := condition()
+		if ok {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s: still %s", what, seen)
+		}
+		time.Sleep(awaitEvery)
+	}
+}
+
+// request sends one request to the caller port of a VM.
+func (c *cluster) request(vm, method, path, key string, headers map[string]string, body []byte, timeout time.Duration) (*fasthttp.Response, error) {
+	s := c.settings[vm]
+	if s == nil {
+		return nil, fmt.Errorf("VM %q is not declared", vm)
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(fmt.Sprintf("http://%s:%d%s", s.VM.Address, s.VM.CallerPort, path))
+	req.Header.Set("Authorization", "Bearer "+key)
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	req.Header.SetConnectionClose()
+	req.SetBody(body)
+	client := fasthttp.Client{RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
+	return resp, client.DoTimeout(req, resp, timeout)
+}
+
+// operate calls an operator path and reads the answer into m.
+func (c *cluster) operate(vm, method, path, key string, in, out proto.Message) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = protojson.Marshal(in); err != nil {
+			return err
+		}
+	}
+	resp, err := c.request(vm, method, "/operator/v1/"+path, key, nil, body, 10*time.Second)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("status %d: %s", resp.StatusCode(), resp.Body())
+	}
+	return protojson.Unmarshal(resp.Body(), out)
+}
+
+func (c *cluster) status(vm string) (*pb.OperatorStatus, error) {
+	var s pb.OperatorStatus
+	return &s, c.operate(vm, fasthttp.MethodGet, "status", operatorKey, nil, &s)
+}
+
+// change sends a change by way of a VM.
+func (c *cluster) change(vm, key string, command *pb.Command) (*pb.Result, error) {
+	if command.ChangeID == "" {
+		command.ChangeID = uuid.NewString()
+	}
+	c.lastChange = command
+	var r pb.Result
+	return &r, c.operate(vm, fasthttp.MethodPost, "change", key, command, &r)
+}
+
+// awaitInForce waits until VMs have a revision in force, by their own word.
+func (c *cluster) awaitInForce(revision uint64, vms []string) error {
+	for _, vm := range vms {
+		err := await("revision in force at "+vm, func() (bool, string) {
+			s, err := c.status(vm)
+			if err != nil {
+				return false, err.Error()
+			}
+			return s.Revision >= revision, fmt.Sprint(s.Revision)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitUsable waits until a VM sees all endpoints as usable.
+func (c *cluster) awaitUsable(vm string) error {
+	return await("usable endpoints at "+vm, func() (bool, string) {
+		s, err := c.status(vm)
+		if err != nil {
+			return false, err.Error()
+		}
+		usable := 0
+		for _, e := range s.Endpoints {
+			if e.Usable {
+				usable++
+			}
+		}
+		return usable == len(c.engines), fmt.Sprintf("%d of %d", usable, len(c.engines))
+	})
+}
+
+func (c *cluster) running() []string {
+	var vms []string
+	for vm := range c.vms {
+		vms = append(vms, vm)
+	}
+	slices.Sort(vms)
+	return vms
+}
+
+// key returns the idempotency key that a script calls by a short name.
+func (c *cluster) key(name string) string {
+	if c.keys[name] == "" {
+		c.keys[name] = uuid.Must(uuid.NewV7()).String()
+	}
+	return c.keys[name]
+}
+
+// order sends a call that may not be repeated, and describes the answer.
+func (c *cluster) order(vm, customer, key, body string) string {
+	resp, err := c.request(vm, fasthttp.MethodPost, "/services/orders/jobs", customer+"-key",
+		map[string]string{"Idempotency-Key": key}, []byte(body), 30*time.Second)
+	if err != nil {
+		return "connection failed"
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		var e pb.ErrorBody
+		if err := protojson.Unmarshal(resp.Body(), &e); err != nil {
+			return fmt.Sprintf("status %d with an unreadable body", resp.StatusCode())
+		}
+		return fmt.Sprintf("%s %v", e.Error.Code, e.Error.Run)
+	}
+	if len(resp.Header.Peek("Idempotent-Replayed")) > 0 {
+		return "replayed"
+	}
+	return "answered by " + string(resp.Header.Peek("X-Bluebell-Endpoint"))
+}
+
+// prompt sends a streamed prompt and describes the answer.
+func (c *cluster) prompt(vm, customer, text string, blocks int) string {
+	piece := strings.Repeat(text+" ", 4000)[:4000]
+	body, err := json.Marshal(map[string]any{"model": "notes", "stream": true, "prompt": strings.Repeat(piece, blocks)})
+	if err != nil {
+		return err.Error()
+	}
+	resp, err := c.request(vm, fasthttp.MethodPost, "/v1/completions", customer+"-key", nil, body, 30*time.Second)
+	if err != nil {
+		return "connection failed"
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		var e pb.ErrorBody
+		if err := protojson.Unmarshal(resp.Body(), &e); err != nil {
+			return fmt.Sprintf("status %d with an unreadable body", resp.StatusCode())
+		}
+		return fmt.Sprintf("%s %v", e.Error.Code, e.Error.Run)
+	}
+	if !bytes.HasSuffix(bytes.TrimSpace(resp.Body()), []byte("data: [DONE]")) {
+		return "broken stream"
+	}
+	cached := "cold"
+	if !bytes.Contains(resp.Body(), []byte(`"cached_tokens":0}`)) {
+		cached = "cached"
+	}
+	return fmt.Sprintf("answered %s by %s version %s", cached, resp.Header.Peek("X-Bluebell-Endpoint"), resp.Header.Peek("X-Bluebell-Version"))
+}
+
+// mostRuns returns how often the call ran that ran most often, over all
+// endpoints, and how many calls ran.
+func (c *cluster) mostRuns() (most, calls int) {
+	runs := map[string]int{}
+	for _, e := range c.engines {
+		for key, n := range e.Counts().Runs {
+			runs[key] += n
+		}
+	}
+	for _, n := range runs {
+		most = max(most, n)
+	}
+	return most, len(runs)
+}
+
+// leader returns the VM that most voters take for the leader.
+func (c *cluster) leader() (string, error) {
+	leader := ""
+	err := await("a leader", func() (bool, string) {
+		for _, vm := range c.running() {
+			s, err := c.status(vm)
+			if err != nil {
+				continue
+			}
+			for _, v := range s.Voters {
+				if v.VM == v.Leader || strings.HasPrefix(v.Leader, v.VM+"/") {
+					leader = v.VM
+					return c.vms[leader] != nil, "none"
+				}
+			}
+		}
+		return false, "none"
+	})
+	return leader, err
+}
+
+var errUsage = errors.New("see the list of commands in script_test.go")
--- a/bluebellentry/internal/bluebelldispatch/claim.go
+++ b/bluebellentry/internal/bluebelldispatch/claim.go
@@ -21,6 +21,8 @@
 	// closeFor is how long an outcome is offered to the voters.
 	closeFor   = 10 * time.Minute
 	closeEvery = 500 * time.Millisecond
+	// stopFor is the same during a planned stop.
+	stopFor = 5 * time.Second
 	// maxKept is the largest answer that is kept for resent calls, in bytes.
 	maxKept = 64 << 10
 )
@@ -151,6 +153,7 @@
 		defer close(agreed)
 		ctx, cancel := context.WithTimeout(context.Background(), closeFor)
 		defer cancel()
+		defer context.AfterFunc(d.stopping, func() { time.AfterFunc(stopFor, cancel) })()
 		for ctx.Err() == nil {
 			tryCtx, cancelTry := context.WithTimeout(ctx, claimTimeout)
 			_, err := d.cfg.Propose(tryCtx, command)
--- a/bluebellentry/internal/bluebelldispatch/dispatcher.go
+++ b/bluebellentry/internal/bluebelldispatch/dispatcher.go
@@ -84,27 +84,37 @@
 	budgets map[string]*bluebelllimit.RetryBudget
 	// closing holds the claims whose outcome is still to be agreed.
 	closing conc.WaitGroup
+	// stopping ends when a planned stop begins to wait for them.
+	stopping context.Context
+	stop     context.CancelFunc
 }
 
 // New returns a dispatcher; its table comes with SetTable.
 func New(cfg Config) *Dispatcher {
+	stopping, stop := context.WithCancel(context.Background())
 	return &Dispatcher{
+		stopping: stopping, stop: stop,
 		cfg: cfg, gates: newGateSet(cfg.VM, cfg.Now, cfg.After),
 		budgets: map[string]*bluebelllimit.RetryBudget{},
 	}
 }
 
-// SetTable puts a table in force.
-func (d *Dispatcher) SetTable(t *bluebellroute.Table, policy *pb.Policy) {
-	d.gates.apply(t, policy, d.cfg.Wall().UnixNano())
+// SetTable puts a table in force. It is to be called again once a handover that
+// started at ownersChangedAt is over.
+func (d *Dispatcher) SetTable(t *bluebellroute.Table, policy *pb.Policy, ownersChangedAt int64) {
+	d.gates.apply(t, policy, d.cfg.Wall().UnixNano(), ownersChangedAt)
 	d.cfg.Router.SetTable(t)
 }
 
 // Use tells how an endpoint is used from here.
 func (d *Dispatcher) Use(endpoint string) (running, waiting, slots int) { return d.gates.use(endpoint) }
 
-// Drain waits until the outcomes of all claims are agreed or given up.
-func (d *Dispatcher) Drain() { d.closing.Wait() }
+// Drain waits a short time until the outcomes of all claims are agreed. A claim
+// whose outcome is not stays unknown.
+func (d *Dispatcher) Drain() {
+	d.stop()
+	d.closing.Wait()
+}
 
 // Do carries out a call. The caller must Close the reply.
 func (d *Dispatcher) Do(ctx context.Context, c *Call) (*Reply, *CallError) {
@@ -268,7 +278,7 @@
 	}
 	reply.finish = func(err error) {
 		failed := err != nil
-		d.outcome(c, decision, ended{failed, firstToken, reply.tokenTime(), reply.CachedBlocks, ahead})
+		d.outcome(c, decision, ended{failed, firstToken, reply.tokenTime(), reply.CachedBlocks, ahead, reply.Status != http.StatusOK})
 		slot.release(!failed)
 		if failed && asUpstream(err).BrokenOff {
 			d.reportCrash(context.WithoutCancel(ctx), c, decision.Endpoint.Name)
@@ -286,14 +296,18 @@
 	firstToken, tokenTime time.Duration
 	// cached blocks of its prompt, and blocks that waited ahead of it
 	cached, ahead int
+	// refused is set when the endpoint answered without running the prompt.
+	refused bool
 }
 
 // outcome feeds what an endpoint showed back into the decisions.
 func (d *Dispatcher) outcome(c *Call, decision *bluebellroute.Decision, e ended) {
 	now := d.cfg.Now()
-	if e.failed {
+	switch {
+	case e.failed:
 		d.cfg.Router.EndpointFailed(now, decision.Endpoint.Name)
-	} else {
+	case e.refused:
+	default:
 		d.cfg.Router.Learn(now, decision, e.cached, e.ahead, e.firstToken)
 		d.cfg.Count.FirstToken(c.Target, decision.Version, decision.Endpoint.FailureDomain, e.firstToken)
 		d.cfg.Count.Blocks(c.Target, e.cached, len(c.Blocks))
--- a/bluebellentry/internal/bluebelldispatch/gates.go
+++ b/bluebellentry/internal/bluebelldispatch/gates.go
@@ -14,6 +14,7 @@
 type gate struct {
 	mu      sync.Mutex
 	gate    *bluebelllimit.Gate
+	limits  bluebelllimit.Limits
 	waiting map[uint64]chan struct{}
 }
 
@@ -33,24 +34,59 @@
 	return &gateSet{vm: vm, now: now, after: after, gates: map[string]*gate{}}
 }
 
-// apply puts a table's limits in force. UnixNow is the time of health reports.
-func (s *gateSet) apply(t *bluebellroute.Table, policy *pb.Policy, unixNow int64) {
+// handover is how long a new owner of slots waits for the old one to follow: the
+// time in which a change is in force everywhere, and some more.
+const handover = 6 * time.Second
+
+// HandoverLeft returns how long a handover still takes.
+func HandoverLeft(ownersChangedAt int64, now time.Time) time.Duration {
+	return time.Unix(0, ownersChangedAt).Add(handover).Sub(now)
+}
+
+// apply puts a table's limits in force. UnixNow is the time of health reports;
+// ownersChangedAt is when slots last passed to other owners. Slots that this VM
+// has gained by that are used once the handover is over.
+func (s *gateSet) apply(t *bluebellroute.Table, policy *pb.Policy, unixNow, ownersChangedAt int64) {
 	s.mu.Lock()
 	s.queueLimit = int(policy.GetQueueLimit())
 	s.mu.Unlock()
 	now := s.now()
 	warmAfter := policy.GetWarmAfter().AsDuration()
+	waits := unixNow < ownersChangedAt+int64(handover)
 	for _, e := range t.Endpoints() {
-		if e.OwnShare(s.vm, e.Slots) == 0 {
+		warm, cold := e.OwnShare(s.vm, e.Slots), e.OwnShare(s.vm, e.ColdSlots)
+		g := s.find(e.Name)
+		if g == nil && warm == 0 {
 			continue
 		}
+		if g == nil {
+			g = s.get(e.Name)
+		}
 		age := time.Duration(unixNow - e.FirstSeenAt)
-		s.get(e.Name).setLimits(now, bluebelllimit.Limits{
-			Warm: e.OwnShare(s.vm, e.Slots), Cold: e.OwnShare(s.vm, e.ColdSlots),
+		g.setLimits(now, waits, bluebelllimit.Limits{
+			Warm: warm, Cold: cold,
 			Incarnation: e.Incarnation, ColdUntil: now + warmAfter - age,
-			Closed: !e.Usable,
+			Closed: !e.Usable || warm == 0,
 		})
 	}
+	s.closeMissing(now, t)
+}
+
+// closeMissing closes the gates of endpoints that are no longer declared.
+func (s *gateSet) closeMissing(now time.Duration, t *bluebellroute.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, g := range s.gates {
+		if t.Endpoint(name) == nil {
+			g.setLimits(now, false, bluebelllimit.Limits{Closed: true})
+		}
+	}
+}
+
+func (s *gateSet) find(endpoint string) *gate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gates[endpoint]
 }
 
 func (s *gateSet) get(endpoint string) *gate {
@@ -69,9 +105,7 @@
 
 // use tells how an endpoint is used from here.
 func (s *gateSet) use(endpoint string) (running, waiting, slots int) {
-	s.mu.Lock()
-	g := s.gates[endpoint]
-	s.mu.Unlock()
+	g := s.find(endpoint)
 	if g == nil {
 		return 0, 0, 0
 	}
@@ -128,9 +162,15 @@
 	g.wake(g.gate.Release(s.now(), s.request, ok))
 }
 
-func (g *gate) setLimits(now time.Duration, l bluebelllimit.Limits) {
+// setLimits puts limits in force; one that waits does not use more slots than
+// before.
+func (g *gate) setLimits(now time.Duration, waits bool, l bluebelllimit.Limits) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if waits {
+		l.Warm, l.Cold = min(l.Warm, g.limits.Warm), min(l.Cold, g.limits.Cold)
+	}
+	g.limits = l
 	g.wake(g.gate.SetLimits(now, l))
 }
 
--- a/bluebellentry/internal/bluebellfront/caller.go
+++ b/bluebellentry/internal/bluebellfront/caller.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"net/http"
+	"net/url"
+	"path"
 	"slices"
 	"strconv"
 	"strings"
@@ -49,12 +51,15 @@
 		return f.sendError(c, call.RequestID, callErr)
 	}
 	call.Target, call.Kind = strings.Clone(c.Params("target")), pb.Kind_Service
-	call.Path = "/" + strings.Clone(c.Params("*"))
+	call.Path = path.Clean("/" + strings.Clone(c.Params("*")))
 	target := f.target(call.Target)
 	if target == nil || target.Kind != pb.Kind_Service {
 		return f.sendError(c, call.RequestID, refuse(http.StatusNotFound, bluebelldispatch.CodeUnknownTarget, "service \""+call.Target+"\" is not declared"))
 	}
-	call.NonIdempotent = call.Method != http.MethodGet && slices.Contains(target.NonIdempotentPaths, call.Path)
+	if decoded, err := url.PathUnescape(call.Path); err != nil || decoded != call.Path {
+		return f.sendError(c, call.RequestID, refuse(http.StatusBadRequest, bluebelldispatch.CodeBadRequest, "the path of a service call must be plain, without escapes"))
+	}
+	call.NonIdempotent = nonIdempotent(target, call.Method, call.Path)
 	if query := c.Request().URI().QueryString(); len(query) > 0 {
 		call.Path += "?" + string(query)
 	}
@@ -64,6 +69,19 @@
 	return f.dispatch(c, call)
 }
 
+// nonIdempotent tells whether a call may not be repeated. A declared path covers
+// the paths below it, whatever their case, since a service may not tell them
+// apart.
+func nonIdempotent(t *pb.Target, method, callPath string) bool {
+	if method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions {
+		return false
+	}
+	callPath = strings.ToLower(callPath) + "/"
+	return slices.ContainsFunc(t.NonIdempotentPaths, func(declared string) bool {
+		return strings.HasPrefix(callPath, strings.ToLower(path.Clean(declared))+"/")
+	})
+}
+
 func (f *Front) target(name string) *pb.Target {
 	for _, t := range f.cfg.View().Configuration.GetTargets() {
 		if t.Name == name {
--- a/bluebellentry/internal/bluebellfront/front.go
+++ b/bluebellentry/internal/bluebellfront/front.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,11 +44,13 @@
 	ChangeMembers func(ctx context.Context, m *pb.Members) error
 	Records       func(requestID string) []*pb.RoutingRecord
 	Metrics       http.Handler
-	Refused       func(code bluebelldispatch.Code)
-	Now           func() time.Duration
-	Wall          func() time.Time
-	NewID         func() string
-	Logger        *log.Logger
+	// Ready tells whether calls could be served.
+	Ready   func() bool
+	Refused func(code bluebelldispatch.Code)
+	Now     func() time.Duration
+	Wall    func() time.Time
+	NewID   func() string
+	Logger  *log.Logger
 }
 
 // Front serves HTTP for one entry.
@@ -58,7 +59,7 @@
 	app       *fiber.App
 	directory atomic.Pointer[directory]
 	stopping  atomic.Bool
-	active    sync.WaitGroup
+	active    activeCount
 }
 
 // New returns a front that does not listen yet.
@@ -95,14 +96,16 @@
 
 // Drain waits until all requests have ended, or ctx has.
 func (f *Front) Drain(ctx context.Context) {
-	ended := make(chan struct{})
-	go func() {
-		f.active.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
+	for {
+		ended := f.active.none()
+		if ended == nil {
+			return
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -124,8 +127,8 @@
 	switch {
 	case f.stopping.Load():
 		return c.Status(http.StatusServiceUnavailable).SendString("stopping\n")
-	case f.cfg.View().Configuration == nil:
-		return c.Status(http.StatusServiceUnavailable).SendString("no configuration yet\n")
+	case !f.cfg.Ready():
+		return c.Status(http.StatusServiceUnavailable).SendString("no usable endpoint is known\n")
 	}
 	return c.SendString("ready\n")
 }
@@ -133,8 +136,8 @@
 // tracked counts a request until its handler, or its stream, has ended.
 func (f *Front) tracked(h func(c fiber.Ctx) error) fiber.Handler {
 	return func(c fiber.Ctx) error {
-		f.active.Add(1)
-		defer f.active.Done()
+		f.active.begin()
+		defer f.active.end()
 		return h(c)
 	}
 }
--- a/bluebellentry/internal/bluebellfront/stream.go
+++ b/bluebellentry/internal/bluebellfront/stream.go
@@ -29,9 +29,9 @@
 func (f *Front) stream(c fiber.Ctx, call *bluebelldispatch.Call, reply *bluebelldispatch.Reply, cancel context.CancelFunc) error {
 	c.Set("Content-Type", eventStreamType)
 	c.Set("Cache-Control", "no-store")
-	f.active.Add(1)
+	f.active.begin()
 	return c.SendStreamWriter(func(w *bufio.Writer) {
-		defer f.active.Done()
+		defer f.active.end()
 		events := make(chan streamEvent)
 		gone := make(chan struct{})
 		var group conc.WaitGroup
--- a/bluebellentry/internal/bluebellnode/metrics.go
+++ b/bluebellentry/internal/bluebellnode/metrics.go
@@ -1,9 +1,12 @@
 package bluebellnode
 
 import (
+	"io"
 	"net/http"
 	"time"
 
+	"github.com/charmbracelet/log"
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -16,16 +19,21 @@
 // metrics are the measured values of one process.
 type metrics struct {
 	scope    tally.Scope
+	closer   io.Closer
 	reporter prometheus.Reporter
 }
 
-func newMetrics() *metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+func newMetrics(logger *log.Logger) *metrics {
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry, Gatherer: registry,
+		OnRegisterError: func(err error) { logger.Error("metric not registered", "Error", err) },
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "bluebell", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, reportEvery)
-	return &metrics{scope: scope, reporter: reporter}
+	return &metrics{scope: scope, closer: closer, reporter: reporter}
 }
 
 func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
--- a/bluebellentry/internal/bluebellnode/node.go
+++ b/bluebellentry/internal/bluebellnode/node.go
@@ -86,14 +86,14 @@
 		ledger:  bluebellmove.NewLedger(s.VM.Name, time.Now().UnixNano()),
 		brake:   bluebellmove.NewBrake(),
 		pool:    bluebellupstream.NewPool(bluebellupstream.PoolConfig{Dial: cfg.Dial}),
-		records: newRecordRing(), metrics: newMetrics(),
+		records: newRecordRing(), metrics: newMetrics(cfg.Logger),
 	}
 	n.hub = bluebellsync.NewHub(bluebellsync.HubConfig{VM: n.vm, WallClock: time.Now, After: time.After, StaleFor: n.staleFor})
 	if err := n.openVoter(); err != nil {
 		return nil, err
 	}
 	n.follower = bluebellsync.NewFollower(bluebellsync.FollowConfig{
-		Hub: n.hub, Sources: n.sources, Watch: n.watch, TakeViews: n.voter == nil,
+		Hub: n.hub, Sources: n.sources, Watch: n.watch, TakeViews: func() bool { return !n.isVoter() },
 		Now: n.now, Sleep: sleep, Logger: cfg.Logger,
 	})
 	n.dispatch = bluebelldispatch.New(bluebelldispatch.Config{
@@ -107,7 +107,7 @@
 	})
 	n.front = bluebellfront.New(bluebellfront.Config{
 		VM: n.vm, Dispatcher: n.dispatch, View: n.hub.View, Operators: s.Operators, Secret: cfg.Secret,
-		Propose: n.propose, Status: n.status, ChangeMembers: n.changeMembers, Records: n.records.find,
+		Propose: n.propose, Status: n.status, ChangeMembers: n.changeMembers, Records: n.records.find, Ready: n.ready,
 		Metrics: n.metrics.handler(), Refused: n.metrics.refused, Now: n.now, Wall: time.Now, NewID: newID, Logger: cfg.Logger,
 	})
 	return n, nil
@@ -173,7 +173,7 @@
 
 // sources returns whom to follow: the leader for voters, else the tree.
 func (n *Node) sources() []string {
-	if n.voter != nil && n.isVoter() {
+	if n.isVoter() {
 		leader := vmOf(n.voter.Status().Leader)
 		if leader == "" || leader == n.vm {
 			return nil
@@ -183,7 +183,12 @@
 	return bluebellsync.Sources(n.vm, names(n.cfg.Settings.Neighbours), n.voterNames())
 }
 
+// isVoter tells whether this VM has a vote now. One whose disk was replaced has
+// none until operators have made it a voter.
 func (n *Node) isVoter() bool {
+	if n.voter == nil {
+		return false
+	}
 	for _, v := range n.voter.Status().Members.GetVoters() {
 		if vmOf(v) == n.vm {
 			return true
@@ -277,10 +282,22 @@
 	n.senders.Wait()
 	n.peers.close()
 	n.pool.Close()
+	err = errors.Join(err, n.metrics.closer.Close())
 	n.cfg.Logger.Info("stopped", "VM", n.vm, "Error", err)
 	return err
 }
 
+// ready tells whether calls could be served: a configuration is in force and the
+// health of some endpoint is known.
+func (n *Node) ready() bool {
+	for _, e := range n.router.Table().Endpoints() {
+		if e.Usable {
+			return true
+		}
+	}
+	return false
+}
+
 // stop is a planned stop: it cuts nothing that runs.
 func (n *Node) stop() {
 	n.cfg.Logger.Info("stopping", "VM", n.vm)
@@ -304,8 +321,13 @@
 		news, changed := n.hub.News()
 		n.peers.learn(news.View.Configuration.GetVMs())
 		n.putInForce(news)
+		var again <-chan time.Time
+		if wait := bluebelldispatch.HandoverLeft(news.View.OwnersChangedAt, time.Now()); wait > 0 {
+			again = time.After(wait)
+		}
 		select {
 		case <-changed:
+		case <-again:
 		case <-ctx.Done():
 		}
 	}
@@ -314,7 +336,7 @@
 func (n *Node) putInForce(news bluebellsync.News) {
 	policy := news.View.Configuration.GetPolicy()
 	table := bluebellroute.BuildTable(bluebellroute.TableInput{View: news.View, Health: news.Health, Braked: n.brake.Braked})
-	n.dispatch.SetTable(table, policy)
+	n.dispatch.SetTable(table, policy, news.View.OwnersChangedAt)
 }
 
 // countEvidence publishes this VM's counts, and brakes a version on them.
--- a/bluebellentry/internal/bluebellupstream/pool.go
+++ b/bluebellentry/internal/bluebellupstream/pool.go
@@ -299,6 +299,10 @@
 
 // ReadAll returns the whole body, which may have up to limit bytes.
 func (x *Exchange) ReadAll(limit int64) ([]byte, error) {
+	if x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0 {
+		// Its end could not be told from a broken connection.
+		return nil, x.fail(ReadingAnswer, errors.New("the answer has neither a length nor chunks"))
+	}
 	body, err := io.ReadAll(io.LimitReader(bodyReader{x}, limit+1))
 	switch {
 	case err != nil:
