--- a/bluebellentry/bluebellscenario/cluster_test.go
+++ b/bluebellentry/bluebellscenario/cluster_test.go
@@ -224,7 +224,7 @@
 	delete(c.vms, vm)
 	if kill {
 		r.kill()
-		<-r.done
+		_ = <-r.done
 		return nil
 	}
 	r.stop()
@@ -244,7 +244,7 @@
 		} else {
 			r.stop()
 		}
-		<-r.done
+		_ = <-r.done
 	}
 	for _, l := range c.listeners {
 		_ = l.Close()
@@ -315,7 +315,6 @@
 	if command.ChangeID == "" {
 		command.ChangeID = uuid.NewString()
 	}
-	c.lastChange = command
 	var r pb.Result
 	return &r, c.operate(vm, fasthttp.MethodPost, "change", key, command, &r)
 }
--- a/bluebellentry/bluebellscenario/script_test.go
+++ b/bluebellentry/bluebellscenario/script_test.go
@@ -148,7 +148,10 @@
 	if err != nil {
 		return "", err
 	}
-	r, err := setDomain(c, vm, domain, out, operatorKey, base)
+	c.lastChange = &pb.Command{ChangeID: uuid.NewString(), BaseRevision: base, Body: &pb.Command_SetFailureDomain{
+		SetFailureDomain: &pb.SetFailureDomain{Name: domain, Out: out},
+	}}
+	r, err := c.change(vm, operatorKey, c.lastChange)
 	if err != nil {
 		return "", err
 	}
