--- a/bluebell/bluebellconfig/check.go
+++ b/bluebell/bluebellconfig/check.go
@@ -132,6 +132,10 @@
 			c.d.add(fmt.Sprintf("FailureDomains[%d]", i), "failure domain %q has no entry VM", f.Name)
 		}
 	}
+	if c.q.TolerateLostVMs > maxVoters/2 {
+		c.d.add("TolerateLostVMs", "%d lost VMs cannot be tolerated; accepted: 0 to %d", c.q.TolerateLostVMs, maxVoters/2)
+		return
+	}
 	need := int(2*c.q.TolerateLostVMs + 1)
 	if disks < need {
 		c.d.add("TolerateLostVMs", "tolerating %d lost VMs needs %d voters, but only %d VMs have a DataFolder", c.q.TolerateLostVMs, need, disks)
--- /dev/null
+++ b/bluebell/bluebellconfig/config_test.go
@@ -0,0 +1,96 @@
+package bluebellconfig_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebell/bluebellconfig"
+)
+
+const examples = "../../examples"
+
+func readExample(t testing.TB, name string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(examples, name, "answers.jsonc"))
+	require.NoError(t, err)
+	return text
+}
+
+// TestFindings reads answers given whole, or as a replacement in the example of
+// the Konzorcium, and shows all findings.
+func TestFindings(t *testing.T) {
+	base := string(readExample(t, "konzorcium"))
+	datadriven.RunTest(t, "testdata/findings", func(t *testing.T, d *datadriven.TestData) string {
+		text := d.Input
+		if d.Cmd == "replace" {
+			text = base
+			for _, line := range strings.Split(d.Input, "\n") {
+				from, to, ok := strings.Cut(line, " => ")
+				require.True(t, ok, "%s: a replacement has an arrow", d.Pos)
+				require.Contains(t, text, from, d.Pos)
+				text = strings.ReplaceAll(text, from, to)
+			}
+		}
+		_, findings := bluebellconfig.ReadQuestionnaire("answers.jsonc", []byte(text))
+		if findings.Empty() {
+			return "no findings\n"
+		}
+		return findings.Error() + "\n"
+	})
+}
+
+func TestBinaryInput(t *testing.T) {
+	_, findings := bluebellconfig.ReadQuestionnaire("answers.jsonc", []byte("{\n  \"Name\": \"\xff\xfe\"}"))
+	require.Equal(t, "answers.jsonc:2:12: the text is not valid UTF-8", findings.Error())
+}
+
+// TestGenerateIsDeterministic also shows that the two teams' weights come out.
+func TestGenerateIsDeterministic(t *testing.T) {
+	generate := func(name string) (string, float64) {
+		q, findings := bluebellconfig.ReadQuestionnaire(name, readExample(t, name))
+		require.Empty(t, findings)
+		c := bluebellconfig.Generate(q)
+		text, err := bluebellconfig.Format(c)
+		require.NoError(t, err)
+		read, findings := bluebellconfig.ReadConfiguration(name, text)
+		require.Empty(t, findings)
+		again, err := bluebellconfig.Format(read)
+		require.NoError(t, err)
+		require.Equal(t, string(text), string(again))
+		require.Len(t, c.Voters, 3)
+		return string(text), c.Policy.CanaryShare
+	}
+	first, konzorcium := generate("konzorcium")
+	second, _ := generate("konzorcium")
+	require.Equal(t, first, second)
+	_, vlechtwerkbond := generate("vlechtwerkbond")
+	// A bad version costs the Konzorcium more, so it sees less of one.
+	require.Less(t, konzorcium, vlechtwerkbond)
+}
+
+func FuzzReadQuestionnaire(f *testing.F) {
+	f.Add(readExample(f, "konzorcium"))
+	f.Add([]byte(`{"VMs": [{"Name": 1}], "VMs": null, // x` + "\n}"))
+	f.Add([]byte(`{"Importance": {"FirstToken": -1e9}, "KeyRetention": "1e3s"}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		q, findings := bluebellconfig.ReadQuestionnaire("answers.jsonc", text)
+		for _, finding := range findings {
+			require.Positive(t, finding.Line)
+			require.Positive(t, finding.Column)
+			require.NotEmpty(t, finding.Text)
+		}
+		if !findings.Empty() {
+			return
+		}
+		// What has no findings can be generated, and read back.
+		formatted, err := bluebellconfig.Format(bluebellconfig.Generate(q))
+		require.NoError(t, err)
+		_, findings = bluebellconfig.ReadConfiguration("configuration.jsonc", formatted)
+		require.Empty(t, findings)
+	})
+}
--- a/bluebell/bluebellconfig/parse.go
+++ b/bluebell/bluebellconfig/parse.go
@@ -1,6 +1,7 @@
 package bluebellconfig
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"strconv"
@@ -60,7 +61,8 @@
 		d.addAt(offset, "the text is not valid UTF-8")
 		return d
 	}
-	tree, err := hujson.Parse(text)
+	// The tree shares its bytes with the parsed text, and is altered below.
+	tree, err := hujson.Parse(bytes.Clone(text))
 	if err != nil {
 		d.addSyntax(err)
 		return d
--- /dev/null
+++ b/bluebellsim/bluebellworld/world_test.go
@@ -0,0 +1,57 @@
+package bluebellworld_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebellsim/bluebellworld"
+)
+
+// TestHistories runs a few fixed seeds; the command bluebellsim runs many.
+func TestHistories(t *testing.T) {
+	for _, voters := range []int{3, 5} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("Voters%d/Seed%d", voters, seed), func(t *testing.T) {
+				t.Parallel()
+				world := bluebellworld.New(bluebellworld.Config{Seed: seed, Steps: 40_000, Voters: voters})
+				report, err := world.Run()
+				require.NoError(t, err)
+				// A run that exercises nothing proves nothing.
+				require.Positive(t, report.Crashes)
+				require.Positive(t, report.Partitions)
+				require.Positive(t, report.Pauses)
+				require.Greater(t, report.Committed, 500)
+				require.Greater(t, report.Dispatches, 100)
+				require.Positive(t, report.Conflicts)
+			})
+		}
+	}
+}
+
+// TestMutationsAreNoticed breaks one guard at a time, at seeds that show it.
+func TestMutationsAreNoticed(t *testing.T) {
+	seeds := map[bluebellworld.Mutation]uint64{
+		bluebellworld.IgnoreSync: 6, bluebellworld.SameIdentity: 5, bluebellworld.VoteAtOnce: 24, bluebellworld.Drift: 64,
+		bluebellworld.DispatchHeld: 1, bluebellworld.ForgetReleased: 2, bluebellworld.ForgetCommit: 1, bluebellworld.SkipCorrupt: 59,
+	}
+	for _, m := range bluebellworld.Mutations() {
+		t.Run(string(m), func(t *testing.T) {
+			t.Parallel()
+			_, err := bluebellworld.New(bluebellworld.Config{Seed: seeds[m], Steps: 100_000, Voters: 3, Mutation: m}).Run()
+			var violation *bluebellworld.Violation
+			require.ErrorAs(t, err, &violation)
+		})
+	}
+}
+
+// TestSameSeedSameHistory holds runs to be repeatable.
+func TestSameSeedSameHistory(t *testing.T) {
+	run := func() bluebellworld.Report {
+		report, err := bluebellworld.New(bluebellworld.Config{Seed: 9, Steps: 20_000, Voters: 3}).Run()
+		require.NoError(t, err)
+		return report
+	}
+	require.Equal(t, run(), run())
+}
