A connection for each exchange; refusals reach callers that still send

Cause: with silent connections callers stalled for more than 30 s, since every endpoint's idle connection cost a whole first-token wait; a body over the limit met a reset in place of its error.

--- /dev/null
+++ b/bluebell/bluebellsync/sync_test.go
@@ -0,0 +1,156 @@
+package bluebellsync_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"pgregory.net/rapid"
+
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellsync"
+)
+
+func newHub(vm string, stale time.Duration) *bluebellsync.Hub {
+	return bluebellsync.NewHub(bluebellsync.HubConfig{
+		VM: vm, WallClock: func() time.Time { return time.Unix(1000, 0) }, After: time.After,
+		StaleFor: func() time.Duration { return stale },
+	})
+}
+
+func view(revision, configuration uint64) *pb.View {
+	return &pb.View{Revision: revision, ConfigurationRevision: configuration, Configuration: &pb.Configuration{Name: fmt.Sprint(configuration)}}
+}
+
+// TestNoSourceTakesARevisionBack offers views in any order, whole and as deltas.
+func TestNoSourceTakesARevisionBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hub := newHub("a", 0)
+		latest := uint64(0)
+		for range 30 {
+			configuration := rapid.Uint64Range(1, 5).Draw(t, "configuration")
+			v := view(rapid.Uint64Range(configuration, 30).Draw(t, "revision"), configuration)
+			if rapid.Bool().Draw(t, "delta") {
+				v.Configuration = nil
+			}
+			hub.Offer(v)
+			now := hub.View()
+			require.GreaterOrEqual(t, now.Revision, latest)
+			latest = now.Revision
+			if latest > 0 {
+				require.Equal(t, fmt.Sprint(now.ConfigurationRevision), now.Configuration.Name)
+			}
+		}
+	})
+}
+
+// TestAFollowerGetsOnlyWhatIsNew leaves out the configuration that it has, and
+// health that it was sent.
+func TestAFollowerGetsOnlyWhatIsNew(t *testing.T) {
+	hub := newHub("a", 0)
+	hub.Offer(view(1, 1))
+	hub.Report([]*pb.EndpointHealth{{Endpoint: "e1", ObservedAt: 1}})
+	first := hub.Answer(context.Background(), &pb.WatchRequest{VM: "b"})
+	require.NotNil(t, first.View.Configuration)
+	require.Len(t, first.Health, 1)
+
+	hub.Offer(view(2, 1))
+	hub.Report([]*pb.EndpointHealth{{Endpoint: "e2", ObservedAt: 1}, {Endpoint: "e1", ObservedAt: 1}})
+	next := hub.Answer(context.Background(), &pb.WatchRequest{
+		VM: "b", Revision: 1, ConfigurationRevision: 1, HealthCursor: first.HealthCursor, HealthEpoch: first.HealthEpoch,
+	})
+	require.Equal(t, uint64(2), next.View.Revision)
+	require.Nil(t, next.View.Configuration)
+	require.Len(t, next.Health, 1)
+	require.Equal(t, "e2", next.Health[0].Endpoint)
+
+	// A cursor of an earlier process is worth nothing.
+	again := hub.Answer(context.Background(), &pb.WatchRequest{VM: "b", Revision: 2, ConfigurationRevision: 1, HealthCursor: 99, HealthEpoch: 5})
+	require.Len(t, again.Health, 2)
+	require.Nil(t, again.View)
+}
+
+// TestALongPollEndsWithNews waits for an event, not for a time.
+func TestALongPollEndsWithNews(t *testing.T) {
+	hub := newHub("a", 0)
+	hub.Offer(view(1, 1))
+	answered := make(chan *pb.WatchReply)
+	go func() {
+		answered <- hub.Answer(context.Background(), &pb.WatchRequest{VM: "b", Revision: 1, ConfigurationRevision: 1, Wait: durationpb.New(time.Hour)})
+	}()
+	_, changed := hub.News()
+	hub.Offer(view(2, 1))
+	<-changed
+	require.Equal(t, uint64(2), (<-answered).View.Revision)
+}
+
+// TestTheTreeReachesAll walks from every node over its first source to a voter, and
+// bounds the children of each node.
+func TestTheTreeReachesAll(t *testing.T) {
+	for _, size := range []int{1, 2, 9, 49} {
+		var neighbours []string
+		for i := range size {
+			neighbours = append(neighbours, fmt.Sprint("vm", i))
+		}
+		voters := []string{"vm0", "other1", "other2"}
+		children := map[string]int{}
+		for _, vm := range neighbours {
+			at, hops := vm, 0
+			for at != "vm0" {
+				at = bluebellsync.Sources(at, neighbours, voters)[0]
+				hops++
+				require.LessOrEqual(t, hops, 3)
+			}
+			sources := bluebellsync.Sources(vm, neighbours, voters)
+			require.NotContains(t, sources, vm)
+			require.Subset(t, append(sources, vm), voters)
+			if vm != "vm0" {
+				children[sources[0]]++
+			}
+		}
+		for vm, n := range children {
+			require.LessOrEqual(t, n, 8, vm)
+		}
+	}
+}
+
+// TestAStaleSourceIsPassedOver follows two sources of which the preferred one has
+// heard nothing lately.
+func TestAStaleSourceIsPassedOver(t *testing.T) {
+	stale, fresh := newHub("stale", time.Minute), newHub("fresh", 0)
+	stale.Offer(view(3, 1))
+	fresh.Offer(view(7, 1))
+	hubs := map[string]*bluebellsync.Hub{"stale": stale, "fresh": fresh}
+	own := newHub("own", 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	follower := bluebellsync.NewFollower(bluebellsync.FollowConfig{
+		Hub: own, Sources: func() []string { return []string{"stale", "fresh"} }, TakeViews: func() bool { return true },
+		Watch: func(ctx context.Context, source string, r *pb.WatchRequest) (*pb.WatchReply, error) {
+			return hubs[source].Answer(ctx, r), nil
+		},
+		Now: func() time.Duration { return time.Second }, Sleep: func(context.Context, time.Duration) {},
+		Logger: log.New(io.Discard),
+	})
+	ended := make(chan struct{})
+	go func() {
+		follower.Run(ctx)
+		close(ended)
+	}()
+	for {
+		news, changed := own.News()
+		// A node that has just started takes nothing from a stale source.
+		require.NotEqual(t, uint64(3), news.View.Revision)
+		if news.View.Revision == 7 {
+			break
+		}
+		<-changed
+	}
+	cancel()
+	<-ended
+}
--- a/bluebellentry/bluebellscenario/cluster_test.go
+++ b/bluebellentry/bluebellscenario/cluster_test.go
@@ -53,7 +53,6 @@
 	configuration *pb.Configuration
 	settings      map[string]*pb.ProcessSettings
 	engines       map[string]*bluebellengine.Engine
-	listeners     []net.Listener
 	vms           map[string]*runningVM
 	keys          map[string]string
 	lastChange    *pb.Command
@@ -149,7 +148,6 @@
 	if err != nil {
 		return err
 	}
-	c.listeners = append(c.listeners, listener)
 	host, _, err := net.SplitHostPort(e.Address)
 	if err != nil {
 		return err
@@ -224,8 +222,8 @@
 	delete(c.vms, vm)
 	if kill {
 		r.kill()
-		_ = <-r.done
-		return nil
+		_, err := fmt.Fprintln(c.logs, vm, "killed:", <-r.done)
+		return err
 	}
 	r.stop()
 	select {
@@ -244,10 +242,10 @@
 		} else {
 			r.stop()
 		}
-		_ = <-r.done
+		_, _ = fmt.Fprintln(c.logs, vm, "ended:", <-r.done)
 	}
-	for _, l := range c.listeners {
-		_ = l.Close()
+	for _, e := range c.engines {
+		_ = e.Close()
 	}
 }
 
--- a/bluebellentry/bluebellscenario/script_test.go
+++ b/bluebellentry/bluebellscenario/script_test.go
@@ -312,7 +312,7 @@
 	if err != nil {
 		return "", err
 	}
-	return r.Verdict.String() + " " + r.Text, nil
+	return r.Verdict.String() + " " + r.Text, c.awaitInForce(r.Revision, c.running())
 }
 
 // moved sends prompts until the move of the model has ended.
--- a/bluebellentry/internal/bluebelldispatch/dispatcher.go
+++ b/bluebellentry/internal/bluebelldispatch/dispatcher.go
@@ -29,6 +29,8 @@
 	// firstByteSlack is added to the time that work tolerates, so that a slow
 	// answer is not taken for a dead endpoint.
 	firstByteSlack = 5 * time.Second
+	// hopSlack is added to the wait for an owner.
+	hopSlack = time.Second
 	// crashReportTimeout bounds the wait for a crash report to be agreed.
 	crashReportTimeout = time.Second
 )
@@ -47,10 +49,10 @@
 
 // Config sets up a Dispatcher.
 type Config struct {
-	VM     string
-	Router *bluebellroute.Router
-	Pool   *bluebellupstream.Pool
-	Ledger *bluebellmove.Ledger
+	VM       string
+	Router   *bluebellroute.Router
+	Upstream *bluebellupstream.Client
+	Ledger   *bluebellmove.Ledger
 	// Propose has a command agreed by the voters.
 	Propose func(ctx context.Context, c *pb.Command) (*pb.Result, error)
 	View    func() *pb.View
@@ -387,9 +389,13 @@
 	if c.Kind == pb.Kind_Service {
 		within = policy.GetCallTimeout().AsDuration()
 	}
-	x, err := d.cfg.Pool.Do(ctx, bluebellupstream.Request{
+	if address != decision.Endpoint.Address {
+		// The owner has to end its own wait first.
+		within += hopSlack
+	}
+	x, err := d.cfg.Upstream.Do(ctx, bluebellupstream.Request{
 		Address: address, Method: c.Method, Path: path, Header: header, Body: c.Body,
-		Fresh: c.NonIdempotent, FirstByteWithin: within, SilentFor: policy.GetStreamTimeout().AsDuration(),
+		FirstByteWithin: within, SilentFor: policy.GetStreamTimeout().AsDuration(),
 	})
 	if err != nil {
 		return nil, asUpstream(err)
--- a/bluebellentry/internal/bluebellfront/answer.go
+++ b/bluebellentry/internal/bluebellfront/answer.go
@@ -59,6 +59,7 @@
 	switch status {
 	case http.StatusRequestEntityTooLarge:
 		code = bluebelldispatch.CodeTooLarge
+		lingerOn(c.RequestCtx().Conn())
 	case http.StatusNotFound, http.StatusMethodNotAllowed:
 		code = bluebelldispatch.CodeUnknownTarget
 	}
--- a/bluebellentry/internal/bluebellfront/front.go
+++ b/bluebellentry/internal/bluebellfront/front.go
@@ -83,7 +83,7 @@
 
 // Serve answers on a listener until Stop.
 func (f *Front) Serve(listener net.Listener) error {
-	err := f.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+	err := f.app.Listener(lingerListener{listener}, fiber.ListenConfig{DisableStartupMessage: true})
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/bluebellentry/internal/bluebellmover/mover.go
+++ b/bluebellentry/internal/bluebellmover/mover.go
@@ -65,11 +65,11 @@
 
 // Config sets up a Mover.
 type Config struct {
-	VM     string
-	Pool   *bluebellupstream.Pool
-	Secret []byte
-	Table  func() *bluebellroute.Table
-	View   func() *pb.View
+	VM       string
+	Upstream *bluebellupstream.Client
+	Secret   []byte
+	Table    func() *bluebellroute.Table
+	View     func() *pb.View
 	// Evidence returns the counts of all VMs.
 	Evidence func() []*pb.Evidence
 	// Leads tells whether this VM leads under a lease, and in which term.
@@ -308,9 +308,9 @@
 	header := http.Header{}
 	header.Set("Content-Type", "application/json")
 	header.Set(HeaderOrderSignature, SignOrder(m.cfg.Secret, body))
-	x, err := m.cfg.Pool.Do(ctx, bluebellupstream.Request{
+	x, err := m.cfg.Upstream.Do(ctx, bluebellupstream.Request{
 		Address: e.Address, Method: http.MethodPost, Path: "/orders", Header: header, Body: body,
-		Fresh: true, FirstByteWithin: orderTimeout, SilentFor: orderTimeout,
+		FirstByteWithin: orderTimeout, SilentFor: orderTimeout,
 	})
 	if err != nil {
 		return err
--- a/bluebellentry/internal/bluebellnode/node.go
+++ b/bluebellentry/internal/bluebellnode/node.go
@@ -68,7 +68,7 @@
 	router   *bluebellroute.Router
 	ledger   *bluebellmove.Ledger
 	brake    *bluebellmove.Brake
-	pool     *bluebellupstream.Pool
+	upstream *bluebellupstream.Client
 	dispatch *bluebelldispatch.Dispatcher
 	front    *bluebellfront.Front
 	records  *recordRing
@@ -81,12 +81,12 @@
 	s := cfg.Settings
 	n := &Node{
 		cfg: cfg, vm: s.VM.Name, started: time.Now(),
-		peers:   newPeers(s.VM.Name, cfg.Secret, cfg.Dial, s.Voters, s.Neighbours, []*pb.VM{s.VM}),
-		router:  bluebellroute.NewRouter(bluebellroute.Config{VM: s.VM.Name, LoadBound: 1.25}),
-		ledger:  bluebellmove.NewLedger(s.VM.Name, time.Now().UnixNano()),
-		brake:   bluebellmove.NewBrake(),
-		pool:    bluebellupstream.NewPool(bluebellupstream.PoolConfig{Dial: cfg.Dial}),
-		records: newRecordRing(), metrics: newMetrics(cfg.Logger),
+		peers:    newPeers(s.VM.Name, cfg.Secret, cfg.Dial, s.Voters, s.Neighbours, []*pb.VM{s.VM}),
+		router:   bluebellroute.NewRouter(bluebellroute.Config{VM: s.VM.Name, LoadBound: 1.25}),
+		ledger:   bluebellmove.NewLedger(s.VM.Name, time.Now().UnixNano()),
+		brake:    bluebellmove.NewBrake(),
+		upstream: bluebellupstream.NewClient(bluebellupstream.ClientConfig{Dial: cfg.Dial}),
+		records:  newRecordRing(), metrics: newMetrics(cfg.Logger),
 	}
 	n.hub = bluebellsync.NewHub(bluebellsync.HubConfig{VM: n.vm, WallClock: time.Now, After: time.After, StaleFor: n.staleFor})
 	if err := n.openVoter(); err != nil {
@@ -97,7 +97,7 @@
 		Now: n.now, Sleep: sleep, Logger: cfg.Logger,
 	})
 	n.dispatch = bluebelldispatch.New(bluebelldispatch.Config{
-		VM: n.vm, Router: n.router, Pool: n.pool, Ledger: n.ledger, Propose: n.propose, View: n.hub.View,
+		VM: n.vm, Router: n.router, Upstream: n.upstream, Ledger: n.ledger, Propose: n.propose, View: n.hub.View,
 		VMAddress: n.peers.callerAddress,
 		Sign: func(hop *pb.Hop, body []byte) (string, string, error) {
 			return bluebellfront.SignHop(cfg.Secret, hop, body)
@@ -281,7 +281,6 @@
 	err := parts.Wait()
 	n.senders.Wait()
 	n.peers.close()
-	n.pool.Close()
 	err = errors.Join(err, n.metrics.closer.Close())
 	n.cfg.Logger.Info("stopped", "VM", n.vm, "Error", err)
 	return err
@@ -366,7 +365,7 @@
 
 func (n *Node) prober() *bluebellprobe.Prober {
 	return bluebellprobe.New(bluebellprobe.Config{
-		VM: n.vm, Pool: n.pool, Table: n.router.Table,
+		VM: n.vm, Upstream: n.upstream, Table: n.router.Table,
 		Known:  func(endpoint string) *pb.EndpointHealth { return n.hub.Health(endpoint) },
 		Report: n.hub.Report, Wall: time.Now, Logger: n.cfg.Logger,
 	})
@@ -374,7 +373,7 @@
 
 func (n *Node) mover() *bluebellmover.Mover {
 	return bluebellmover.New(bluebellmover.Config{
-		VM: n.vm, Pool: n.pool, Secret: n.cfg.Secret, Table: n.router.Table, View: n.hub.View,
+		VM: n.vm, Upstream: n.upstream, Secret: n.cfg.Secret, Table: n.router.Table, View: n.hub.View,
 		Evidence: func() []*pb.Evidence {
 			news, _ := n.hub.News()
 			return news.Evidence
--- a/bluebellentry/internal/bluebellprobe/probe.go
+++ b/bluebellentry/internal/bluebellprobe/probe.go
@@ -46,9 +46,9 @@
 
 // Config sets up a Prober.
 type Config struct {
-	VM    string
-	Pool  *bluebellupstream.Pool
-	Table func() *bluebellroute.Table
+	VM       string
+	Upstream *bluebellupstream.Client
+	Table    func() *bluebellroute.Table
 	// Known returns the report in force on an endpoint, or nil.
 	Known  func(endpoint string) *pb.EndpointHealth
 	Report func(reports []*pb.EndpointHealth)
@@ -132,7 +132,7 @@
 	var h health
 	ctx, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
-	x, err := p.cfg.Pool.Do(ctx, bluebellupstream.Request{
+	x, err := p.cfg.Upstream.Do(ctx, bluebellupstream.Request{
 		Address: address, Method: http.MethodGet, Path: "/health",
 		FirstByteWithin: answerWithin, SilentFor: answerWithin,
 	})
--- a/bluebellentry/internal/bluebellupstream/pool.go
+++ b/bluebellentry/internal/bluebellupstream/client.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"syscall"
 	"time"
 )
@@ -17,41 +16,26 @@
 const (
 	connectTimeout = 500 * time.Millisecond
 	writeTimeout   = 2 * time.Second
-	// reuseWithin is how long an idle connection is trusted.
-	reuseWithin    = 2 * time.Second
-	maxIdlePerPeer = 32
 	readBufferSize = 16 << 10
 	// maxHeaderBytes bounds the header of an answer.
 	maxHeaderBytes = 64 << 10
 )
 
-// PoolConfig sets up a Pool.
-type PoolConfig struct {
+// ClientConfig sets up a Client.
+type ClientConfig struct {
 	// Dial opens a connection; net.Dialer's if nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	Now  func() time.Time
 }
 
-// Pool keeps idle connections by address. It is safe for concurrent use.
-type Pool struct {
-	cfg   PoolConfig
-	mu    sync.Mutex
-	peers map[string]*peer
-}
-
-type peer struct {
-	idle []*conn
-	// Connections opened before this time are not used again.
-	distrustBefore time.Time
+// Client makes exchanges. It is safe for concurrent use.
+type Client struct {
+	cfg ClientConfig
 }
 
 type conn struct {
 	net.Conn
-	reader   *bufio.Reader
-	limited  *headerLimit
-	openedAt time.Time
-	usedAt   time.Time
-	reused   bool
+	reader  *bufio.Reader
+	limited *headerLimit
 }
 
 // Request is what is sent.
@@ -61,35 +45,29 @@
 	Path    string
 	Header  http.Header
 	Body    []byte
-	// Fresh asks for a new connection, so that a failure to connect proves that
-	// nothing was sent.
-	Fresh bool
 	// FirstByteWithin bounds the time until the header of the answer.
 	FirstByteWithin time.Duration
 	// SilentFor bounds the time between two reads of the answer.
 	SilentFor time.Duration
 }
 
-// NewPool returns an empty pool.
-func NewPool(cfg PoolConfig) *Pool {
+// NewClient returns a client.
+func NewClient(cfg ClientConfig) *Client {
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{}).DialContext
 	}
-	if cfg.Now == nil {
-		cfg.Now = time.Now
-	}
-	return &Pool{cfg: cfg, peers: map[string]*peer{}}
+	return &Client{cfg: cfg}
 }
 
 // Do sends a request and reads the header of the answer. The end of ctx closes
 // the connection. The caller must Close the exchange.
-func (p *Pool) Do(ctx context.Context, r Request) (*Exchange, error) {
-	c, err := p.take(ctx, r)
+func (c *Client) Do(ctx context.Context, r Request) (*Exchange, error) {
+	opened, err := c.open(ctx, r.Address)
 	if err != nil {
 		return nil, &Error{Stage: Connecting, Timeout: isTimeout(err), Err: err}
 	}
-	x := &Exchange{pool: p, conn: c, address: r.Address, silentFor: r.SilentFor}
-	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x := &Exchange{conn: opened, silentFor: r.SilentFor}
+	x.stopCancel = context.AfterFunc(ctx, func() { _ = opened.Close() })
 	if err := x.write(r); err != nil {
 		return nil, x.fail(Writing, err)
 	}
@@ -99,130 +77,23 @@
 	return x, nil
 }
 
-func (p *Pool) take(ctx context.Context, r Request) (*conn, error) {
-	if !r.Fresh {
-		if c := p.takeIdle(r.Address); c != nil {
-			return c, nil
-		}
-	}
+func (c *Client) open(ctx context.Context, address string) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	raw, err := p.cfg.Dial(ctx, "tcp", r.Address)
+	raw, err := c.cfg.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	limited := &headerLimit{reader: raw}
-	return &conn{
-		Conn: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize),
-		openedAt: p.cfg.Now(),
-	}, nil
-}
-
-func (p *Pool) takeIdle(address string) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	pr := p.peers[address]
-	if pr == nil {
-		return nil
-	}
-	now := p.cfg.Now()
-	for len(pr.idle) > 0 {
-		c := pr.idle[len(pr.idle)-1]
-		pr.idle = pr.idle[:len(pr.idle)-1]
-		if now.Sub(c.usedAt) <= reuseWithin && !c.openedAt.Before(pr.distrustBefore) && c.stillOpen() {
-			c.reused = true
-			return c
-		}
-		_ = c.Close()
-	}
-	return nil
-}
-
-// stillOpen looks for a close or stray bytes that came while the connection was
-// idle: either makes it unfit for use.
-func (c *conn) stillOpen() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errors.Is(recvErr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && open
-}
-
-func (p *Pool) put(address string, c *conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	pr := p.peerOf(address)
-	if len(pr.idle) >= maxIdlePerPeer || c.openedAt.Before(pr.distrustBefore) {
-		_ = c.Close()
-		return
-	}
-	c.usedAt = p.cfg.Now()
-	pr.idle = append(pr.idle, c)
-}
-
-// distrust closes all idle connections to an address that are no younger.
-func (p *Pool) distrust(address string, openedAt time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	pr := p.peerOf(address)
-	if !openedAt.Before(pr.distrustBefore) {
-		pr.distrustBefore = openedAt.Add(1)
-	}
-	var kept []*conn
-	for _, c := range pr.idle {
-		if c.openedAt.Before(pr.distrustBefore) {
-			_ = c.Close()
-			continue
-		}
-		kept = append(kept, c)
-	}
-	pr.idle = kept
-}
-
-func (p *Pool) peerOf(address string) *peer {
-	pr := p.peers[address]
-	if pr == nil {
-		pr = &peer{}
-		p.peers[address] = pr
-	}
-	return pr
-}
-
-// Close ends all idle connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, pr := range p.peers {
-		for _, c := range pr.idle {
-			_ = c.Close()
-		}
-		pr.idle = nil
-	}
+	return &conn{Conn: raw, limited: limited, reader: bufio.NewReaderSize(limited, readBufferSize)}, nil
 }
 
 // Exchange is one request and its answer.
 type Exchange struct {
-	pool       *Pool
 	conn       *conn
-	address    string
 	response   *http.Response
 	silentFor  time.Duration
 	stopCancel func() bool
-	complete   bool
 	closed     bool
 }
 
@@ -254,6 +125,7 @@
 	if r.Header != nil {
 		req.Header = r.Header
 	}
+	req.Close = true
 	w := bufio.NewWriterSize(x.conn, readBufferSize)
 	if err := req.Write(w); err != nil {
 		return err
@@ -281,13 +153,10 @@
 	_ = x.conn.Close()
 	x.closed = true
 	e := &Error{
-		Stage: stage, Sent: true, Timeout: isTimeout(err), Reused: x.conn.reused,
+		Stage: stage, Sent: true, Timeout: isTimeout(err),
 		BrokenOff: errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrTruncated) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE),
 		Err:       err,
 	}
-	if e.Timeout {
-		x.pool.distrust(x.address, x.conn.openedAt)
-	}
 	return e
 }
 
@@ -310,7 +179,6 @@
 	case int64(len(body)) > limit:
 		return nil, x.fail(ReadingAnswer, errors.New("the answer is too large"))
 	}
-	x.complete = true
 	return body, nil
 }
 
@@ -329,23 +197,15 @@
 	return b.x.response.Body.Read(p)
 }
 
-// Close gives the connection back if the answer was read to its end, and closes
-// it otherwise.
+// Close ends the exchange. An answer that was not read to its end is cancelled by
+// that.
 func (x *Exchange) Close() {
 	if x.closed {
 		return
 	}
 	x.closed = true
-	cancelled := !x.stopCancel()
-	if cancelled || !x.complete || x.response.Close {
-		_ = x.conn.Close()
-		return
-	}
-	if err := x.conn.SetDeadline(time.Time{}); err != nil {
-		_ = x.conn.Close()
-		return
-	}
-	x.pool.put(x.address, x.conn)
+	x.stopCancel()
+	_ = x.conn.Close()
 }
 
 func isTimeout(err error) bool {
--- a/bluebellentry/internal/bluebellupstream/doc.go
+++ b/bluebellentry/internal/bluebellupstream/doc.go
@@ -8,15 +8,16 @@
 //
 // # Usage
 //
-//	pool := bluebellupstream.NewPool(bluebellupstream.PoolConfig{...})
-//	exchange, err := pool.Do(ctx, bluebellupstream.Request{...})
+//	client := bluebellupstream.NewClient(bluebellupstream.ClientConfig{})
+//	exchange, err := client.Do(ctx, bluebellupstream.Request{...})
 //	defer exchange.Close()
 //	event, err := exchange.Events().Next()
 //
-// # Silent connections
+// # Connections
 //
-// A connection can go silent for good while new ones work. An idle connection is
-// used again only for a short time after it last carried an answer. When one
-// misses a deadline, every idle connection to that address that is no younger is
-// closed too.
+// Each exchange has a connection of its own. An idle connection can go silent for
+// good while new ones work, and a request that is sent over it then stalls for as
+// long as the endpoint may take to answer; a new connection costs one round trip,
+// and inside a failure domain, where owners and endpoints are, that is short.
+// Besides, a failure to connect proves that nothing was sent.
 package bluebellupstream
--- a/bluebellentry/internal/bluebellupstream/error.go
+++ b/bluebellentry/internal/bluebellupstream/error.go
@@ -26,9 +26,7 @@
 	BrokenOff bool
 	// Timeout is set when a stage took too long.
 	Timeout bool
-	// Reused is set when the connection had carried a request before.
-	Reused bool
-	Err    error
+	Err     error
 }
 
 var _ error = (*Error)(nil)
--- a/bluebellentry/internal/bluebellupstream/event.go
+++ b/bluebellentry/internal/bluebellupstream/event.go
@@ -58,7 +58,6 @@
 		return data, nil
 	}
 	e.done = true
-	e.drain()
 	return nil, io.EOF
 }
 
@@ -80,10 +79,3 @@
 		}
 	}
 }
-
-// drain reads what follows the last event: nothing but the end of the body lets
-// the connection be used again.
-func (e *Events) drain() {
-	n, err := io.Copy(io.Discard, io.LimitReader(e.reader, 16))
-	e.exchange.complete = err == nil && n < 16
-}
--- a/bluebellfake/bluebellengine/conn.go
+++ b/bluebellfake/bluebellengine/conn.go
@@ -101,12 +101,17 @@
 	}
 }
 
-// Close ends the connection; a silenced one stays open towards its peer.
-func (c *faultyConn) Close() error {
+// end lets a blocked read return.
+func (c *faultyConn) end() {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
 	c.closing.Do(func() { close(c.closed) })
+}
+
+// Close ends the connection; a silenced one stays open towards its peer.
+func (c *faultyConn) Close() error {
+	c.end()
 	select {
 	case <-c.silenced:
 		return nil
--- a/bluebellfake/bluebellengine/engine.go
+++ b/bluebellfake/bluebellengine/engine.go
@@ -95,6 +95,18 @@
 	return s.Serve(e.listener)
 }
 
+// Close ends the listener and all connections.
+func (e *Engine) Close() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	err := e.listener.Close()
+	for _, c := range e.listener.open() {
+		_ = c.Conn.Close()
+		c.end()
+	}
+	return err
+}
+
 // Counts returns a copy of what has happened.
 func (e *Engine) Counts() Counts {
 	e.mu.Lock()
@@ -289,8 +301,8 @@
 	defer e.mu.Unlock()
 	last := e.lastID
 	e.lastID = id
-	if _, crossed := e.hasFault(Cross, "", ""); crossed && last != "" {
-		return last
+	if _, crossed := e.hasFault(Cross, "", ""); crossed {
+		return "not " + id + " but " + last
 	}
 	return id
 }
