Routing measured against baselines; voters chosen by an exact table

Cause: routing was compared with nothing, and hierarchical quorums were not weighed. Change: bluebellsim runs the router beside round robin, least loaded and plain hash over the same callers, and enumerates quorums with failures of whole failure domains and regions. Conclusion: kept; hierarchical quorums are not taken. Red: callers feel a domain out for 1.25 to 5 times the time, by the length of the window, as long as there are no cache stores.

--- a/bluebell/bluebellconfig/config_test.go
+++ b/bluebell/bluebellconfig/config_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bluebellhaven.org/bluebell/bluebellconfig"
+	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
 const examples = "../../examples"
@@ -73,6 +74,19 @@
 	require.Less(t, konzorcium, vlechtwerkbond)
 }
 
+// TestVotersAreSpread generates the voters of the layouts that the design page
+// chose: one in each of three failure domains, and three and two over two regions.
+func TestVotersAreSpread(t *testing.T) {
+	large := &pb.Questionnaire{TolerateLostVMs: 2, Importance: &pb.Importance{}}
+	for _, d := range []string{"a1", "a2", "a3", "a4", "b1", "b2", "b3"} {
+		large.FailureDomains = append(large.FailureDomains, &pb.FailureDomain{Name: d, Region: d[:1]})
+		large.VMs = append(large.VMs, &pb.VM{Name: d + "-1", FailureDomain: d, DataFolder: "data"}, &pb.VM{Name: d + "-2", FailureDomain: d})
+	}
+	require.Equal(t, []string{"a1-1", "b1-1", "a2-1", "b2-1", "a3-1"}, bluebellconfig.Generate(large).Voters)
+	q, _ := bluebellconfig.ReadQuestionnaire("konzorcium", readExample(t, "konzorcium"))
+	require.Equal(t, []string{"gyor-1", "papa-1", "tata-1"}, bluebellconfig.Generate(q).Voters)
+}
+
 func FuzzReadQuestionnaire(f *testing.F) {
 	f.Add(readExample(f, "konzorcium"))
 	f.Add([]byte(`{"VMs": [{"Name": 1}], "VMs": null, // x` + "\n}"))
--- a/bluebell/bluebellconfig/generate.go
+++ b/bluebell/bluebellconfig/generate.go
@@ -13,9 +13,14 @@
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
-// maxVoters bounds the voters: more cost each change more and tolerate no
-// single failure better.
-const maxVoters = 7
+const (
+	// maxVoters bounds the voters: more cost each change more, and their quorum is
+	// cut off from more of them when regions part.
+	maxVoters = 7
+	// spreadVoters is the least number of voters where there are as many failure
+	// domains, so that the loss of one of them is survived.
+	spreadVoters = 3
+)
 
 // Generate makes the configuration from checked answers.
 func Generate(q *pb.Questionnaire) *pb.Configuration {
@@ -36,7 +41,7 @@
 // each before a second in any. docs/DESIGN.md has the availability of the ways
 // that were weighed.
 func chooseVoters(q *pb.Questionnaire) []string {
-	want := max(int(2*q.TolerateLostVMs+1), min(len(q.FailureDomains), maxVoters))
+	want := max(int(2*q.TolerateLostVMs+1), min(len(q.FailureDomains), spreadVoters))
 	byDomain := map[string][]string{}
 	for _, v := range q.VMs {
 		if v.DataFolder != "" {
@@ -46,8 +51,8 @@
 	var voters []string
 	for round := 0; ; round++ {
 		before := len(voters)
-		for _, f := range q.FailureDomains {
-			if vms := byDomain[f.Name]; round < len(vms) && len(voters) < want {
+		for _, name := range roundRegions(q.FailureDomains) {
+			if vms := byDomain[name]; round < len(vms) && len(voters) < want {
 				voters = append(voters, vms[round])
 			}
 		}
@@ -61,6 +66,27 @@
 	return voters
 }
 
+// roundRegions orders failure domains so that one region follows another.
+func roundRegions(domains []*pb.FailureDomain) []string {
+	var regions []string
+	byRegion := map[string][]string{}
+	for _, f := range domains {
+		if !slices.Contains(regions, f.Region) {
+			regions = append(regions, f.Region)
+		}
+		byRegion[f.Region] = append(byRegion[f.Region], f.Name)
+	}
+	var ordered []string
+	for round := 0; len(ordered) < len(domains); round++ {
+		for _, r := range regions {
+			if round < len(byRegion[r]) {
+				ordered = append(ordered, byRegion[r][round])
+			}
+		}
+	}
+	return ordered
+}
+
 // policy derives the values that the answers imply. An importance of 3 gives
 // the middle of each range.
 func policy(q *pb.Questionnaire) *pb.Policy {
--- a/bluebell/bluebellroute/router.go
+++ b/bluebell/bluebellroute/router.go
@@ -22,10 +22,10 @@
 	// firstPrior is the share of a prompt's blocks expected at the first endpoint
 	// in rendezvous order when nothing is known of the prompt.
 	firstPrior = 0.8
-	// strayCost is what it costs later to place an unknown prompt anywhere but at
-	// the first endpoint, as a share of its blocks: the other entries expect it
-	// there.
-	strayCost = 0.5
+	// strayCost is what it costs to compute blocks anew anywhere but at the first
+	// endpoint, as a multiple of the time that it takes: the other entries expect
+	// them there, and they push others out of the endpoint's memory.
+	strayCost = 2.0
 	// suspectDelay is added to the expected time at an endpoint that failed a
 	// short time ago.
 	suspectDelay = time.Minute
@@ -225,8 +225,8 @@
 	}
 	missing := float64(max(blocks, 1) - cached)
 	switch {
-	case known:
-	case first:
+	case known && cached > 0 || blocks == 0:
+	case !known && first:
 		missing *= 1 - firstPrior
 	default:
 		missing *= 1 + strayCost
@@ -259,7 +259,8 @@
 			continue
 		}
 		e := t.endpoints[b.endpoint]
-		if e == nil || e.Incarnation != b.incarnation {
+		if e == nil || !e.Usable || e.Incarnation != b.incarnation {
+			// Who may not be used, or has lost its memory, holds nothing of use.
 			continue
 		}
 		holders[found] = holder{b.endpoint, i + 1}
--- /dev/null
+++ b/bluebellsim/bluebellquorum/quorum_test.go
@@ -0,0 +1,41 @@
+package bluebellquorum_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebellsim/bluebellquorum"
+)
+
+// TestTableSupportsTheChoice holds the table to the reasons that the design page
+// gives: one voter in each of three failure domains, five in two regions.
+func TestTableSupportsTheChoice(t *testing.T) {
+	rows := map[string]bluebellquorum.Row{}
+	for _, r := range bluebellquorum.Table(bluebellquorum.Letter()) {
+		rows[r.Layout.Name] = r
+	}
+	chosen, hierarchical := rows["3 domains: one voter in each, majority"], rows["3 domains: six voters, hierarchical"]
+	require.True(t, chosen.AnyVM)
+	require.True(t, chosen.AnyDomain)
+	require.Less(t, chosen.Quorum, hierarchical.Quorum)
+	require.Less(t, chosen.DownPerYear, hierarchical.DownPerYear)
+
+	large := rows["7 domains: five voters, majority"]
+	require.True(t, large.AnyDomainAndVM)
+	require.True(t, large.RegionCut)
+	for name, r := range rows {
+		if strings.HasPrefix(name, "7") {
+			require.LessOrEqual(t, large.DownPerYear, r.DownPerYear, name)
+		}
+	}
+}
+
+// TestIndependentMajorityOfThree compares with the closed form.
+func TestIndependentMajorityOfThree(t *testing.T) {
+	const p = 0.1
+	r := bluebellquorum.Evaluate(bluebellquorum.Layouts()[0], bluebellquorum.Rates{VM: p})
+	want := 3*p*p*(1-p) + p*p*p
+	require.InDelta(t, want*365*24, r.DownPerYear.Hours(), 1e-6)
+}
--- a/bluebellsim/main.go
+++ b/bluebellsim/main.go
@@ -12,7 +12,10 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"bluebellhaven.org/bluebell/bluebellconfig"
+	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebellsim/bluebellmoves"
+	"bluebellhaven.org/bluebellsim/bluebellquorum"
+	"bluebellhaven.org/bluebellsim/bluebellrouting"
 	"bluebellhaven.org/bluebellsim/bluebellworld"
 )
 
@@ -23,6 +26,11 @@
 	Voters   int           `default:"3" help:"number of voters"`
 	Mutation string        `help:"guard to break, or all to try each until it is noticed"`
 	Moves    string        `help:"run randomised version moves under the policy of these answers instead"`
+	Quorums  bool          `help:"show how often the layouts of voters that were weighed have a quorum"`
+	Routing  string        `help:"measure routing against baselines with the endpoints of these answers"`
+	Callers  int           `default:"120" help:"callers at the same time, for --routing"`
+	Cache    int           `default:"4000" help:"blocks that an engine holds, for --routing"`
+	Out      string        `help:"failure domain to take out for a third of the run, for --routing"`
 	For      time.Duration `default:"1h" help:"longest time"`
 	Workers  int           `default:"4" help:"runs at the same time"`
 }
@@ -35,14 +43,19 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	if args.Moves != "" {
-		if err := runMoves(args); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
+	switch {
+	case args.Moves != "":
+		exitOn(runMoves(args))
+		return
+	case args.Routing != "":
+		exitOn(runRouting(args))
+		return
+	case args.Quorums:
+		for _, row := range bluebellquorum.Table(bluebellquorum.Letter()) {
+			fmt.Println(row)
 		}
 		return
-	}
-	if args.Mutation == "all" {
+	case args.Mutation == "all":
 		os.Exit(tryMutations(args))
 	}
 	report, violation := runSeeds(args, bluebellworld.Mutation(args.Mutation))
@@ -53,19 +66,63 @@
 	}
 }
 
+func exitOn(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// readAnswers returns the configuration that answers generate.
+func readAnswers(file string) (*pb.Configuration, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	q, findings := bluebellconfig.ReadQuestionnaire(file, text)
+	if !findings.Empty() {
+		return nil, findings
+	}
+	return bluebellconfig.Generate(q), nil
+}
+
+// runRouting shows all policies over the same callers.
+func runRouting(args arguments) error {
+	c, err := readAnswers(args.Routing)
+	if err != nil {
+		return err
+	}
+	for _, p := range bluebellrouting.Policies() {
+		r := bluebellrouting.Run(bluebellrouting.Config{
+			Configuration: c, Target: firstModel(c), Policy: p, Seed: args.Seed,
+			Callers: args.Callers, Duration: min(args.For, time.Hour), CacheBlocks: args.Cache, OutDomain: args.Out,
+		})
+		fmt.Println(r)
+		if args.Out != "" {
+			fmt.Printf("             returning before %v, while out %v, last new work there %v after the order\n", r.Before, r.During, r.WorstOut)
+		}
+	}
+	return nil
+}
+
+func firstModel(c *pb.Configuration) string {
+	for _, t := range c.Targets {
+		if t.Kind == pb.Kind_Model {
+			return t.Name
+		}
+	}
+	return ""
+}
+
 // runMoves shows how moves of each kind end.
 func runMoves(args arguments) error {
-	text, err := os.ReadFile(args.Moves)
+	c, err := readAnswers(args.Moves)
 	if err != nil {
 		return err
 	}
-	q, findings := bluebellconfig.ReadQuestionnaire(args.Moves, text)
-	if !findings.Empty() {
-		return findings
-	}
 	for _, kind := range bluebellmoves.Kinds() {
 		r := bluebellmoves.Run(bluebellmoves.Config{
-			Policy: bluebellconfig.Generate(q).Policy, Kind: kind, Runs: args.Runs, Seed: args.Seed,
+			Policy: c.Policy, Kind: kind, Runs: args.Runs, Seed: args.Seed,
 		})
 		fmt.Printf("%-15s %d moves: %d done, %d of them late, %d taken back, %d unfinished\n", kind, r.Runs, r.Done, r.Late, r.TakenBack, r.Unfinished)
 		if kind != bluebellmoves.Good {
