Followers hear of a commit at once; a fault that attacks the leader's lease

Cause: a follower that was busy when the commit index moved heard of it with the next heartbeat. Change: its next reply is answered with the new index.

--- a/bluebell/bluebellraft/node.go
+++ b/bluebell/bluebellraft/node.go
@@ -75,6 +75,8 @@
 	lastSent, lastHeard time.Duration
 	// inFlight entries were sent and not confirmed.
 	inFlight bool
+	// commit index that the node was told last.
+	commit uint64
 	// round confirmed by the latest reply.
 	round uint64
 }
--- a/bluebell/bluebellraft/replication.go
+++ b/bluebell/bluebellraft/replication.go
@@ -115,14 +115,16 @@
 		n.replicate(now, m.From, true)
 		return
 	}
+	if m.Match > n.log.lastIndex() {
+		panic(fmt.Sprintf("%s confirms entry %d, the leader's log ends at %d", m.From, m.Match, n.log.lastIndex()))
+	}
 	if m.Match > p.match {
 		p.match = m.Match
 		n.advanceCommit()
 	}
 	p.next = max(p.next, p.match+1)
-	if p.next <= n.log.lastIndex() {
-		n.replicate(now, m.From, false)
-	}
+	// A node that was still busy when the commit index moved hears of it now.
+	n.replicate(now, m.From, p.commit < n.log.commit)
 }
 
 // extendLease moves the lease to the start of the latest round that a quorum
@@ -210,6 +212,7 @@
 		Entries: entries, Commit: n.log.commit,
 	})
 	p.inFlight = len(entries) > 0
+	p.commit = n.log.commit
 }
 
 func (n *Node) appendEntry(e *pb.LogEntry) uint64 {
@@ -264,6 +267,7 @@
 	}
 	for _, id := range n.others() {
 		if p := n.peers[id]; p != nil && !p.inFlight && p.match >= n.log.base {
+			p.commit = n.log.commit
 			n.send(&pb.RaftMessage{
 				Kind: pb.RaftKind_Append, To: id, Round: n.round,
 				LogIndex: p.match, LogTerm: n.log.term(p.match), Commit: n.log.commit,
--- a/bluebellentry/bluebellscenario/cluster_test.go
+++ b/bluebellentry/bluebellscenario/cluster_test.go
@@ -40,6 +40,9 @@
 	awaitEvery  = 20 * time.Millisecond
 )
 
+// Size of the deployments; benchmarks change it.
+var domainsInUse, vmsPerDomain = 3, 2
+
 // nextNet numbers the clusters of one test process: each has loopback addresses
 // of its own.
 var nextNet atomic.Int32
@@ -60,6 +63,7 @@
 }
 
 type runningVM struct {
+	pid  int
 	stop func()
 	kill func()
 	done chan error
@@ -122,14 +126,20 @@
 			{Name: "jobs", Target: "orders", QueueFor: durationpb.New(2 * time.Second), FirstTokenWithin: durationpb.New(3 * time.Second)},
 		},
 	}
-	for i, d := range []string{"gyor", "papa", "tata"} {
+	if domainsInUse < 3 {
+		q.TolerateLostVMs = 0
+	}
+	for i, d := range []string{"gyor", "papa", "tata"}[:domainsInUse] {
 		q.FailureDomains = append(q.FailureDomains, &pb.FailureDomain{Name: d, Region: "hu-west"})
-		for j := range 2 {
-			vm := &pb.VM{Name: fmt.Sprintf("%s-%d", d, j+1), FailureDomain: d, Address: fmt.Sprintf("%s.%d", base, 10*i+j+1), CallerPort: 18080, PeerPort: 18081}
+		for j := range vmsPerDomain {
+			vm := &pb.VM{Name: fmt.Sprintf("%s-%d", d, j+1), FailureDomain: d, Address: fmt.Sprintf("%s.%d", base, 20*i+j+1), CallerPort: 18080, PeerPort: 18081}
 			if j == 0 {
 				vm.DataFolder = filepath.Join(dir, "data", vm.Name)
 			}
 			q.VMs = append(q.VMs, vm)
+			if j > 1 {
+				continue
+			}
 			q.Endpoints = append(q.Endpoints, &pb.Endpoint{
 				Name: fmt.Sprintf("notes-%s-%d", d, j+1), FailureDomain: d, Target: "notes", Slots: 8, ColdSlots: 2, HonoursFencing: true, ChecksOrders: true,
 				Address: fmt.Sprintf("%s.%d:19000", base, 100+10*i+j),
@@ -205,7 +215,7 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
-	r := &runningVM{done: make(chan error, 1)}
+	r := &runningVM{pid: command.Process.Pid, done: make(chan error, 1)}
 	r.stop = func() { _ = command.Process.Signal(syscall.SIGTERM) }
 	r.kill = func() { _ = command.Process.Signal(syscall.SIGKILL) }
 	c.vms[vm] = r
--- a/bluebellsim/bluebellworld/fault.go
+++ b/bluebellsim/bluebellworld/fault.go
@@ -6,7 +6,7 @@
 func (w *World) nextFault() {
 	defer w.after(w.between(50*time.Millisecond, 1500*time.Millisecond), w.nextFault)
 	m := w.members[w.rand.IntN(len(w.members))]
-	switch w.rand.IntN(12) {
+	switch w.rand.IntN(13) {
 	case 0, 1, 2:
 		w.crash(m)
 	case 3, 4:
@@ -23,6 +23,8 @@
 		m.disk.failSync = true
 	case 9:
 		w.loseDisk(m)
+	case 10:
+		w.isolateLeader()
 	default:
 		w.repairMembers()
 	}
@@ -63,6 +65,23 @@
 	})
 }
 
+// isolateLeader cuts the leader off and restarts all others at once: they have
+// forgotten that they promised the leader its lease.
+func (w *World) isolateLeader() {
+	leader := w.currentLeader()
+	if leader == nil {
+		return
+	}
+	w.partition(leader, true, true)
+	for _, m := range w.members {
+		if m != leader && m.node != nil {
+			w.report.Crashes++
+			m.stop()
+			w.after(w.between(time.Millisecond, 20*time.Millisecond), m.restart)
+		}
+	}
+}
+
 // pause stops a member as a paused VM is stopped: its clock goes on.
 func (w *World) pause(m *member) {
 	if m.node == nil || m.paused {
--- a/bluebellsim/bluebellworld/world_test.go
+++ b/bluebellsim/bluebellworld/world_test.go
@@ -33,8 +33,8 @@
 // TestMutationsAreNoticed breaks one guard at a time, at seeds that show it.
 func TestMutationsAreNoticed(t *testing.T) {
 	seeds := map[bluebellworld.Mutation]uint64{
-		bluebellworld.IgnoreSync: 6, bluebellworld.SameIdentity: 5, bluebellworld.VoteAtOnce: 24, bluebellworld.Drift: 64,
-		bluebellworld.DispatchHeld: 1, bluebellworld.ForgetReleased: 2, bluebellworld.ForgetCommit: 1, bluebellworld.SkipCorrupt: 59,
+		bluebellworld.IgnoreSync: 3, bluebellworld.SameIdentity: 10, bluebellworld.VoteAtOnce: 1, bluebellworld.Drift: 3,
+		bluebellworld.DispatchHeld: 2, bluebellworld.ForgetReleased: 2, bluebellworld.ForgetCommit: 1, bluebellworld.SkipCorrupt: 10,
 	}
 	for _, m := range bluebellworld.Mutations() {
 		t.Run(string(m), func(t *testing.T) {
