--- /dev/null
+++ b/bluebell/bluebellvoter/voter_test.go
@@ -0,0 +1,138 @@
+package bluebellvoter_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellvoter"
+	"bluebellhaven.org/bluebell/bluebellwal"
+)
+
+// large is a configuration of the target size.
+func large(endpoints, customers int) *pb.Configuration {
+	c := &pb.Configuration{
+		Voters: []string{"v"}, FailureDomains: []*pb.FailureDomain{{Name: "d"}, {Name: "e"}}, Policy: &pb.Policy{},
+		Targets: []*pb.Target{{Name: "model", Kind: pb.Kind_Model, Version: "v1"}},
+	}
+	for i := range endpoints {
+		c.Endpoints = append(c.Endpoints, &pb.Endpoint{Name: fmt.Sprint("endpoint-", i), FailureDomain: "d", Target: "model", Address: "10.0.0.1:9000", Slots: 8, ColdSlots: 2})
+	}
+	for i := range customers {
+		c.Customers = append(c.Customers, &pb.Customer{Name: fmt.Sprint("customer-", i), KeyHash: fmt.Sprintf("%064d", i), Share: 1})
+	}
+	return c
+}
+
+// start runs a single voter on a folder; it returns the voter, the newest view and
+// the function that ends it.
+func start(t testing.TB, folder string) (*bluebellvoter.Voter, func() *pb.View, func()) {
+	t.Helper()
+	startedAt := time.Now()
+	var view *pb.View
+	voter, err := bluebellvoter.New(bluebellvoter.Config{
+		ID: "v", Members: &pb.Members{Voters: []string{"v"}}, FS: bluebellwal.OS(), Folder: folder,
+		Send: func([]*pb.RaftMessage) {}, Publish: func(v *pb.View) { view = v },
+		Now: func() time.Duration { return time.Since(startedAt) }, WallClock: time.Now, Rand: rand.Int64N,
+		ElectionTimeout: 50 * time.Millisecond, HeartbeatEvery: 10 * time.Millisecond, Logger: log.New(io.Discard),
+	})
+	require.NoError(t, err)
+	first := view
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- voter.Run(ctx) }()
+	return voter, func() *pb.View { return first }, func() {
+		cancel()
+		require.NoError(t, <-ended)
+	}
+}
+
+// propose has a command agreed, and waits for the voter to lead first.
+func propose(t testing.TB, v *bluebellvoter.Voter, c *pb.Command) *pb.Result {
+	t.Helper()
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		r, err := v.Propose(ctx, c)
+		expired := ctx.Err()
+		cancel()
+		if err == nil {
+			return r
+		}
+		require.NoError(t, expired)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func changes(t testing.TB, v *bluebellvoter.Voter, n int) uint64 {
+	revision := uint64(1)
+	for i := range n {
+		r := propose(t, v, &pb.Command{ChangeID: fmt.Sprint("c", i), BaseRevision: revision, Body: &pb.Command_SetEndpoint{
+			SetEndpoint: &pb.SetEndpoint{Name: fmt.Sprint("endpoint-", i%10), Drained: i%20 < 10},
+		}})
+		require.Equal(t, pb.Verdict_Accepted, r.Verdict, r.Text)
+		revision = r.Revision
+	}
+	return revision
+}
+
+// TestARestartAfterHundredsOfChangesTakesNothingBack shows the latest view right
+// after each start, before a leader is known.
+func TestARestartAfterHundredsOfChangesTakesNothingBack(t *testing.T) {
+	folder := t.TempDir()
+	voter, _, stop := start(t, folder)
+	propose(t, voter, &pb.Command{ChangeID: "first", Body: &pb.Command_Apply{Apply: large(20, 10)}})
+	revision := changes(t, voter, 300)
+	stop()
+	for range 3 {
+		_, first, stop := start(t, folder)
+		require.Equal(t, revision, first().GetRevision())
+		stop()
+	}
+}
+
+// BenchmarkRecovery opens a folder after 10,000 changes of the target size.
+func BenchmarkRecovery(b *testing.B) {
+	folder := b.TempDir()
+	voter, _, stop := start(b, folder)
+	propose(b, voter, &pb.Command{ChangeID: "first", Body: &pb.Command_Apply{Apply: large(920, 18_000)}})
+	startedAt := time.Now()
+	changes(b, voter, 10_000)
+	each := time.Since(startedAt) / 10_000
+	stop()
+	size := int64(0)
+	require.NoError(b, filepath.Walk(folder, func(_ string, info os.FileInfo, err error) error {
+		size += info.Size()
+		return err
+	}))
+	for b.Loop() {
+		_, _, stop := start(b, folder)
+		b.StopTimer()
+		stop()
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(size)/1e6, "disk-MB")
+	b.ReportMetric(float64(each.Microseconds()), "µs/change")
+}
+
+// BenchmarkViewSize shows what a whole view and a delta weigh at the target size.
+func BenchmarkViewSize(b *testing.B) {
+	whole := &pb.View{Revision: 9, ConfigurationRevision: 3, Configuration: large(920, 18_000)}
+	delta := &pb.View{Revision: 9, ConfigurationRevision: 3, EndpointsDrained: []string{"endpoint-1"}}
+	for b.Loop() {
+		if _, err := proto.Marshal(whole); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(proto.Size(whole))/1e3, "whole-KB")
+	b.ReportMetric(float64(proto.Size(delta)), "delta-B")
+}
