--- a/bluebell/bluebelllimit/limit_test.go
+++ b/bluebell/bluebelllimit/limit_test.go
@@ -192,3 +192,52 @@
 	}
 	require.Equal(t, 4, gate.Slots())
 }
+
+// TestABurstStarvesNobody lets one customer fill its part of the queue again and
+// again, while another asks now and then: that one waits for one service time at the
+// most, since it is next whenever a slot is free.
+func TestABurstStarvesNobody(t *testing.T) {
+	const (
+		service = 100 * time.Millisecond
+		tick    = 5 * time.Millisecond
+		slots   = 4
+	)
+	gate := bluebelllimit.NewGate(bluebelllimit.GateConfig{QueueLimit: 60})
+	gate.SetLimits(0, bluebelllimit.Limits{Warm: slots, Cold: slots})
+	ends := map[*bluebelllimit.Request]time.Duration{}
+	offeredAt := map[*bluebelllimit.Request]time.Duration{}
+	worst, served, nextID := time.Duration(0), 0, uint64(0)
+	start := func(now time.Duration, r *bluebelllimit.Request) {
+		ends[r] = now + service
+		if r.Customer == "modest" {
+			worst = max(worst, now-offeredAt[r])
+			served++
+		}
+	}
+	offer := func(now time.Duration, customer string) {
+		nextID++
+		r := &bluebelllimit.Request{ID: nextID, Customer: customer, Deadline: now + time.Minute}
+		offeredAt[r] = now
+		if started, _, err := gate.Offer(now, r); err == nil && started {
+			start(now, r)
+		}
+	}
+	for now := time.Duration(0); now < 20*time.Second; now += tick {
+		for r, end := range ends {
+			if end <= now {
+				delete(ends, r)
+				for _, next := range gate.Release(now, r, true) {
+					start(now, next)
+				}
+			}
+		}
+		for range 10 {
+			offer(now, "greedy")
+		}
+		if now%(250*time.Millisecond) == 0 {
+			offer(now, "modest")
+		}
+	}
+	require.GreaterOrEqual(t, served, 79)
+	require.LessOrEqual(t, worst, service)
+}
--- /dev/null
+++ b/bluebell/bluebellmove/move_test.go
@@ -0,0 +1,94 @@
+package bluebellmove_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"bluebellhaven.org/bluebell/bluebellmove"
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+)
+
+var policy = &pb.Policy{
+	CanaryShare: 0.05, RampFactor: 2, FalseAlarm: 0.005, MissedAlarm: 0.005,
+	GoodFailureRate: 0.01, BadFailureRate: 0.1, WatchFor: durationpb.New(5 * time.Second),
+}
+
+// call counts one call of a version at a ledger.
+func call(l *bluebellmove.Ledger, version string, failed bool, firstToken, token time.Duration) {
+	l.Add(bluebellmove.Outcome{
+		Target: "notes", Version: version, Route: "/v1/completions", Failed: failed,
+		FirstToken: firstToken, TokenTime: token, Blocks: 2, Serving: version == "v1",
+	})
+}
+
+// TestABrakeLastsAsLongAsItsMove stops a version on one VM's own evidence.
+func TestABrakeLastsAsLongAsItsMove(t *testing.T) {
+	ledger, brake := bluebellmove.NewLedger("vm", 1), bluebellmove.NewBrake()
+	first := &pb.Move{Target: "notes", FromVersion: "v1", ToVersion: "v2", StartedAt: 10, Phase: pb.Phase_Ramping}
+	check := func(m *pb.Move) bool {
+		_, stopped := brake.Check(m, ledger.Evidence([]*pb.Move{m}), policy)
+		return stopped
+	}
+	require.False(t, check(first))
+	for range 50 {
+		call(ledger, "v1", false, 100*time.Millisecond, 20*time.Millisecond)
+	}
+	require.False(t, check(first))
+	for range 10 {
+		call(ledger, "v2", true, 0, 0)
+	}
+	require.True(t, check(first))
+	require.True(t, brake.Braked(first))
+	require.False(t, check(first), "a stop is told once")
+
+	// The next move of the same version starts from nothing.
+	second := &pb.Move{Target: "notes", FromVersion: "v1", ToVersion: "v2", StartedAt: 20, Phase: pb.Phase_Ramping}
+	require.False(t, check(second))
+	require.False(t, brake.Braked(second))
+}
+
+// TestSlowIsMeasuredAgainstTheServingVersion tells a slow version from work ahead.
+func TestSlowIsMeasuredAgainstTheServingVersion(t *testing.T) {
+	move := []*pb.Move{{Target: "notes", FromVersion: "v1", ToVersion: "v2", StartedAt: 10}}
+	cases := []struct {
+		name              string
+		firstToken, token time.Duration
+		slow              uint64
+	}{
+		{"Same", 120 * time.Millisecond, 20 * time.Millisecond, 0},
+		{"SlowTokens", 120 * time.Millisecond, 40 * time.Millisecond, 10},
+		{"SlowFirstToken", 500 * time.Millisecond, 20 * time.Millisecond, 10},
+		// What is measured in milliseconds on a busy machine proves nothing.
+		{"NoiseOfATokenTime", 120 * time.Millisecond, 24 * time.Millisecond, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			ledger := bluebellmove.NewLedger("vm", 1)
+			ledger.Evidence(move)
+			for range 40 {
+				call(ledger, "v1", false, 100*time.Millisecond, 20*time.Millisecond)
+			}
+			for range 10 {
+				call(ledger, "v2", false, tc.firstToken, tc.token)
+			}
+			counts := bluebellmove.Sum(ledger.Evidence(move), "notes", "v2")["/v1/completions"]
+			require.Equal(t, bluebellmove.Counts{Total: 10, Slow: tc.slow}, counts)
+		})
+	}
+}
+
+// TestAMoveSaysEarlyThatItIsLate asks with too little time left.
+func TestAMoveSaysEarlyThatItIsLate(t *testing.T) {
+	planner := bluebellmove.NewPlanner(policy)
+	move := &pb.Move{Target: "notes", ToVersion: "v2", Phase: pb.Phase_Canary, Share: 0.05, Step: 2, FinishBy: int64(3 * time.Second)}
+	action := planner.Decide(bluebellmove.Input{Move: move, Loaded: 4, Usable: 4, New: bluebellmove.ByRoute{}, Old: bluebellmove.ByRoute{}})
+	require.True(t, action.Late)
+
+	// Nothing loads: that shows before the time is over.
+	loading := &pb.Move{Target: "notes", ToVersion: "v3", Phase: pb.Phase_Loading, FinishBy: int64(time.Minute)}
+	require.False(t, planner.Decide(bluebellmove.Input{Now: int64(20 * time.Second), Move: loading, Usable: 4}).Late)
+	require.True(t, planner.Decide(bluebellmove.Input{Now: int64(40 * time.Second), Move: loading, Usable: 4}).Late)
+}
--- a/bluebellentry/internal/bluebellnode/metrics.go
+++ b/bluebellentry/internal/bluebellnode/metrics.go
@@ -42,6 +42,14 @@
 	m.scope.Tagged(map[string]string{"code": string(code)}).Counter("refused").Inc(1)
 }
 
+// use shows how an owned endpoint is used.
+func (m *metrics) use(endpoint string, running, waiting, slots int) {
+	scope := m.scope.Tagged(map[string]string{"endpoint": endpoint})
+	scope.Gauge("running").Update(float64(running))
+	scope.Gauge("waiting").Update(float64(waiting))
+	scope.Gauge("slots").Update(float64(slots))
+}
+
 func (m *metrics) counters() bluebelldispatch.Counters {
 	firstTokenBuckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 	return bluebelldispatch.Counters{
--- a/bluebellentry/internal/bluebellnode/node.go
+++ b/bluebellentry/internal/bluebellnode/node.go
@@ -348,6 +348,7 @@
 			return
 		case <-ticker.C:
 		}
+		n.showUse()
 		news, _ := n.hub.News()
 		own := n.ledger.Evidence(news.View.Moves)
 		n.hub.SetEvidence(own)
@@ -363,6 +364,16 @@
 	}
 }
 
+// showUse publishes the use of the endpoints that this VM owns.
+func (n *Node) showUse() {
+	for name, e := range n.router.Table().Endpoints() {
+		if e.OwnShare(n.vm, e.Slots) > 0 {
+			running, waiting, slots := n.dispatch.Use(name)
+			n.metrics.use(name, running, waiting, slots)
+		}
+	}
+}
+
 func (n *Node) prober() *bluebellprobe.Prober {
 	return bluebellprobe.New(bluebellprobe.Config{
 		VM: n.vm, Upstream: n.upstream, Table: n.router.Table,
--- a/bluebellentry/internal/bluebellupstream/client.go
+++ b/bluebellentry/internal/bluebellupstream/client.go
@@ -102,6 +102,8 @@
 	reader io.Reader
 	left   int
 	on     bool
+	// ended is set when the other end has closed the connection.
+	ended bool
 }
 
 func (l *headerLimit) Read(b []byte) (int, error) {
@@ -110,6 +112,7 @@
 	}
 	n, err := l.reader.Read(b)
 	l.left -= n
+	l.ended = l.ended || errors.Is(err, io.EOF)
 	return n, err
 }
 
@@ -154,7 +157,7 @@
 	x.closed = true
 	e := &Error{
 		Stage: stage, Sent: true, Timeout: isTimeout(err),
-		BrokenOff: errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrTruncated) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE),
+		BrokenOff: stage == AwaitingAnswer && x.conn.limited.ended || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, ErrTruncated) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE),
 		Err:       err,
 	}
 	return e
--- /dev/null
+++ b/bluebellentry/internal/bluebellupstream/client_test.go
@@ -0,0 +1,182 @@
+package bluebellupstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebellentry/internal/bluebellupstream"
+)
+
+// answer starts an endpoint that reads one request and writes raw text; it keeps
+// the connection open after that if hold is set.
+func answer(t *testing.T, text string, hold bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		if !hold {
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func exchange(t *testing.T, address string) (*bluebellupstream.Exchange, error) {
+	t.Helper()
+	return bluebellupstream.NewClient(bluebellupstream.ClientConfig{}).Do(context.Background(), bluebellupstream.Request{
+		Address: address, Method: http.MethodPost, Path: "/", Body: []byte("{}"),
+		FirstByteWithin: 300 * time.Millisecond, SilentFor: 300 * time.Millisecond,
+	})
+}
+
+// chunked writes a chunked answer; a negative cut leaves the end out.
+func chunked(parts ...string) string {
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for _, p := range parts {
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", len(p), p)
+	}
+	return b.String()
+}
+
+const lastChunk = "0\r\n\r\n"
+
+// TestBrokenFraming holds every answer that is not whole to an error, and to saying
+// that the request may have run.
+func TestBrokenFraming(t *testing.T) {
+	cases := []struct {
+		name, text string
+		hold       bool
+		stage      bluebellupstream.Stage
+		brokenOff  bool
+		timeout    bool
+	}{
+		{"NoHTTP", "what is this\r\n\r\n", true, bluebellupstream.AwaitingAnswer, false, false},
+		{"ClosedAtOnce", "", false, bluebellupstream.AwaitingAnswer, true, false},
+		{"Silent", "", true, bluebellupstream.AwaitingAnswer, false, true},
+		{"HalfAHeader", "HTTP/1.1 200 OK\r\nContent-Le", false, bluebellupstream.AwaitingAnswer, true, false},
+		{"EndlessHeader", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("a", 1<<20), true, bluebellupstream.AwaitingAnswer, false, false},
+		{"ShortBody", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", false, bluebellupstream.ReadingAnswer, true, false},
+		{"StalledBody", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", true, bluebellupstream.ReadingAnswer, false, true},
+		{"NoLength", "HTTP/1.1 200 OK\r\n\r\nabc", false, bluebellupstream.ReadingAnswer, false, false},
+		{"BadChunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n", true, bluebellupstream.ReadingAnswer, false, false},
+		{"MissingLastChunk", chunked("abc"), false, bluebellupstream.ReadingAnswer, true, false},
+		{"TooLarge", "HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" + strings.Repeat("a", 200), false, bluebellupstream.ReadingAnswer, false, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			x, err := exchange(t, answer(t, tc.text, tc.hold))
+			if err == nil {
+				_, err = x.ReadAll(100)
+			}
+			var e *bluebellupstream.Error
+			require.ErrorAs(t, err, &e)
+			require.Equal(t, tc.stage, e.Stage, "%v", e)
+			require.True(t, e.Sent)
+			require.Equal(t, tc.brokenOff, e.BrokenOff, "%v", e)
+			require.Equal(t, tc.timeout, e.Timeout, "%v", e)
+		})
+	}
+}
+
+func TestARefusedConnectionSentNothing(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	_, err = exchange(t, listener.Addr().String())
+	var e *bluebellupstream.Error
+	require.ErrorAs(t, err, &e)
+	require.False(t, e.Sent)
+	require.Equal(t, bluebellupstream.Connecting, e.Stage)
+}
+
+// TestAStreamIsCompleteOnlyWithItsLastEvent reads events that come in any pieces.
+func TestAStreamIsCompleteOnlyWithItsLastEvent(t *testing.T) {
+	cases := []struct {
+		name, text string
+		events     []string
+		complete   bool
+	}{
+		{"Whole", chunked("data: a\n\n", "data: b\n\ndata: [DONE]\n\n") + lastChunk, []string{"a", "b"}, true},
+		{"InPieces", chunked("da", "ta: a", "\r\n\r\nda", "ta: [DO", "NE]\n\n") + lastChunk, []string{"a"}, true},
+		{"Comments", chunked(": wait\n\nevent: x\ndata: a\ndata: b\n\n", "data: [DONE]\n\n") + lastChunk, []string{"a\nb"}, true},
+		{"EndsWithout", chunked("data: a\n\n") + lastChunk, []string{"a"}, false},
+		{"CutInAnEvent", chunked("data: a\n\n", "data: b"), []string{"a"}, false},
+		{"CutAfterAnEvent", chunked("data: a\n\n"), []string{"a"}, false},
+		{"HugeLine", chunked("data: " + strings.Repeat("a", 2<<20)), nil, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			x, err := exchange(t, answer(t, tc.text, false))
+			require.NoError(t, err)
+			defer x.Close()
+			events := x.Events()
+			var got []string
+			for err == nil {
+				var data []byte
+				if data, err = events.Next(); err == nil {
+					got = append(got, string(data))
+				}
+			}
+			require.Equal(t, tc.events, got)
+			require.Equal(t, tc.complete, errors.Is(err, io.EOF), "%v", err)
+			if !tc.complete {
+				var e *bluebellupstream.Error
+				require.ErrorAs(t, err, &e)
+			}
+		})
+	}
+}
+
+// TestLeavingCancels closes the connection of a half-read answer: the endpoint sees
+// the end of it at once.
+func TestLeavingCancels(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, listener.Close()) }()
+	seen := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			seen <- err
+			return
+		}
+		reader := bufio.NewReader(conn)
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			seen <- err
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, chunked("data: a\n\n"))
+		_, err = reader.ReadByte()
+		seen <- err
+		_ = conn.Close()
+	}()
+	x, err := exchange(t, listener.Addr().String())
+	require.NoError(t, err)
+	_, err = x.Events().Next()
+	require.NoError(t, err)
+	x.Close()
+	require.Error(t, <-seen)
+}
