--- a/bluebellentry/bluebellscenario/input_test.go
+++ b/bluebellentry/bluebellscenario/input_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -169,6 +170,41 @@
 	require.Equal(t, "InProgress Unknown", c.order("papa-2", "north", c.key("broken"), "{}"))
 }
 
+// TestAPlannedStopCutsNothing stops VM after VM while streams run through them and
+// through the owners of their endpoints.
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	c := startCluster(t, io.Discard)
+	const streams = 4
+	const lastEvent = "data: [DONE]\n\n"
+	started, ended := make(chan error, streams), make(chan string, streams)
+	for i := range streams {
+		conn := dialCaller(t, c, c.questionnaire.VMs[i%2].Name, strings.Replace(streamRequest(1500), "abandoned", fmt.Sprintf("stream%03d", i), 1))
+		go func() {
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err == nil && resp.StatusCode != http.StatusOK {
+				err = errors.New(resp.Status)
+			}
+			started <- err
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(resp.Body)
+			ended <- fmt.Sprint(err, " ", string(body[max(0, len(body)-len(lastEvent)):]))
+			_ = conn.Close()
+		}()
+	}
+	for range streams {
+		require.NoError(t, <-started)
+	}
+	// The VMs that took the streams, and one owner in each other failure domain.
+	for _, vm := range []string{"gyor-1", "gyor-2", "papa-1", "tata-2"} {
+		require.NoError(t, c.end(vm, false))
+	}
+	for range streams {
+		require.Equal(t, "<nil> "+lastEvent, <-ended)
+	}
+}
+
 // crossedAnswers lets endpoints answer with the ID of another request: no caller
 // gets one of those.
 func crossedAnswers(t *testing.T, c *cluster) {
--- a/bluebellentry/bluebellscenario/script_test.go
+++ b/bluebellentry/bluebellscenario/script_test.go
@@ -262,6 +262,7 @@
 				for j := range 2 {
 					both.Go(func() { c.order(vms[(i+j)%len(vms)], "north", key, fmt.Sprint(i)) })
 				}
+				both.Go(func() { c.prompt(vms[(i+4)%len(vms)], "south", fmt.Sprint("storm", i%20), 3) })
 				both.Wait()
 				c.order(vms[(i+3)%len(vms)], "north", key, fmt.Sprint(i))
 			}
