Configurations spread as patches; followers prefer voters of their region

Cause: a change of one customer would have sent 1,578 kB to each of 340 nodes, and a failure domain without a voter followed any of them. Change: sources keep the latest eight configurations, which share what did not change, and send what differs with a hash of the result; voters are ordered by nearness.

--- a/bluebell/bluebellconfig/config_test.go
+++ b/bluebell/bluebellconfig/config_test.go
@@ -83,6 +83,11 @@
 		large.VMs = append(large.VMs, &pb.VM{Name: d + "-1", FailureDomain: d, DataFolder: "data"}, &pb.VM{Name: d + "-2", FailureDomain: d})
 	}
 	require.Equal(t, []string{"a1-1", "b1-1", "a2-1", "b2-1", "a3-1"}, bluebellconfig.Generate(large).Voters)
+	var nearest []string
+	for _, v := range bluebellconfig.NearestVoters(bluebellconfig.Generate(large), "b2") {
+		nearest = append(nearest, v.Name)
+	}
+	require.Equal(t, []string{"b2-1", "b1-1", "a1-1", "a2-1", "a3-1"}, nearest)
 	q, _ := bluebellconfig.ReadQuestionnaire("konzorcium", readExample(t, "konzorcium"))
 	require.Equal(t, []string{"gyor-1", "papa-1", "tata-1"}, bluebellconfig.Generate(q).Voters)
 }
--- a/bluebell/bluebellconfig/generate.go
+++ b/bluebell/bluebellconfig/generate.go
@@ -125,24 +125,42 @@
 // ProcessSettings returns the settings of each VM's process, in the order of
 // the answers.
 func ProcessSettings(q *pb.Questionnaire, c *pb.Configuration) []*pb.ProcessSettings {
-	byName := map[string]*pb.VM{}
-	for _, v := range c.VMs {
-		byName[v.Name] = v
-	}
-	var voters []*pb.VM
-	for _, name := range c.Voters {
-		voters = append(voters, byName[name])
-	}
 	var all []*pb.ProcessSettings
 	for _, v := range c.VMs {
 		all = append(all, &pb.ProcessSettings{
-			VM: v, Voters: voters, Neighbours: Neighbours(c, v.FailureDomain),
+			VM: v, Voters: NearestVoters(c, v.FailureDomain), Neighbours: Neighbours(c, v.FailureDomain),
 			SecretFile: q.SecretFile, Operators: q.Operators,
 		})
 	}
 	return all
 }
 
+// NearestVoters returns the voters as seen from a failure domain: those in it, those
+// of its region, then the others.
+func NearestVoters(c *pb.Configuration, domain string) []*pb.VM {
+	regions := map[string]string{}
+	for _, f := range c.FailureDomains {
+		regions[f.Name] = f.Region
+	}
+	distance := func(v *pb.VM) int {
+		switch {
+		case v.FailureDomain == domain:
+			return 0
+		case regions[v.FailureDomain] == regions[domain]:
+			return 1
+		}
+		return 2
+	}
+	var voters []*pb.VM
+	for _, name := range c.Voters {
+		if i := slices.IndexFunc(c.VMs, func(v *pb.VM) bool { return v.Name == name }); i >= 0 {
+			voters = append(voters, c.VMs[i])
+		}
+	}
+	slices.SortStableFunc(voters, func(a, b *pb.VM) int { return cmp.Compare(distance(a), distance(b)) })
+	return voters
+}
+
 // Neighbours returns the VMs of one failure domain, those with a disk first.
 func Neighbours(c *pb.Configuration, domain string) []*pb.VM {
 	var vms []*pb.VM
--- a/bluebell/bluebellstate/change.go
+++ b/bluebell/bluebellstate/change.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
@@ -16,7 +18,7 @@
 		return nil, errors.New("configuration has no failure domains, voters or policy; generate it with bluebellctl")
 	}
 	next := cloneView(v)
-	next.Configuration = c
+	next.Configuration = sharing(v.Configuration, c)
 	if v.Configuration != nil && !sameOwners(v.Configuration, c) {
 		next.OwnersChangedAt = now
 	}
@@ -42,6 +44,38 @@
 	return next, nil
 }
 
+// sharing returns the configuration with the unchanged customers and endpoints of
+// the one before in place of its own equal ones, so that a row of configurations that
+// are kept costs little more than one. Neither is ever altered.
+func sharing(before, c *pb.Configuration) *pb.Configuration {
+	return &pb.Configuration{
+		Name: c.Name, FailureDomains: c.FailureDomains, VMs: c.VMs, Voters: c.Voters, Targets: c.Targets,
+		Endpoints: sharingList(before.GetEndpoints(), c.Endpoints), Customers: sharingList(before.GetCustomers(), c.Customers),
+		Work: c.Work, Operators: c.Operators, Policy: c.Policy,
+	}
+}
+
+// named is an element of a list that has a name.
+type named interface {
+	proto.Message
+	GetName() string
+}
+
+func sharingList[T named](before, list []T) []T {
+	old := make(map[string]T, len(before))
+	for _, e := range before {
+		old[e.GetName()] = e
+	}
+	shared := make([]T, len(list))
+	for i, e := range list {
+		shared[i] = e
+		if o, ok := old[e.GetName()]; ok && proto.Equal(o, e) {
+			shared[i] = o
+		}
+	}
+	return shared
+}
+
 // sameOwners tells whether no endpoint's slots can pass to other owners.
 func sameOwners(a, b *pb.Configuration) bool {
 	sameVMs := slices.EqualFunc(a.VMs, b.VMs, func(x, y *pb.VM) bool {
--- a/bluebell/bluebellsync/doc.go
+++ b/bluebell/bluebellsync/doc.go
@@ -16,6 +16,12 @@
 // only after a grace period, so that a failure domain that is cut off still
 // serves.
 //
+// # Deltas
+//
+// A follower says which revision and configuration it has. It is sent the short
+// lists of the view, and of the configuration only what differs from its own; the
+// result is compared by a hash, and after a mismatch the whole is sent.
+//
 // # Usage
 //
 //	hub := bluebellsync.NewHub(bluebellsync.HubConfig{...})
--- a/bluebell/bluebellsync/follow.go
+++ b/bluebell/bluebellsync/follow.go
@@ -85,7 +85,9 @@
 	avoid     map[string]time.Duration
 	cursor    uint64
 	sent      uint64
-	epoch     int64
+	// whole is set after a patch that did not fit.
+	whole bool
+	epoch int64
 }
 
 // NewFollower returns a follower that has heard nothing yet.
@@ -155,6 +157,9 @@
 
 func (f *Follower) askOnce(ctx context.Context, source string, wait time.Duration) bool {
 	r, sent := f.cfg.Hub.request(f.cursor, f.sent, f.epoch, wait)
+	if f.whole {
+		r.ConfigurationRevision = 0
+	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
 	askedAt := f.cfg.Now()
@@ -174,7 +179,7 @@
 	stale := reply.StaleFor.AsDuration()
 	fresh := stale < staleAfter
 	if f.cfg.TakeViews() && reply.View != nil && f.mayTake(fresh) {
-		f.cfg.Hub.Offer(reply.View)
+		f.take(source, reply)
 	}
 	if fresh {
 		f.freshAt.Store(max(f.freshAt.Load(), int64(askedAt-stale)))
@@ -182,6 +187,20 @@
 	return fresh
 }
 
+// take offers a view to the hub. After a patch that does not fit, the next request
+// asks for the whole configuration.
+func (f *Follower) take(source string, reply *pb.WatchReply) {
+	f.whole = false
+	if reply.Patch == nil {
+		f.cfg.Hub.Offer(reply.View)
+		return
+	}
+	if err := f.cfg.Hub.OfferPatch(reply.View, reply.Patch); err != nil {
+		f.whole = true
+		f.cfg.Logger.Warn("patch does not fit", "Source", source, "Revision", reply.View.Revision, "Error", err)
+	}
+}
+
 // mayTake refuses a stale view for a while after a start without a view: it may
 // be older than what was in force here before.
 func (f *Follower) mayTake(fresh bool) bool {
--- a/bluebell/bluebellsync/hub.go
+++ b/bluebell/bluebellsync/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -38,8 +39,11 @@
 	cfg   HubConfig
 	epoch int64
 
-	mu        sync.Mutex
-	view      *pb.View
+	mu      sync.Mutex
+	view    *pb.View
+	history history
+	// patch is the latest one that was made, for its base.
+	patch     *pb.ConfigurationPatch
 	health    healthTable
 	standings map[string]*pb.Standing
 	evidence  evidenceSums
@@ -79,9 +83,39 @@
 		v = proto.CloneOf(v)
 		v.Configuration = h.view.Configuration
 	}
+	h.take(v)
+	return true
+}
+
+// OfferPatch is Offer of a view whose configuration comes as a patch. An error means
+// that the whole configuration is needed.
+func (h *Hub) OfferPatch(v *pb.View, p *pb.ConfigurationPatch) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if v.Revision <= h.view.Revision {
+		return nil
+	}
+	if p.BaseRevision != h.view.ConfigurationRevision || h.view.Configuration == nil {
+		return fmt.Errorf("the patch starts from revision %d, not %d", p.BaseRevision, h.view.ConfigurationRevision)
+	}
+	c, err := applyPatch(h.view.Configuration, p)
+	if err != nil {
+		return err
+	}
+	v = proto.CloneOf(v)
+	v.Configuration = c
+	h.take(v)
+	return nil
+}
+
+// take makes a view the present one.
+func (h *Hub) take(v *pb.View) {
+	if v.ConfigurationRevision != h.view.ConfigurationRevision {
+		h.patch = nil
+	}
 	h.view = v
+	h.history.add(v.ConfigurationRevision, v.Configuration)
 	h.wake()
-	return true
 }
 
 // Report takes in health that this VM or others have seen.
@@ -183,17 +217,34 @@
 		cursor = 0
 	}
 	reply.Health = h.health.since(cursor)
-	if h.view.Revision > r.Revision {
-		reply.View = withoutKnown(h.view, r.ConfigurationRevision)
+	if h.view.Revision <= r.Revision {
+		return reply, h.changed
+	}
+	reply.View = h.view
+	if h.view.ConfigurationRevision == r.ConfigurationRevision {
+		reply.View = withoutConfiguration(h.view)
+	} else if p := h.patchFrom(r.ConfigurationRevision); p != nil {
+		reply.View, reply.Patch = withoutConfiguration(h.view), p
 	}
 	return reply, h.changed
 }
 
-// withoutKnown leaves the configuration out for a follower that has it.
-func withoutKnown(v *pb.View, configurationRevision uint64) *pb.View {
-	if v.ConfigurationRevision != configurationRevision {
-		return v
+// patchFrom returns the patch from an earlier configuration, or nil if that is not
+// kept.
+func (h *Hub) patchFrom(revision uint64) *pb.ConfigurationPatch {
+	if h.patch != nil && h.patch.BaseRevision == revision {
+		return h.patch
+	}
+	from := h.history.find(revision)
+	if from == nil {
+		return nil
 	}
+	h.patch = makePatch(revision, from, h.view.Configuration)
+	return h.patch
+}
+
+// withoutConfiguration leaves the configuration out for a follower that has it.
+func withoutConfiguration(v *pb.View) *pb.View {
 	return &pb.View{
 		Revision: v.Revision, ConfigurationRevision: v.ConfigurationRevision,
 		FailureDomainsOut: v.FailureDomainsOut, EndpointsDrained: v.EndpointsDrained,
--- a/bluebell/bluebellsync/sync_test.go
+++ b/bluebell/bluebellsync/sync_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 	"pgregory.net/rapid"
 
@@ -187,3 +189,96 @@
 	news, _ := hub.News()
 	require.Empty(t, news.Evidence)
 }
+
+// configuration makes customers and endpoints, in the order of their names.
+func configuration(t *rapid.T, label string) *pb.Configuration {
+	names := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-e]{1,2}`), 0, 12, rapid.ID).Draw(t, label)
+	slices.Sort(names)
+	c := &pb.Configuration{Name: label, Policy: &pb.Policy{QueueLimit: rapid.Uint32Max(3).Draw(t, label+" queue")}}
+	for _, name := range names {
+		c.Customers = append(c.Customers, &pb.Customer{Name: name, Share: rapid.Uint32Range(1, 3).Draw(t, label+" share")})
+		c.Endpoints = append(c.Endpoints, &pb.Endpoint{Name: name, Slots: rapid.Uint32Range(1, 3).Draw(t, label+" slots")})
+	}
+	return c
+}
+
+// TestPatchesLeadToTheSameConfiguration lets a follower that is any number of
+// configurations behind catch up.
+func TestPatchesLeadToTheSameConfiguration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, follower := newHub("source", 0), newHub("follower", 0)
+		patched := 0
+		for revision := uint64(1); revision < 20; revision++ {
+			source.Offer(&pb.View{Revision: revision, ConfigurationRevision: revision, Configuration: configuration(t, fmt.Sprint("c", revision))})
+			if rapid.IntRange(0, 3).Draw(t, "polls") == 0 {
+				continue
+			}
+			has := follower.View()
+			reply := source.Answer(context.Background(), &pb.WatchRequest{VM: "f", Revision: has.Revision, ConfigurationRevision: has.ConfigurationRevision})
+			if reply.Patch == nil {
+				follower.Offer(reply.View)
+			} else {
+				patched++
+				require.Nil(t, reply.View.Configuration)
+				require.NoError(t, follower.OfferPatch(reply.View, reply.Patch))
+			}
+			require.True(t, proto.Equal(source.View(), follower.View()))
+		}
+		if patched == 0 {
+			t.Skip("no patch was drawn")
+		}
+	})
+}
+
+// TestAPatchThatDoesNotFitIsRefused lets a damaged patch, and one from another base,
+// change nothing.
+func TestAPatchThatDoesNotFitIsRefused(t *testing.T) {
+	source, follower := newHub("source", 0), newHub("follower", 0)
+	for _, h := range []*bluebellsync.Hub{source, follower} {
+		h.Offer(view(1, 1))
+	}
+	source.Offer(view(2, 2))
+	reply := source.Answer(context.Background(), &pb.WatchRequest{VM: "f", Revision: 1, ConfigurationRevision: 1})
+	damaged := proto.CloneOf(reply.Patch)
+	damaged.Customers = append(damaged.Customers, &pb.Customer{Name: "stranger"})
+	require.Error(t, follower.OfferPatch(reply.View, damaged))
+	other := proto.CloneOf(reply.Patch)
+	other.BaseRevision = 7
+	require.Error(t, follower.OfferPatch(reply.View, other))
+	require.Equal(t, uint64(1), follower.View().Revision)
+	require.NoError(t, follower.OfferPatch(reply.View, reply.Patch))
+	require.Equal(t, uint64(2), follower.View().Revision)
+}
+
+// BenchmarkPatch measures a change of one customer at the target size.
+func BenchmarkPatch(b *testing.B) {
+	make18k := func(share uint32) *pb.Configuration {
+		c := &pb.Configuration{Name: "large"}
+		for i := range 18_000 {
+			c.Customers = append(c.Customers, &pb.Customer{Name: fmt.Sprintf("customer-%05d", i), KeyHash: fmt.Sprintf("%064d", i), Share: 1})
+		}
+		for i := range 920 {
+			c.Endpoints = append(c.Endpoints, &pb.Endpoint{Name: fmt.Sprintf("endpoint-%03d", i), FailureDomain: "d", Target: "model", Address: "10.0.0.1:9000", Slots: 8, ColdSlots: 2})
+		}
+		for i := range 340 {
+			c.VMs = append(c.VMs, &pb.VM{Name: fmt.Sprint("vm-", i), FailureDomain: "d", Address: "10.0.0.1", CallerPort: 8080, PeerPort: 8081})
+		}
+		c.Customers[77].Share = share
+		return c
+	}
+	size, follows := 0, time.Duration(0)
+	for b.Loop() {
+		source, follower := newHub("source", 0), newHub("follower", 0)
+		for _, h := range []*bluebellsync.Hub{source, follower} {
+			h.Offer(&pb.View{Revision: 1, ConfigurationRevision: 1, Configuration: make18k(1)})
+		}
+		source.Offer(&pb.View{Revision: 2, ConfigurationRevision: 2, Configuration: make18k(2)})
+		startedAt := time.Now()
+		reply := source.Answer(context.Background(), &pb.WatchRequest{VM: "f", Revision: 1, ConfigurationRevision: 1})
+		size = proto.Size(reply)
+		require.NoError(b, follower.OfferPatch(reply.View, reply.Patch))
+		follows = time.Since(startedAt)
+	}
+	b.ReportMetric(float64(size)/1e3, "KB")
+	b.ReportMetric(follows.Seconds()*1e3, "ms-made-and-applied")
+}
--- a/bluebellentry/bluebellscenario/script_test.go
+++ b/bluebellentry/bluebellscenario/script_test.go
@@ -5,6 +5,7 @@
 //
 //	up [-process]                 start a deployment and wait until it is in use
 //	apply, out D, in D            changes by an operator, awaited at all that run
+//	declare CUSTOMER              apply a configuration with one more customer
 //	race D1 D2                    two operators act on the same base
 //	resend                        send the latest change again
 //	order VM CUSTOMER KEY [BODY]  a call that may not be repeated
@@ -40,6 +41,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebellentry/bluebellmain"
@@ -57,7 +59,7 @@
 
 func TestScenarios(t *testing.T) {
 	commands := map[string]func(c *cluster, arguments []string) (string, error){
-		"apply": apply, "out": outCommand, "in": inCommand, "race": race, "resend": resend,
+		"apply": apply, "out": outCommand, "in": inCommand, "race": race, "declare": declare, "resend": resend,
 		"storm": storm, "calm": calm, "order": orderCommand, "orders": orders, "prompt": promptCommand, "cut": cutCommand, "heal": healCommand,
 		"kill9": killCommand, "start": startCommand, "losedisk": loseDisk, "fault": faultCommand,
 		"move": move, "moved": moved, "await": awaitCommand, "leader": leaderCommand, "usable": usable, "ready": ready,
@@ -172,6 +174,24 @@
 	return orderDomain(c, arguments[0], false)
 }
 
+// declare applies a configuration with one more customer.
+func declare(c *cluster, arguments []string) (string, error) {
+	vm := c.running()[0]
+	base, err := latest(c, vm)
+	if err != nil {
+		return "", err
+	}
+	next := proto.CloneOf(c.configuration)
+	next.Customers = append(next.Customers, &pb.Customer{Name: arguments[0], KeyHash: hash(arguments[0] + "-key"), Share: 1})
+	slices.SortFunc(next.Customers, func(a, b *pb.Customer) int { return strings.Compare(a.Name, b.Name) })
+	r, err := c.change(vm, operatorKey, &pb.Command{BaseRevision: base, Body: &pb.Command_Apply{Apply: next}})
+	if err != nil {
+		return "", err
+	}
+	c.configuration = next
+	return fmt.Sprint(r.Verdict), c.awaitInForce(r.Revision, c.running())
+}
+
 // race lets two operators act on the same base, by way of two VMs.
 func race(c *cluster, arguments []string) (string, error) {
 	vms := c.running()
--- a/bluebellentry/internal/bluebellnode/node.go
+++ b/bluebellentry/internal/bluebellnode/node.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
+	"bluebellhaven.org/bluebell/bluebellconfig"
 	"bluebellhaven.org/bluebell/bluebellmove"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellpeer"
@@ -198,10 +199,10 @@
 }
 
 // voterNames returns the voters of the configuration in force, or those of the
-// settings before there is one.
+// settings before there is one; the nearest first.
 func (n *Node) voterNames() []string {
 	if c := n.hub.View().Configuration; c != nil {
-		return c.Voters
+		return names(bluebellconfig.NearestVoters(c, n.cfg.Settings.VM.FailureDomain))
 	}
 	return names(n.cfg.Settings.Voters)
 }
