No NotRun without certainty; cold suspicion by what ran lately only

Cause, found by reading the whole change: a resent call that crashes endpoints was refused as NotRun before its claim was looked at; an error of our own handlers, such as a text that is not UTF-8, was answered NotRun after the call may have run; an expected but never seen context made a warm endpoint cold; a hop that was refused for its signature ended a request that other owners could take. Change: poison is checked behind the claim, unknown errors are Unknown, texts are made valid, suspicion needs blocks that ran within 10 s, refusals move on.

--- a/bluebell/bluebellroute/route_test.go
+++ b/bluebell/bluebellroute/route_test.go
@@ -244,3 +244,16 @@
 		runtime.KeepAlive(r)
 	}
 }
+
+// TestOnlyWhatRanLatelyShowsALostMemory keeps expectations and old beliefs apart from
+// what an endpoint must still hold.
+func TestOnlyWhatRanLatelyShowsALostMemory(t *testing.T) {
+	r := router("d0-0", deployment(1, 12, 3, 2))
+	q := query("a", "ledger", 4)
+	d, err := r.Pick(0, q)
+	require.NoError(t, err)
+	require.Zero(t, r.HeldLately(0, &d), "nothing has run yet")
+	r.Learn(0, &d, 0, 0, 0)
+	require.Equal(t, 4, r.HeldLately(time.Second, &d))
+	require.Zero(t, r.HeldLately(time.Minute, &d), "it may have been evicted since")
+}
--- a/bluebell/bluebellroute/router.go
+++ b/bluebell/bluebellroute/router.go
@@ -334,6 +334,25 @@
 	}
 }
 
+// heldWithin is the time for which an endpoint surely keeps what it ran, unless it
+// loses its whole memory.
+const heldWithin = 10 * time.Second
+
+// HeldLately returns how many blocks of a prompt the decided endpoint has run by way
+// of this VM within a short time.
+func (r *Router) HeldLately(now time.Duration, d *Decision) int {
+	seed := versionSeed(d.Version)
+	held := 0
+	for _, b := range d.Blocks {
+		known, ok := r.beliefs.get(mix(uint64(b), seed))
+		if !ok || known.endpoint != d.Endpoint.Name || known.incarnation != d.Endpoint.Incarnation || now-known.at > heldWithin {
+			break
+		}
+		held++
+	}
+	return held
+}
+
 // EndpointFailed makes the router avoid an endpoint for a while.
 func (r *Router) EndpointFailed(now time.Duration, name string) { r.loads.get(name).failed(now) }
 
--- a/bluebellentry/bluebellscenario/input_test.go
+++ b/bluebellentry/bluebellscenario/input_test.go
@@ -160,14 +160,19 @@
 
 // brokenUpstream lets a service answer with something that is not HTTP.
 func brokenUpstream(t *testing.T, c *cluster) {
-	for _, e := range c.engines {
-		e.Order(bluebellengine.Fault{Kind: bluebellengine.LoseAnswer})
-	}
-	require.Equal(t, "EndpointFailed Unknown", c.order("gyor-1", "north", c.key("broken"), "{}"))
-	for _, e := range c.engines {
-		e.Order(bluebellengine.Fault{Kind: bluebellengine.Heal})
+	for _, kind := range []bluebellengine.FaultKind{bluebellengine.LoseAnswer, bluebellengine.Garbage} {
+		for _, e := range c.engines {
+			e.Order(bluebellengine.Fault{Kind: kind})
+		}
+		// By way of each VM, so by an owner and by others.
+		for _, vm := range c.running() {
+			require.Equal(t, "EndpointFailed Unknown", c.order(vm, "north", c.key(vm+string(kind)), vm+string(kind)))
+		}
+		for _, e := range c.engines {
+			e.Order(bluebellengine.Fault{Kind: bluebellengine.Heal})
+		}
+		require.Equal(t, "InProgress Unknown", c.order("papa-2", "north", c.key("gyor-1"+string(kind)), "gyor-1"+string(kind)))
 	}
-	require.Equal(t, "InProgress Unknown", c.order("papa-2", "north", c.key("broken"), "{}"))
 }
 
 // TestAPlannedStopCutsNothing stops VM after VM while streams run through them and
--- a/bluebellentry/internal/bluebelldispatch/claim.go
+++ b/bluebellentry/internal/bluebelldispatch/claim.go
@@ -97,6 +97,10 @@
 
 // runClaimed sends a call whose claim is granted.
 func (d *Dispatcher) runClaimed(ctx context.Context, c *Call, open *pb.OpenClaim, askedAt time.Duration) (*Reply, *CallError) {
+	if d.poisoned(c) {
+		d.await(d.settle(d.releaseCommand(open)))
+		return nil, poisonError()
+	}
 	q := d.query(c)
 	var last *CallError
 	for range maxRefusals {
--- a/bluebellentry/internal/bluebelldispatch/dispatcher.go
+++ b/bluebellentry/internal/bluebelldispatch/dispatcher.go
@@ -118,18 +118,22 @@
 
 // Do carries out a call. The caller must Close the reply.
 func (d *Dispatcher) Do(ctx context.Context, c *Call) (*Reply, *CallError) {
-	if d.poisoned(c) {
-		return nil, notRun(422, CodeRefusedPoison, 0, "endpoints broke off while running this request; operators have been told")
-	}
-	if c.Hop != nil {
-		return d.doHop(ctx, c)
-	}
-	if c.NonIdempotent {
+	switch {
+	case c.Hop == nil && c.NonIdempotent:
+		// Only the claim tells whether an earlier attempt may have run.
 		return d.doClaimed(ctx, c)
+	case d.poisoned(c):
+		return nil, poisonError()
+	case c.Hop != nil:
+		return d.doHop(ctx, c)
 	}
 	return d.doRepeatable(ctx, c)
 }
 
+func poisonError() *CallError {
+	return notRun(422, CodeRefusedPoison, 0, "endpoints broke off while running this request; operators have been told")
+}
+
 func (d *Dispatcher) poisoned(c *Call) bool {
 	view := d.cfg.View()
 	if len(view.PoisonDigests) == 0 {
@@ -167,7 +171,7 @@
 		}
 		last = callErr
 		mayHaveRun = mayHaveRun || callErr.Run != pb.RunState_NotRun
-		if ctx.Err() != nil || callErr.Code == CodeRefusedPoison || !callErr.Retry {
+		if ctx.Err() != nil || callErr.Code == CodeRefusedPoison {
 			break
 		}
 		q.Excluded = append(q.Excluded, decision.Endpoint.Name)
@@ -175,6 +179,9 @@
 			refusals++
 			continue
 		}
+		if !callErr.Retry {
+			break
+		}
 		attempts++
 		allowed := false
 		d.withBudget(func() { allowed = budget.Retry(d.cfg.Now()) })
--- a/bluebellentry/internal/bluebelldispatch/owned.go
+++ b/bluebellentry/internal/bluebelldispatch/owned.go
@@ -33,6 +33,7 @@
 		return nil, notRun(503, CodeOverloaded, time.Second, "the call was held up for too long")
 	}
 	startedAt := d.cfg.Now()
+	held := d.cfg.Router.HeldLately(startedAt, decision)
 	reply, callErr := d.send(ctx, c, decision)
 	computed()
 	firstToken := d.cfg.Now() - startedAt
@@ -45,7 +46,7 @@
 	reply.finish = func(err error) {
 		failed := err != nil
 		d.outcome(c, decision, ended{failed, firstToken, reply.tokenTime(), reply.CachedBlocks, ahead, reply.Status != http.StatusOK})
-		if failed || lostMemory(decision, reply) {
+		if failed || lostMemory(held, reply) {
 			slot.gate.suspect(d.cfg.Now())
 		}
 		slot.release(!failed)
@@ -59,14 +60,14 @@
 	return reply, nil
 }
 
-// coldSign is the number of blocks that an endpoint must be believed to hold for
-// their absence to show that it has lost its memory.
+// coldSign is the number of blocks that an endpoint must have run a short time ago
+// for their absence to show that it has lost its memory.
 const coldSign = 3
 
-// lostMemory tells whether an endpoint reused nothing of a prompt that it ran a
-// short time ago, as far as is known here.
-func lostMemory(decision *bluebellroute.Decision, reply *Reply) bool {
-	return reply.Status == http.StatusOK && reply.usageSeen && decision.CachedBlocks >= coldSign && reply.CachedBlocks == 0
+// lostMemory tells whether an endpoint reused nothing of the blocks that it ran a
+// short time ago.
+func lostMemory(held int, reply *Reply) bool {
+	return reply.Status == http.StatusOK && reply.usageSeen && held >= coldSign && reply.CachedBlocks == 0
 }
 
 // ended is what was measured of one call at an endpoint.
--- a/bluebellentry/internal/bluebellfront/answer.go
+++ b/bluebellentry/internal/bluebellfront/answer.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/gofiber/fiber/v3"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -31,7 +32,8 @@
 
 func errorBody(requestID string, e *bluebelldispatch.CallError) *pb.ErrorBody {
 	body := &pb.CallError{
-		Code: string(e.Code), Message: e.Text, Run: e.Run, Retry: e.Retry, RequestID: requestID,
+		// Texts may quote what an endpoint sent.
+		Code: string(e.Code), Message: strings.ToValidUTF8(e.Text, "?"), Run: e.Run, Retry: e.Retry, RequestID: requestID,
 	}
 	if e.Retry {
 		body.RetryAfter = durationpb.New(e.RetryAfter)
@@ -48,12 +50,13 @@
 	return c.Status(status).Send(data)
 }
 
-// handleError answers what the library refuses by itself.
+// handleError answers what the library refuses by itself, before any handler. Of an
+// error of our own it is not known how far the call has come.
 func (f *Front) handleError(c fiber.Ctx, err error) error {
-	status := http.StatusInternalServerError
+	status, run := http.StatusInternalServerError, pb.RunState_Unknown
 	var fe *fiber.Error
 	if errors.As(err, &fe) {
-		status = fe.Code
+		status, run = fe.Code, pb.RunState_NotRun
 	}
 	code := bluebelldispatch.CodeBadRequest
 	switch status {
@@ -64,7 +67,7 @@
 		code = bluebelldispatch.CodeUnknownTarget
 	}
 	return f.sendError(c, f.cfg.NewID(), &bluebelldispatch.CallError{
-		Status: status, Code: code, Text: err.Error(), Run: pb.RunState_NotRun,
+		Status: status, Code: code, Text: err.Error(), Run: run,
 	})
 }
 
--- a/bluebellentry/internal/bluebellfront/operator.go
+++ b/bluebellentry/internal/bluebellfront/operator.go
@@ -94,7 +94,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
 	if err := f.cfg.ChangeMembers(ctx, &m); err != nil {
-		return f.sendError(c, f.cfg.NewID(), refuse(http.StatusConflict, bluebelldispatch.CodeNotAgreed, err.Error()))
+		refusal := refuse(http.StatusConflict, bluebelldispatch.CodeNotAgreed, err.Error())
+		if ctx.Err() != nil {
+			refusal.Run = pb.RunState_Unknown
+		}
+		return f.sendError(c, f.cfg.NewID(), refusal)
 	}
 	return f.sendMessage(c, http.StatusOK, &m)
 }
--- a/bluebellfake/bluebellengine/complete.go
+++ b/bluebellfake/bluebellengine/complete.go
@@ -173,12 +173,15 @@
 		answer.Run = e.counts.Runs[customer+"/"+answer.Key]
 	}
 	_, lose := e.hasFault(LoseAnswer, version, route)
-	if lose {
-		for _, c := range e.listener.open() {
-			if c.RemoteAddr().String() == ctx.RemoteAddr().String() {
-				_ = c.Conn.Close()
-			}
+	_, garbage := e.hasFault(Garbage, version, route)
+	for _, c := range e.listener.open() {
+		if c.RemoteAddr().String() != ctx.RemoteAddr().String() || !lose && !garbage {
+			continue
+		}
+		if garbage {
+			_, _ = c.Conn.Write([]byte("\xff\xfe is not HTTP\r\n\r\n"))
 		}
+		_ = c.Conn.Close()
 	}
 	e.mu.Unlock()
 	ctx.Response.Header.Set("X-Request-Id", e.answerID(id))
--- a/bluebellfake/bluebellengine/fault.go
+++ b/bluebellfake/bluebellengine/fault.go
@@ -29,6 +29,8 @@
 	IgnoreFencing FaultKind = "IgnoreFencing"
 	// LoseAnswer runs a service's call and cuts its connection.
 	LoseAnswer FaultKind = "LoseAnswer"
+	// Garbage runs a service's call and answers with something that is not HTTP.
+	Garbage FaultKind = "Garbage"
 	// Heal ends all faults.
 	Heal FaultKind = "Heal"
 )
--- a/bluebellfake/main.go
+++ b/bluebellfake/main.go
@@ -50,7 +50,7 @@
 
 type faultCommand struct {
 	Answers   string        `arg:"positional,required" help:"questionnaire whose endpoints to order"`
-	Kind      string        `arg:"positional,required" help:"Die, TurnCold, Silence, Slow, Fail, Cross, CrashOn, Leave, IgnoreFencing, LoseAnswer or Heal"`
+	Kind      string        `arg:"positional,required" help:"Die, TurnCold, Silence, Slow, Fail, Cross, CrashOn, Leave, IgnoreFencing, LoseAnswer, Garbage or Heal"`
 	Endpoint  string        `help:"endpoint; all of them if not set"`
 	Version   string        `help:"version that the fault is bound to"`
 	Route     string        `help:"route that the fault is bound to"`
