A lease is compared with the time at which it is used

Cause, found by reading: orders rested on a flag that was set when the voter's loop last ran, so a leader that was paused in between could order after its lease. Change: the status has the end of the lease, and each order compares it.

--- a/bluebell/bluebellraft/node.go
+++ b/bluebell/bluebellraft/node.go
@@ -161,6 +161,14 @@
 	return n.role == Leader && now < n.leaseUntil
 }
 
+// LeaseUntil returns the end of the lease of a leader, and 0 for others.
+func (n *Node) LeaseUntil() time.Duration {
+	if n.role != Leader {
+		return 0
+	}
+	return n.leaseUntil
+}
+
 // Tick lets time pass.
 func (n *Node) Tick(now time.Duration) {
 	if n.role == Leader {
--- a/bluebell/bluebellvoter/voter.go
+++ b/bluebell/bluebellvoter/voter.go
@@ -57,8 +57,10 @@
 	Term        uint64
 	CommitIndex uint64
 	Members     *pb.Members
-	// Leads is set on the leader while it holds its lease.
-	Leads bool
+	// LeaseUntil is the end of the leader's lease, by Now; 0 on others. What rests on
+	// the lease has to compare it with the present time: a process may have been
+	// paused since this status was made.
+	LeaseUntil time.Duration
 	// LastContact is when a leader was last known, by Now.
 	LastContact time.Duration
 	LogBytes    uint64
@@ -353,7 +355,7 @@
 	}
 	v.status.Store(&Status{
 		Leader: v.node.LeaderID(), Term: v.node.Term(), CommitIndex: v.node.CommitIndex(),
-		Members: v.node.Members(), Leads: v.node.HasLease(now), LastContact: v.lastContact,
+		Members: v.node.Members(), LeaseUntil: v.node.LeaseUntil(), LastContact: v.lastContact,
 		LogBytes: v.wal.Size(),
 	})
 }
--- a/bluebellentry/internal/bluebellnode/node.go
+++ b/bluebellentry/internal/bluebellnode/node.go
@@ -162,7 +162,7 @@
 	}
 	if n.voter != nil {
 		s := n.voter.Status()
-		if s.Leads {
+		if n.now() < s.LeaseUntil {
 			return 0
 		}
 		if s.LastContact > 0 {
@@ -392,7 +392,7 @@
 		},
 		Leads: func() (bool, uint64) {
 			s := n.voter.Status()
-			return s.Leads, s.Term
+			return n.now() < s.LeaseUntil, s.Term
 		},
 		Propose: n.propose, LeaseLength: electionTimeout, Now: n.now, Wall: time.Now, Logger: n.cfg.Logger,
 	})
