A claimed call waits for the view that its claim was granted under

Ruled out: the same endpoint crashed twice, since it stays down for 20 s in the script. Change: the grant carries the revision and the entry waits for it; the time of the agreement is not taken from that of the queue.

--- a/bluebell/bluebellstate/machine.go
+++ b/bluebell/bluebellstate/machine.go
@@ -48,7 +48,9 @@
 	switch body := c.Body.(type) {
 	case *pb.Command_OpenClaim:
 		m.claims.forget(m.now, m.keyRetention())
-		return m.claims.open(m.now, body.OpenClaim)
+		r := m.claims.open(m.now, body.OpenClaim)
+		r.Revision = m.view.Revision
+		return r
 	case *pb.Command_CloseClaim:
 		return m.claims.close(body.CloseClaim)
 	case *pb.Command_ReleaseClaim:
--- a/bluebellentry/bluebellscenario/script_test.go
+++ b/bluebellentry/bluebellscenario/script_test.go
@@ -348,6 +348,10 @@
 
 func faultCommand(c *cluster, arguments []string) (string, error) {
 	f := bluebellengine.Fault{Kind: bluebellengine.FaultKind(arguments[1]), Factor: 5, Duration: 300 * time.Millisecond}
+	if f.Kind == bluebellengine.CrashOn {
+		// Long enough that the next call meets another endpoint.
+		f.Duration = 20 * time.Second
+	}
 	if len(arguments) > 2 {
 		f.Text, f.Version = arguments[2], ""
 		if f.Kind == bluebellengine.Fail {
--- a/bluebellentry/internal/bluebelldispatch/claim.go
+++ b/bluebellentry/internal/bluebelldispatch/claim.go
@@ -11,6 +11,8 @@
 const (
 	// claimTimeout bounds the time to have a claim agreed.
 	claimTimeout = 3 * time.Second
+	// viewTimeout bounds the wait for the view that a claim was granted under.
+	viewTimeout = 2 * time.Second
 	// dispatchWithin is how long after asking for a claim its call may be sent.
 	dispatchWithin = 8 * time.Second
 	// heldFor is how long a resent call waits for the outcome of the first.
@@ -51,8 +53,25 @@
 	if result.Verdict != pb.Verdict_Granted {
 		return verdictReply(result)
 	}
+	if err := d.awaitView(ctx, result.Revision); err != nil {
+		d.await(d.settle(d.releaseCommand(open)))
+		return nil, notRun(503, CodeNotReady, time.Second, "this VM has not followed the agreed state yet: %v", err)
+	}
 	d.cfg.Logger.Info("claim granted", "RequestID", c.RequestID, "Customer", open.Customer, "Target", open.Target, "Key", open.Key, "Attempt", open.Attempt)
-	return d.runClaimed(ctx, c, open, askedAt)
+	// The time that the agreement took, as while a leader is chosen, is not taken from
+	// the time that the call may wait for a slot.
+	granted := *c
+	granted.StartBy += d.cfg.Now() - askedAt
+	return d.runClaimed(ctx, &granted, open, askedAt)
+}
+
+// awaitView waits for the view that was in force when a claim was granted: a request
+// that was refused everywhere by then, or a failure domain that was out, must not be
+// missed because this VM hears of it a little later.
+func (d *Dispatcher) awaitView(ctx context.Context, revision uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	return d.cfg.AwaitView(ctx, revision)
 }
 
 // claim asks for a claim, and while another attempt holds it, asks again for a
--- a/bluebellentry/internal/bluebelldispatch/dispatcher.go
+++ b/bluebellentry/internal/bluebelldispatch/dispatcher.go
@@ -54,6 +54,8 @@
 	// Propose has a command agreed by the voters.
 	Propose func(ctx context.Context, c *pb.Command) (*pb.Result, error)
 	View    func() *pb.View
+	// AwaitView waits until a view of a revision is in force here, or ctx ends.
+	AwaitView func(ctx context.Context, revision uint64) error
 	// VMAddress returns where a VM takes calls.
 	VMAddress func(vm string) string
 	// Sign proves to another VM that a hop comes from the system.
--- a/bluebellentry/internal/bluebellnode/node.go
+++ b/bluebellentry/internal/bluebellnode/node.go
@@ -98,7 +98,7 @@
 		Now: n.now, Sleep: sleep, Logger: cfg.Logger,
 	})
 	n.dispatch = bluebelldispatch.New(bluebelldispatch.Config{
-		VM: n.vm, Router: n.router, Upstream: n.upstream, Ledger: n.ledger, Propose: n.propose, View: n.hub.View,
+		VM: n.vm, Router: n.router, Upstream: n.upstream, Ledger: n.ledger, Propose: n.propose, View: n.hub.View, AwaitView: n.awaitView,
 		VMAddress: n.peers.callerAddress,
 		Sign: func(hop *pb.Hop, body []byte) (string, string, error) {
 			return bluebellfront.SignHop(cfg.Secret, hop, body)
@@ -365,6 +365,21 @@
 	}
 }
 
+// awaitView waits until a revision is in force here.
+func (n *Node) awaitView(ctx context.Context, revision uint64) error {
+	for {
+		news, changed := n.hub.News()
+		if news.View.Revision >= revision {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return fmt.Errorf("revision %d is in force, %d is awaited", news.View.Revision, revision)
+		}
+	}
+}
+
 // showUse publishes the use of the endpoints that this VM owns.
 func (n *Node) showUse() {
 	for name, e := range n.router.Table().Endpoints() {
