Clean-up of what reading found: an unused error, an alias, a warning for a VM without a vote

Cause: an exported error had no user, a name stood for io.EOF, and a VM that starts on an empty disk did not say that it has no vote.

--- a/bluebellentry/internal/bluebelldispatch/exchange.go
+++ b/bluebellentry/internal/bluebelldispatch/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -102,7 +103,7 @@
 	reply.Streamed = true
 	reply.events = reply.exchange.Events()
 	reply.first, reply.firstEnd = reply.events.Next()
-	if reply.firstEnd != nil && reply.first == nil && !errors.Is(reply.firstEnd, errEnd) {
+	if reply.firstEnd != nil && reply.first == nil && !errors.Is(reply.firstEnd, io.EOF) {
 		return reply.firstEnd
 	}
 	return nil
--- a/bluebellentry/internal/bluebelldispatch/usage.go
+++ b/bluebellentry/internal/bluebelldispatch/usage.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
@@ -11,9 +10,6 @@
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
-// errEnd is the end of a stream.
-var errEnd = io.EOF
-
 // usage is the part of an answer in which model engines tell what they reused.
 type usage struct {
 	Usage *struct {
--- a/bluebellentry/internal/bluebellfront/front.go
+++ b/bluebellentry/internal/bluebellfront/front.go
@@ -112,7 +112,7 @@
 // Stop closes the listener and the connections.
 func (f *Front) Stop(ctx context.Context) error { return f.app.ShutdownWithContext(ctx) }
 
-// Directory returns the directory of the configuration in force.
+// lookup returns the directory of the configuration in force.
 func (f *Front) lookup() *directory {
 	configuration := f.cfg.View().Configuration
 	d := f.directory.Load()
--- a/bluebellentry/internal/bluebellnode/identity.go
+++ b/bluebellentry/internal/bluebellnode/identity.go
@@ -14,10 +14,6 @@
 
 const identityFile = "identity"
 
-// ErrNotBootstrapped tells that a data folder is empty although the system may
-// have state: the VM must not vote under its own name.
-var ErrNotBootstrapped = errors.New("data folder is empty")
-
 // voterIdentity returns the identity under which this data folder takes part in
 // the log. A folder that is set up together with the whole system has the VM's
 // name; one that replaces a lost disk has a new identity, which does not vote
--- a/bluebellentry/internal/bluebellnode/node.go
+++ b/bluebellentry/internal/bluebellnode/node.go
@@ -143,6 +143,7 @@
 		// A replaced disk, or a VM that is kept in reserve: it learns its members
 		// from the leader once operators have added it.
 		first = &pb.Members{}
+		n.cfg.Logger.Warn("no vote here until operators add this identity", "VM", n.vm, "ID", id)
 	}
 	n.outboxes = &outboxes{peers: n.peers, spawn: n.senders.Go, boxes: map[string]*outbox{}}
 	n.voter, err = bluebellvoter.New(bluebellvoter.Config{
