An early refusal of a call with a key is Unknown

Cause, found by reading the whole change: a resend that was refused before its claim was looked at (no configuration after a restart, a wrong kind of work, a body over the limit) was answered NotRun although an earlier attempt with its key may have run. Change: such refusals say Unknown; hops keep NotRun, since their sender holds the claim.

--- a/bluebellentry/bluebellscenario/input_test.go
+++ b/bluebellentry/bluebellscenario/input_test.go
@@ -99,6 +99,7 @@
 			require.Contains(t, c.prompt("gyor-1", "north", "unharmed", 1), "answered")
 		})
 	}
+	t.Run("EarlyRefusalOfAResend", func(t *testing.T) { earlyRefusal(t, c) })
 	t.Run("AbandonedCaller", func(t *testing.T) { abandonedCaller(t, c) })
 	t.Run("SlowCaller", func(t *testing.T) { slowCaller(t, c) })
 	t.Run("BrokenUpstream", func(t *testing.T) { brokenUpstream(t, c) })
@@ -108,6 +109,27 @@
 	require.LessOrEqual(t, most, 1)
 }
 
+// earlyRefusal resends a call that ran, with a mistake that is found before its claim
+// is looked at: that is not said to be not run.
+func earlyRefusal(t *testing.T, c *cluster) {
+	key := c.key("early")
+	require.Contains(t, c.order("gyor-1", "north", key, "{}"), "answered")
+	for name, headers := range map[string]map[string]string{
+		"work": {"Idempotency-Key": key, "X-Bluebell-Work": "none"},
+		"body": {"Idempotency-Key": key},
+	} {
+		body := []byte("{}")
+		if name == "body" {
+			body = make([]byte, 9<<20)
+		}
+		resp, err := c.request("papa-1", "POST", "/services/orders/jobs", "north-key", headers, body, 10*time.Second)
+		require.NoError(t, err)
+		var e pb.ErrorBody
+		require.NoError(t, protojson.Unmarshal(resp.Body(), &e), "%s", resp.Body())
+		require.Equal(t, pb.RunState_Unknown, e.Error.Run, name)
+	}
+}
+
 // dialCaller opens a raw connection to a VM's caller port and sends text.
 func dialCaller(t *testing.T, c *cluster, vm, text string) net.Conn {
 	t.Helper()
--- a/bluebellentry/internal/bluebellfront/answer.go
+++ b/bluebellentry/internal/bluebellfront/answer.go
@@ -16,6 +16,9 @@
 	"bluebellhaven.org/bluebellentry/internal/bluebelldispatch"
 )
 
+// headerKey is the idempotency key of a call.
+const headerKey = "Idempotency-Key"
+
 const jsonType = "application/json"
 
 // sendError answers with the typed error body.
@@ -30,6 +33,16 @@
 	return f.sendMessage(c, e.Status, errorBody(requestID, e))
 }
 
+// refuseEarly answers a call that is refused before its claim was looked at. The call
+// with this key may have run by way of another attempt, so NotRun would not be
+// certain. A hop is one attempt of a claim that its sender holds.
+func (f *Front) refuseEarly(c fiber.Ctx, requestID string, e *bluebelldispatch.CallError) error {
+	if c.Get(headerKey) != "" && c.Get(bluebelldispatch.HeaderHop) == "" {
+		e.Run = pb.RunState_Unknown
+	}
+	return f.sendError(c, requestID, e)
+}
+
 func errorBody(requestID string, e *bluebelldispatch.CallError) *pb.ErrorBody {
 	body := &pb.CallError{
 		// Texts may quote what an endpoint sent.
@@ -66,7 +79,7 @@
 	case http.StatusNotFound, http.StatusMethodNotAllowed:
 		code = bluebelldispatch.CodeUnknownTarget
 	}
-	return f.sendError(c, f.cfg.NewID(), &bluebelldispatch.CallError{
+	return f.refuseEarly(c, f.cfg.NewID(), &bluebelldispatch.CallError{
 		Status: status, Code: code, Text: err.Error(), Run: run,
 	})
 }
--- a/bluebellentry/internal/bluebellfront/caller.go
+++ b/bluebellentry/internal/bluebellfront/caller.go
@@ -31,11 +31,11 @@
 	return func(c fiber.Ctx) error {
 		call, callErr := f.newCall(c)
 		if callErr != nil {
-			return f.sendError(c, call.RequestID, callErr)
+			return f.refuseEarly(c, call.RequestID, callErr)
 		}
 		request, prompt, err := parseModelRequest(call.Body, chat)
 		if err != nil {
-			return f.sendError(c, call.RequestID, refuse(http.StatusBadRequest, bluebelldispatch.CodeBadRequest, err.Error()))
+			return f.refuseEarly(c, call.RequestID, refuse(http.StatusBadRequest, bluebelldispatch.CodeBadRequest, err.Error()))
 		}
 		call.Target, call.Kind, call.Stream = request.Model, pb.Kind_Model, request.Stream
 		call.Path = strings.Clone(c.Path())
@@ -48,23 +48,23 @@
 func (f *Front) service(c fiber.Ctx) error {
 	call, callErr := f.newCall(c)
 	if callErr != nil {
-		return f.sendError(c, call.RequestID, callErr)
+		return f.refuseEarly(c, call.RequestID, callErr)
 	}
 	call.Target, call.Kind = strings.Clone(c.Params("target")), pb.Kind_Service
 	call.Path = path.Clean("/" + strings.Clone(c.Params("*")))
 	target := f.target(call.Target)
 	if target == nil || target.Kind != pb.Kind_Service {
-		return f.sendError(c, call.RequestID, refuse(http.StatusNotFound, bluebelldispatch.CodeUnknownTarget, "service \""+call.Target+"\" is not declared"))
+		return f.refuseEarly(c, call.RequestID, refuse(http.StatusNotFound, bluebelldispatch.CodeUnknownTarget, "service \""+call.Target+"\" is not declared"))
 	}
 	if decoded, err := url.PathUnescape(call.Path); err != nil || decoded != call.Path {
-		return f.sendError(c, call.RequestID, refuse(http.StatusBadRequest, bluebelldispatch.CodeBadRequest, "the path of a service call must be plain, without escapes"))
+		return f.refuseEarly(c, call.RequestID, refuse(http.StatusBadRequest, bluebelldispatch.CodeBadRequest, "the path of a service call must be plain, without escapes"))
 	}
 	call.NonIdempotent = nonIdempotent(target, call.Method, call.Path)
 	if query := c.Request().URI().QueryString(); len(query) > 0 {
 		call.Path += "?" + string(query)
 	}
 	if call.NonIdempotent {
-		call.Key = strings.Clone(c.Get("Idempotency-Key"))
+		call.Key = strings.Clone(c.Get(headerKey))
 	}
 	return f.dispatch(c, call)
 }
@@ -137,7 +137,7 @@
 	}
 	work, err := f.lookup().work(call.Target, workName)
 	if err != nil {
-		return f.sendError(c, call.RequestID, refuse(http.StatusBadRequest, bluebelldispatch.CodeBadRequest, err.Error()))
+		return f.refuseEarly(c, call.RequestID, refuse(http.StatusBadRequest, bluebelldispatch.CodeBadRequest, err.Error()))
 	}
 	call.Work = work
 	startWithin := defaultStartWithin
@@ -148,7 +148,7 @@
 		startWithin = call.Hop.StartWithin.AsDuration()
 		if call.NonIdempotent != call.Hop.NonIdempotent {
 			// The two VMs follow different revisions; the sender will choose again.
-			return f.sendError(c, call.RequestID, refuse(http.StatusServiceUnavailable, bluebelldispatch.CodeNotReady, "the VMs do not agree yet on whether the call may be repeated"))
+			return f.refuseEarly(c, call.RequestID, refuse(http.StatusServiceUnavailable, bluebelldispatch.CodeNotReady, "the VMs do not agree yet on whether the call may be repeated"))
 		}
 	}
 	call.StartBy = f.cfg.Now() + startWithin
