--- a/bluebell/bluebellconfig/parse.go
+++ b/bluebell/bluebellconfig/parse.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"math"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -53,6 +55,38 @@
 	return &s, d.sorted()
 }
 
+// ReadGateSettings parses the settings of one bluebellgate.
+func ReadGateSettings(file string, text []byte) (*pb.GateSettings, Findings) {
+	var s pb.GateSettings
+	d := decode(file, text, &s)
+	if len(d.findings) == 0 {
+		d.require(map[string]string{"Name": s.Name, "Address": s.Address, "CallerAddress": s.CallerAddress, "Secret": s.Secret})
+	}
+	return &s, d.sorted()
+}
+
+// ReadCoreSettings parses the settings of one bluebellcore.
+func ReadCoreSettings(file string, text []byte) (*pb.CoreSettings, Findings) {
+	var s pb.CoreSettings
+	d := decode(file, text, &s)
+	if len(d.findings) == 0 {
+		d.require(map[string]string{
+			"Name": s.Name, "Address": s.Address, "ControlAddress": s.ControlAddress,
+			"Secret": s.Secret, "DataFolder": s.DataFolder,
+		})
+	}
+	return &s, d.sorted()
+}
+
+// require reports texts that are missing.
+func (d *document) require(texts map[string]string) {
+	for _, name := range slices.Sorted(maps.Keys(texts)) {
+		if texts[name] == "" {
+			d.add(name, "%s is missing", name)
+		}
+	}
+}
+
 // ReadConfiguration parses a generated configuration.
 func ReadConfiguration(file string, text []byte) (*pb.Configuration, Findings) {
 	var c pb.Configuration
--- /dev/null
+++ b/bluebell/bluebellnews/follower.go
@@ -0,0 +1,289 @@
+package bluebellnews
+
+import (
+	"context"
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellfleet"
+)
+
+const (
+	// callSlack is what a poll may take beyond its wait: a few round trips, and a
+	// lost packet sent again.
+	callSlack = 400 * time.Millisecond
+	// firstRetry and lastRetry bound the pause after a failed poll.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 500 * time.Millisecond
+	// sourceRetention is how long a source that fails and is named by no other is
+	// still asked.
+	sourceRetention = 30 * time.Second
+	// freshFor is how long the word of a source counts: a poll and its retry.
+	freshFor = 1500 * time.Millisecond
+)
+
+// FollowerConfig sets up a Follower.
+type FollowerConfig struct {
+	// Process is the follower's own peer address, which it does not follow.
+	Process string
+	Entry   bool
+	// Seeds are the first sources; they are asked again whenever all others fail.
+	Seeds func() []string
+	// MaxSources bounds the sources that are followed at once.
+	MaxSources int
+	Registry   *bluebellfleet.Registry
+	// TakeDeployment is called with each newer deployment, in order. It is nil for
+	// processes that have theirs from the log.
+	TakeDeployment func(revision uint64, d *pb.Deployment)
+	Ask            func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error)
+	// Now is monotonic.
+	Now    func() time.Duration
+	Logger *log.Logger
+}
+
+// source is what is known of one core process.
+type source struct {
+	cancel context.CancelFunc
+	// lastReply is 0 before the first.
+	lastReply time.Duration
+	startedAt time.Duration
+	entries   []string
+	loading   []string
+}
+
+// Follower keeps a registry and the deployment up to date. It is safe for
+// concurrent use.
+type Follower struct {
+	cfg FollowerConfig
+	// taking keeps deployments in order; it is taken before mu.
+	taking sync.Mutex
+
+	mu       sync.Mutex
+	sources  map[string]*source
+	// named tells when a source last named a core process.
+	named    map[string]time.Duration
+	revision uint64
+}
+
+// NewFollower returns a follower that has heard nothing yet.
+func NewFollower(cfg FollowerConfig) *Follower {
+	return &Follower{cfg: cfg, sources: map[string]*source{}, named: map[string]time.Duration{}}
+}
+
+// Sources returns the processes that are followed.
+func (f *Follower) Sources() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Sorted(maps.Keys(f.sources))
+}
+
+// Fresh returns the number of sources that have answered lately.
+func (f *Follower) Fresh() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fresh := 0
+	for _, s := range f.sources {
+		if f.isFresh(s) {
+			fresh++
+		}
+	}
+	return fresh
+}
+
+// Revision returns the revision of the deployment that was taken last.
+func (f *Follower) Revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+// heldRevision is the revision to ask from: processes that have the deployment from
+// the log want none.
+func (f *Follower) heldRevision() uint64 {
+	if f.cfg.TakeDeployment == nil {
+		return math.MaxUint64
+	}
+	return f.Revision()
+}
+
+// Entries returns the entries that follow any source, in order. Without sources
+// it is what was known last.
+func (f *Follower) Entries() []string { return f.union(func(s *source) []string { return s.entries }) }
+
+// Loading returns the endpoints that are about to load other weights.
+func (f *Follower) Loading() []string { return f.union(func(s *source) []string { return s.loading }) }
+
+func (f *Follower) union(list func(s *source) []string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := map[string]bool{}
+	for _, s := range f.sources {
+		if !f.isFresh(s) {
+			continue
+		}
+		for _, name := range list(s) {
+			all[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
+func (f *Follower) isFresh(s *source) bool {
+	return s.lastReply > 0 && f.cfg.Now()-s.lastReply < freshFor
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	var loops conc.WaitGroup
+	defer loops.Wait()
+	for ctx.Err() == nil {
+		for _, address := range f.missing() {
+			sourceCtx, cancel := context.WithCancel(ctx)
+			f.mu.Lock()
+			f.sources[address] = &source{cancel: cancel, startedAt: f.cfg.Now()}
+			f.mu.Unlock()
+			loops.Go(func() { f.follow(sourceCtx, address) })
+		}
+		f.dropForgotten()
+		sleep(ctx, lastRetry)
+	}
+}
+
+// missing returns the seeds and the named processes that are not followed although
+// there is room: sources that do not answer take none.
+func (f *Follower) missing() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Now()
+	room := f.cfg.MaxSources
+	for _, s := range f.sources {
+		if f.isFresh(s) || now-s.startedAt < freshFor {
+			room--
+		}
+	}
+	var missing []string
+	for _, address := range append(slices.Clone(f.cfg.Seeds()), slices.Sorted(maps.Keys(f.named))...) {
+		if room <= 0 {
+			break
+		}
+		if address == f.cfg.Process || f.sources[address] != nil || slices.Contains(missing, address) {
+			continue
+		}
+		missing = append(missing, address)
+		room--
+	}
+	return missing
+}
+
+// dropForgotten ends the loops of sources that fail and that no other names.
+func (f *Follower) dropForgotten() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Now()
+	for address, at := range f.named {
+		if now-at > sourceRetention {
+			delete(f.named, address)
+		}
+	}
+	seeds := f.cfg.Seeds()
+	for address, s := range f.sources {
+		_, named := f.named[address]
+		if named || slices.Contains(seeds, address) || now-max(s.startedAt, s.lastReply) < sourceRetention {
+			continue
+		}
+		s.cancel()
+		delete(f.sources, address)
+		f.cfg.Logger.Info("source forgotten", "Source", address)
+	}
+}
+
+// follow polls one source.
+func (f *Follower) follow(ctx context.Context, address string) {
+	var epoch, cursor uint64
+	pause := firstRetry
+	lost := true
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, maxWait+callSlack)
+		reply, err := f.cfg.Ask(callCtx, address, &pb.FollowRequest{
+			Process: f.cfg.Process, Entry: f.cfg.Entry, Epoch: epoch, Cursor: cursor,
+			Revision: f.heldRevision(), Wait: durationpb.New(maxWait),
+		})
+		cancel()
+		if err != nil {
+			if !lost && ctx.Err() == nil {
+				f.cfg.Logger.Warn("source lost", "Source", address, "Error", err)
+			}
+			lost = true
+			sleep(ctx, pause)
+			pause = min(2*pause, lastRetry)
+			continue
+		}
+		if lost {
+			f.cfg.Logger.Info("source followed", "Source", address, "Revision", reply.Revision)
+		}
+		lost, pause = false, firstRetry
+		epoch, cursor = reply.Epoch, reply.Cursor
+		f.take(ctx, address, reply)
+	}
+}
+
+func (f *Follower) take(ctx context.Context, address string, reply *pb.FollowReply) {
+	now := f.cfg.Now()
+	for _, m := range reply.Registrations {
+		e := bluebellfleet.FromMessage(m, now)
+		if f.cfg.Registry.Merge(e) == bluebellfleet.Changed {
+			f.cfg.Logger.Info("endpoint", "ID", e.ID, "Target", e.Target, "Address", e.Address, "State", e.State,
+				"Born", e.Born, "Sequence", e.Sequence, "Cold", e.ColdUntil > now, "Source", address)
+		}
+	}
+	if f.note(ctx, address, reply, now) {
+		f.takeDeployment(reply)
+	}
+}
+
+// note takes in what a source says besides registrations, and tells whether the
+// source is still followed.
+func (f *Follower) note(ctx context.Context, address string, reply *pb.FollowReply, now time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sources[address]
+	if s == nil || ctx.Err() != nil {
+		return false
+	}
+	s.lastReply, s.entries, s.loading = now, reply.Entries, reply.Loading
+	for _, core := range reply.Cores {
+		f.named[core] = now
+	}
+	return true
+}
+
+// takeDeployment hands on a newer deployment. Its receiver may ask the follower.
+func (f *Follower) takeDeployment(reply *pb.FollowReply) {
+	if f.cfg.TakeDeployment == nil || reply.Deployment == nil {
+		return
+	}
+	f.taking.Lock()
+	defer f.taking.Unlock()
+	if reply.Revision <= f.Revision() {
+		return
+	}
+	f.cfg.TakeDeployment(reply.Revision, reply.Deployment)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = reply.Revision
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/bluebell/bluebellpeer/client.go
+++ b/bluebell/bluebellpeer/client.go
@@ -72,6 +72,16 @@
 	return call(ctx, c, in, pb.DRPCPeerClient.Status)
 }
 
+// Follow waits for news of the deployment and its endpoints.
+func (c *Client) Follow(ctx context.Context, in *pb.FollowRequest) (*pb.FollowReply, error) {
+	return call(ctx, c, in, pb.DRPCPeerClient.Follow)
+}
+
+// Announce makes a process with a disk known to the peer.
+func (c *Client) Announce(ctx context.Context, in *pb.AnnounceRequest) (*pb.AnnounceReply, error) {
+	return call(ctx, c, in, pb.DRPCPeerClient.Announce)
+}
+
 // Close ends all idle connections; those in use end with their calls.
 func (c *Client) Close() {
 	c.mu.Lock()
--- /dev/null
+++ b/bluebell/bluebellplace/place.go
@@ -0,0 +1,429 @@
+package bluebellplace
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellhaven.org/bluebell/bluebellfleet"
+)
+
+const (
+	// readRate is the number of prompt tokens that an engine reads in a second, from
+	// the sheets of both users (48 in a millisecond), less a tenth for the tokens of
+	// running calls between them.
+	readRate = 43_000.0
+	// stepCost is what each running call adds to the first event of another, from
+	// the same sheets (0.12 ms a step, about ten steps until a piece is read).
+	stepCost = 1200 * time.Microsecond
+	// homeMissing is the part of the shared blocks that a prompt's home is expected
+	// to lack: it has read them unless they were pushed out.
+	homeMissing = 0.25
+	// seenMissing is the same for an endpoint to which this entry has sent the same
+	// prompt within seenFor.
+	seenMissing = 0.1
+	seenFor     = 20 * time.Second
+	// maxSeen bounds the prompts that are remembered for a target.
+	maxSeen = 4096
+	// otherDomainCost is the price of bytes between failure domains as a time: a
+	// call goes there for a gain of more than two round trips.
+	otherDomainCost = 4 * time.Millisecond
+	// outdatedCost keeps calls from endpoints with weights that are no longer wanted
+	// while others can run them.
+	outdatedCost = 300 * time.Millisecond
+	// excessHalfLife is how fast the wait that answers have shown is forgotten.
+	excessHalfLife = time.Second
+)
+
+// Config sets up a Placer.
+type Config struct {
+	// Self is this entry's name among the entries.
+	Self string
+	// FailureDomain of this entry.
+	FailureDomain string
+	// WeightsWithin is when calls no longer go to endpoints with older weights than
+	// the ones named.
+	WeightsWithin time.Duration
+	// ColdFactor and ColdSlack are how far calls to a cold endpoint may exceed what
+	// it bears.
+	ColdFactor, ColdSlack float64
+	// SilentAfter is the age of a registration from which on it is in doubt.
+	SilentAfter time.Duration
+}
+
+// Named are the weights of a model that operators have named, and when this entry
+// learnt of it.
+type Named struct {
+	Version uint64
+	Since   time.Duration
+}
+
+// Fleet is what is known of the endpoints. It must not be altered afterwards.
+type Fleet struct {
+	Endpoints  []bluebellfleet.Endpoint
+	DomainsOut []string
+	// Loading endpoints are about to load weights.
+	Loading []string
+	Named   map[string]Named
+	// Entries share the limits of cold endpoints.
+	Entries []string
+	// ColdRates are the calls a second that a cold endpoint of a target bears.
+	ColdRates map[string]float64
+	// Current is set while the registrations come from a live source.
+	Current bool
+}
+
+// Request describes a call.
+type Request struct {
+	Target string
+	// Model is "" for plain services.
+	Model string
+	// Shared is the last block that other prompts share, and SharedTokens the tokens
+	// up to its end; OwnTokens follow.
+	Shared                  string
+	SharedTokens, OwnTokens int
+	// Tried endpoints are not picked again.
+	Tried []string
+}
+
+// Choice is the endpoint for a call.
+type Choice struct {
+	Endpoint bluebellfleet.Endpoint
+	// Weights that the endpoint is known to have; 0 for plain services.
+	Weights uint64
+	// Home tells whether the endpoint is the prompt's home.
+	Home bool
+	// Expected time to the first event.
+	Expected time.Duration
+	// HeardAgo is the age of the endpoint's registration.
+	HeardAgo time.Duration
+	// Candidates is the number of endpoints that could have been picked.
+	Candidates int
+
+	tokens int
+	shared string
+	sentAt time.Duration
+	read   *bool
+}
+
+// Absence tells why no endpoint could be picked.
+type Absence int
+
+// The reasons for an absence.
+const (
+	Present Absence = iota
+	// NoEndpoint is registered for the target.
+	NoEndpoint
+	// AllUnfit endpoints are leaving, out, loading, cold beyond what they bear, or
+	// have been tried.
+	AllUnfit
+	// AllSuspect endpoints have lately failed.
+	AllSuspect
+)
+
+func (a Absence) String() string {
+	return [...]string{"Present", "NoEndpoint", "AllUnfit", "AllSuspect"}[a]
+}
+
+// group is the state of one target under its own lock.
+type group struct {
+	mu      sync.Mutex
+	beliefs map[string]*belief // by endpoint
+	seen    map[string]sighting
+}
+
+type sighting struct {
+	endpoint string
+	at       time.Duration
+}
+
+// Placer is safe for concurrent use.
+type Placer struct {
+	cfg Config
+
+	mu     sync.RWMutex
+	fleet  Fleet
+	groups map[string]*group
+}
+
+// New returns a placer that knows no endpoint.
+func New(cfg Config) *Placer {
+	return &Placer{cfg: cfg, groups: map[string]*group{}}
+}
+
+// Update takes in what is known of the endpoints.
+func (p *Placer) Update(f Fleet) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet = f
+	present := map[string]map[string]bool{}
+	for _, e := range f.Endpoints {
+		if present[e.Target] == nil {
+			present[e.Target] = map[string]bool{}
+		}
+		present[e.Target][e.ID] = true
+		if p.groups[e.Target] == nil {
+			p.groups[e.Target] = &group{beliefs: map[string]*belief{}, seen: map[string]sighting{}}
+		}
+	}
+	for target, g := range p.groups {
+		g.forget(present[target])
+	}
+}
+
+func (g *group) forget(present map[string]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id := range g.beliefs {
+		if !present[id] {
+			delete(g.beliefs, id)
+		}
+	}
+}
+
+func (g *group) belief(id string) *belief {
+	b := g.beliefs[id]
+	if b == nil {
+		b = &belief{}
+		g.beliefs[id] = b
+	}
+	return b
+}
+
+// Serving tells whether any endpoint says that it serves.
+func (p *Placer) Serving() bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return slices.ContainsFunc(p.fleet.Endpoints, func(e bluebellfleet.Endpoint) bool { return e.State == bluebellfleet.Serving })
+}
+
+// Entries returns the number of entries that share limits, this one among them.
+func (p *Placer) Entries() int {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return max(len(p.fleet.Entries), 1)
+}
+
+// candidate is an endpoint in the course of one choice.
+type candidate struct {
+	endpoint bluebellfleet.Endpoint
+	belief   *belief
+	weights  uint64
+	cold     bool
+	suspect  bool
+	home     bool
+	cost     time.Duration
+	missing  int
+}
+
+// Pick returns the endpoint for a call. A cold endpoint that is picked has used up
+// its allowance.
+func (p *Placer) Pick(now time.Duration, r Request) (Choice, Absence) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	g := p.groups[r.Target]
+	if g == nil {
+		return Choice{}, NoEndpoint
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	candidates, known := p.candidates(now, g, r)
+	switch {
+	case known == 0:
+		return Choice{}, NoEndpoint
+	case len(candidates) == 0:
+		return Choice{}, AllUnfit
+	}
+	markHome(candidates, r.Shared)
+	for i := range candidates {
+		p.cost(now, g, &candidates[i], r)
+	}
+	slices.SortFunc(candidates, compareCandidates)
+	for i := range candidates {
+		c := &candidates[i]
+		if c.suspect && !c.belief.mayTry(now) {
+			continue
+		}
+		if c.cold && !c.belief.takeCold(now, p.coldRate(r.Target)) {
+			continue
+		}
+		return Choice{
+			Endpoint: c.endpoint, Weights: c.weights, Home: c.home, Expected: c.cost,
+			HeardAgo: now - c.endpoint.HeardAt, Candidates: len(candidates),
+			tokens: c.missing, shared: r.Shared, read: new(bool),
+		}, Present
+	}
+	if candidates[0].suspect {
+		return Choice{}, AllSuspect
+	}
+	return Choice{}, AllUnfit
+}
+
+func compareCandidates(a, b candidate) int {
+	if a.suspect != b.suspect {
+		if a.suspect {
+			return 1
+		}
+		return -1
+	}
+	return int(a.cost - b.cost)
+}
+
+// candidates returns the endpoints that may run a call, and the number of those
+// that are known for its target.
+func (p *Placer) candidates(now time.Duration, g *group, r Request) ([]candidate, int) {
+	var list []candidate
+	known := 0
+	for _, e := range p.fleet.Endpoints {
+		if e.Target != r.Target {
+			continue
+		}
+		known++
+		if e.State != bluebellfleet.Serving || slices.Contains(p.fleet.DomainsOut, e.FailureDomain) ||
+			slices.Contains(p.fleet.Loading, e.ID) || slices.Contains(r.Tried, e.ID) {
+			continue
+		}
+		weights, fit := p.weights(now, e, r.Model)
+		if !fit {
+			continue
+		}
+		b := g.belief(e.ID)
+		cold := p.isCold(now, e, b)
+		if cold && !p.maySendCold(e) {
+			continue
+		}
+		silent := p.fleet.Current && p.cfg.SilentAfter > 0 && now-e.HeardAt > p.cfg.SilentAfter && !b.answeredSince(now-p.cfg.SilentAfter)
+		list = append(list, candidate{
+			endpoint: e, belief: b, weights: weights, cold: cold, suspect: silent || b.suspect(now),
+		})
+	}
+	return list, known
+}
+
+// weights returns the version that an endpoint has of a model, and whether a call
+// may still begin on it.
+func (p *Placer) weights(now time.Duration, e bluebellfleet.Endpoint, model string) (uint64, bool) {
+	if model == "" || len(e.Weights) == 0 {
+		return 0, true
+	}
+	version, has := e.Weights[model]
+	if !has {
+		return 0, false
+	}
+	named := p.fleet.Named[model]
+	if version < named.Version && now-named.Since > p.cfg.WeightsWithin {
+		return 0, false
+	}
+	return version, true
+}
+
+// markHome marks the first endpoint in rendezvous order.
+func markHome(candidates []candidate, shared string) {
+	if shared == "" {
+		return
+	}
+	best, bestScore := 0, uint64(0)
+	for i := range candidates {
+		if score := rendezvous(shared, candidates[i].endpoint.ID); score >= bestScore {
+			best, bestScore = i, score
+		}
+	}
+	candidates[best].home = true
+}
+
+func rendezvous(key, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+// cost sets the expected time to the first event, and what there is to read.
+func (p *Placer) cost(now time.Duration, g *group, c *candidate, r Request) {
+	missing := 1.0
+	switch seen := g.seen[r.Shared]; {
+	case r.Shared != "" && seen.endpoint == c.endpoint.ID && now-seen.at < seenFor:
+		missing = seenMissing
+	case c.home:
+		missing = homeMissing
+	}
+	if r.Model == "" {
+		// Plain services are compared by what runs there.
+		c.cost = c.belief.typical() * time.Duration(1+c.belief.running)
+	} else {
+		c.missing = r.OwnTokens + int(math.Round(missing*float64(r.SharedTokens)))
+		c.cost = readTime(c.missing+c.belief.reading) + time.Duration(c.belief.running)*stepCost
+		if named := p.fleet.Named[r.Model]; c.weights < named.Version {
+			c.cost += outdatedCost
+		}
+	}
+	c.cost += c.belief.excessAt(now)
+	if c.endpoint.FailureDomain != p.cfg.FailureDomain {
+		c.cost += otherDomainCost
+	}
+}
+
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / readRate * float64(time.Second))
+}
+
+// Sent notes that a call goes to its endpoint.
+func (p *Placer) Sent(c *Choice, now time.Duration) {
+	c.sentAt = now
+	p.with(c, func(g *group, b *belief) {
+		b.running++
+		b.reading += c.tokens
+		if c.shared == "" {
+			return
+		}
+		if len(g.seen) >= maxSeen {
+			for key, s := range g.seen {
+				if now-s.at > seenFor || len(g.seen) >= maxSeen {
+					delete(g.seen, key)
+				}
+			}
+		}
+		g.seen[c.shared] = sighting{endpoint: c.Endpoint.ID, at: now}
+	})
+}
+
+// FirstEvent notes that the answer has begun.
+func (p *Placer) FirstEvent(c Choice, now time.Duration) {
+	p.with(&c, func(_ *group, b *belief) {
+		if *c.read {
+			return
+		}
+		*c.read = true
+		b.reading -= c.tokens
+		b.noteWait(now, now-c.sentAt, c.Expected)
+	})
+}
+
+// Done notes how a call ended.
+func (p *Placer) Done(c Choice, now time.Duration, o Outcome) {
+	p.with(&c, func(_ *group, b *belief) {
+		b.running--
+		if !*c.read {
+			*c.read = true
+			b.reading -= c.tokens
+		}
+		b.note(now, o)
+	})
+}
+
+func (p *Placer) with(c *Choice, f func(g *group, b *belief)) {
+	p.mu.RLock()
+	g := p.groups[c.Endpoint.Target]
+	p.mu.RUnlock()
+	if g == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g, g.belief(c.Endpoint.ID))
+}
--- a/bluebell/bluebellstate/machine.go
+++ b/bluebell/bluebellstate/machine.go
@@ -63,6 +63,14 @@
 		return m.reportCrash(body.CrashReport)
 	case *pb.Command_StepMove:
 		return m.stepMove(body.StepMove)
+	case *pb.Command_DeclareDeployment:
+		return m.declareDeployment(body.DeclareDeployment)
+	case *pb.Command_NameWeights:
+		return m.nameWeights(body.NameWeights)
+	case *pb.Command_OrderDomain:
+		return m.orderDomain(body.OrderDomain)
+	case *pb.Command_Barrier:
+		return m.accepted()
 	}
 	return m.applyChange(c)
 }
@@ -196,5 +204,6 @@
 		DeclaredBy:        v.DeclaredBy,
 		DeclaredChange:    v.DeclaredChange,
 		OwnersChangedAt:   v.OwnersChangedAt,
+		Deployment:        v.Deployment,
 	}
 }
--- a/bluebellentry/internal/bluebellnode/identity.go
+++ b/bluebell/bluebellvoter/identity.go
@@ -1,4 +1,4 @@
-package bluebellnode
+package bluebellvoter
 
 import (
 	"errors"
@@ -14,17 +14,17 @@
 
 const identityFile = "identity"
 
-// voterIdentity returns the identity under which this data folder takes part in
+// Identity returns the identity under which this data folder takes part in
 // the log. A folder that is set up together with the whole system has the VM's
 // name; one that replaces a lost disk has a new identity, which does not vote
-// until operators have made it a voter.
-func voterIdentity(fs bluebellwal.FS, dir, vm string, bootstrap bool) (string, error) {
+// until it has been made a voter.
+func Identity(fs bluebellwal.FS, dir, vm string, bootstrap bool) (string, error) {
 	path := filepath.Join(dir, identityFile)
 	data, err := fs.ReadFile(path)
 	if err == nil {
 		id := strings.TrimSpace(string(data))
-		if vmOf(id) != vm {
-			return "", fmt.Errorf("data folder belongs to VM %q, not %q", vmOf(id), vm)
+		if VMOf(id) != vm {
+			return "", fmt.Errorf("data folder belongs to VM %q, not %q", VMOf(id), vm)
 		}
 		return id, nil
 	}
@@ -56,8 +56,8 @@
 	return nil
 }
 
-// vmOf returns the VM of a member of the log.
-func vmOf(member string) string {
+// VMOf returns the VM of a member of the log.
+func VMOf(member string) string {
 	vm, _, _ := strings.Cut(member, "/")
 	return vm
 }
--- a/bluebell/bluebellvoter/voter.go
+++ b/bluebell/bluebellvoter/voter.go
@@ -22,6 +22,9 @@
 	compactEvery  = 8192
 	compactAtSize = 16 << 20 // bytes of log
 	keepEntries   = 2048
+	// minCompact is the least number of entries between two snapshots, so that a
+	// log of few large entries is not written anew with each of them.
+	minCompact = 64
 	maxEntries    = 256 // in one message
 	maxDrift      = 0.1
 )
@@ -48,7 +51,17 @@
 	Rand            func(n int64) int64
 	ElectionTimeout time.Duration
 	HeartbeatEvery  time.Duration
-	Logger          *log.Logger
+	// KeepEntries is the number of entries before a snapshot that stay in memory
+	// for members that lag; 0 for the default.
+	KeepEntries uint64
+	Logger      *log.Logger
+}
+
+func (c Config) keepEntries() uint64 {
+	if c.KeepEntries > 0 {
+		return c.KeepEntries
+	}
+	return keepEntries
 }
 
 // Status is what a voter knows of the log.
@@ -116,7 +129,7 @@
 	node, err := bluebellraft.New(bluebellraft.Config{
 		ID: cfg.ID, Members: cfg.Members,
 		ElectionTimeout: cfg.ElectionTimeout, HeartbeatEvery: cfg.HeartbeatEvery,
-		MaxDrift: maxDrift, MaxEntries: maxEntries, KeepEntries: keepEntries, Rand: cfg.Rand,
+		MaxDrift: maxDrift, MaxEntries: maxEntries, KeepEntries: cfg.keepEntries(), Rand: cfg.Rand,
 	}, stored, cfg.Now())
 	if err != nil {
 		return nil, fmt.Errorf("voter %s: %w", cfg.ID, err)
@@ -329,7 +342,7 @@
 }
 
 func (v *Voter) compact() error {
-	if v.sinceSnap < compactEvery && (v.wal.Size() < compactAtSize || v.sinceSnap < keepEntries) {
+	if v.sinceSnap < compactEvery && (v.wal.Size() < compactAtSize || v.sinceSnap < minCompact) {
 		return nil
 	}
 	data, err := v.machine.Snapshot()
--- a/bluebellentry/internal/bluebellnode/node.go
+++ b/bluebellentry/internal/bluebellnode/node.go
@@ -12,7 +12,6 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
-	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"bluebellhaven.org/bluebell/bluebellconfig"
@@ -65,7 +64,7 @@
 	hub      *bluebellsync.Hub
 	follower *bluebellsync.Follower
 	voter    *bluebellvoter.Voter
-	outboxes *outboxes
+	outboxes *bluebellpeer.Outboxes
 	router   *bluebellroute.Router
 	ledger   *bluebellmove.Ledger
 	brake    *bluebellmove.Brake
@@ -74,7 +73,6 @@
 	front    *bluebellfront.Front
 	records  *recordRing
 	metrics  *metrics
-	senders  conc.WaitGroup
 }
 
 // New puts a node together. It reads the data folder, if there is one.
@@ -109,7 +107,7 @@
 	n.front = bluebellfront.New(bluebellfront.Config{
 		VM: n.vm, Dispatcher: n.dispatch, View: n.hub.View, Operators: s.Operators, Secret: cfg.Secret,
 		Propose: n.propose, Status: n.status, ChangeMembers: n.changeMembers, Records: n.records.find, Ready: n.ready,
-		Metrics: n.metrics.handler(), Refused: n.metrics.refused, Now: n.now, Wall: time.Now, NewID: newID, Logger: cfg.Logger,
+		Metrics: n.metrics.Handler(), Refused: n.metrics.refused, Now: n.now, Wall: time.Now, NewID: newID, Logger: cfg.Logger,
 	})
 	return n, nil
 }
@@ -131,7 +129,7 @@
 	if s.VM.DataFolder == "" {
 		return nil
 	}
-	id, err := voterIdentity(n.cfg.FS, s.VM.DataFolder, n.vm, n.cfg.Bootstrap)
+	id, err := bluebellvoter.Identity(n.cfg.FS, s.VM.DataFolder, n.vm, n.cfg.Bootstrap)
 	if err != nil {
 		return err
 	}
@@ -145,10 +143,12 @@
 		first = &pb.Members{}
 		n.cfg.Logger.Warn("no vote here until operators add this identity", "VM", n.vm, "ID", id)
 	}
-	n.outboxes = &outboxes{peers: n.peers, spawn: n.senders.Go, boxes: map[string]*outbox{}}
+	n.outboxes = bluebellpeer.NewOutboxes(bluebellpeer.OutboxConfig{
+		Client: func(member string) (*bluebellpeer.Client, error) { return n.peers.client(bluebellvoter.VMOf(member)) },
+	})
 	n.voter, err = bluebellvoter.New(bluebellvoter.Config{
 		ID: id, Members: first, FS: n.cfg.FS, Folder: filepath.Join(s.VM.DataFolder, "log"),
-		Send: n.outboxes.send, Publish: func(v *pb.View) { n.hub.Offer(v) },
+		Send: n.outboxes.Send, Publish: func(v *pb.View) { n.hub.Offer(v) },
 		Now: n.now, WallClock: time.Now, Rand: rand.Int64N,
 		ElectionTimeout: electionTimeout, HeartbeatEvery: heartbeatEvery, Logger: n.cfg.Logger,
 	})
@@ -176,7 +176,7 @@
 // sources returns whom to follow: the leader for voters, else the tree.
 func (n *Node) sources() []string {
 	if n.isVoter() {
-		leader := vmOf(n.voter.Status().Leader)
+		leader := bluebellvoter.VMOf(n.voter.Status().Leader)
 		if leader == "" || leader == n.vm {
 			return nil
 		}
@@ -192,7 +192,7 @@
 		return false
 	}
 	for _, v := range n.voter.Status().Members.GetVoters() {
-		if vmOf(v) == n.vm {
+		if bluebellvoter.VMOf(v) == n.vm {
 			return true
 		}
 	}
@@ -256,11 +256,11 @@
 	defer stopParts()
 	parts := pool.New().WithContext(partsCtx).WithCancelOnError().WithFirstError()
 	if n.voter != nil {
-		n.outboxes.ctx = partsCtx
+		n.outboxes.Start(partsCtx)
 		parts.Go(n.voter.Run)
 	}
 	parts.Go(func(ctx context.Context) error {
-		return bluebellpeer.Serve(ctx, peerListener, n.cfg.Secret, n.vm, handler{n})
+		return bluebellpeer.Serve(ctx, peerListener, n.cfg.Secret, n.vm, handler{node: n})
 	})
 	parts.Go(func(ctx context.Context) error { n.follower.Run(ctx); return nil })
 	parts.Go(func(ctx context.Context) error { n.watchNews(ctx); return nil })
@@ -281,9 +281,11 @@
 	})
 	n.cfg.Logger.Info("started", "VM", n.vm, "FailureDomain", n.cfg.Settings.VM.FailureDomain, "Votes", n.voter != nil)
 	err := parts.Wait()
-	n.senders.Wait()
+	if n.outboxes != nil {
+		n.outboxes.Wait()
+	}
 	n.peers.close()
-	err = errors.Join(err, n.metrics.closer.Close())
+	err = errors.Join(err, n.metrics.Close())
 	n.cfg.Logger.Info("stopped", "VM", n.vm, "Error", err)
 	return err
 }
--- a/bluebellentry/internal/bluebellnode/peers.go
+++ b/bluebellentry/internal/bluebellnode/peers.go
@@ -16,12 +16,9 @@
 )
 
 const (
-	raftCallTimeout = time.Second
-	outboxSize      = 256
-	maxOutboxBatch  = 64
-	proposeCall     = 1500 * time.Millisecond
-	proposeRetry    = 50 * time.Millisecond
-	statusCall      = 500 * time.Millisecond
+	proposeCall  = 1500 * time.Millisecond
+	proposeRetry = 50 * time.Millisecond
+	statusCall   = 500 * time.Millisecond
 )
 
 // peers are the clients of all VMs that this process knows.
@@ -117,7 +114,7 @@
 				return reply.Result, nil
 			}
 			if err == nil {
-				p.setLeader(vmOf(reply.Leader))
+				p.setLeader(bluebellvoter.VMOf(reply.Leader))
 				err = fmt.Errorf("voter %s does not lead", vm)
 			}
 			if ctx.Err() != nil {
@@ -170,74 +167,10 @@
 	p.leader = vm
 }
 
-// outbox sends consensus messages to one member, in order and in batches. What
-// does not fit is dropped: the protocol sends it again.
-type outbox struct {
-	messages chan *pb.RaftMessage
-}
-
-// outboxes hold one outbox for each member.
-type outboxes struct {
-	ctx   context.Context
-	peers *peers
-	spawn func(func())
-
-	mu    sync.Mutex
-	boxes map[string]*outbox
-}
-
-func (o *outboxes) send(messages []*pb.RaftMessage) {
-	for _, m := range messages {
-		select {
-		case o.box(m.To).messages <- m:
-		default:
-		}
-	}
-}
-
-func (o *outboxes) box(member string) *outbox {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	b := o.boxes[member]
-	if b == nil {
-		b = &outbox{messages: make(chan *pb.RaftMessage, outboxSize)}
-		o.boxes[member] = b
-		o.spawn(func() { o.run(b, vmOf(member)) })
-	}
-	return b
-}
-
-func (o *outboxes) run(b *outbox, vm string) {
-	for {
-		var batch []*pb.RaftMessage
-		select {
-		case <-o.ctx.Done():
-			return
-		case m := <-b.messages:
-			batch = append(batch, m)
-		}
-	drain:
-		for len(batch) < maxOutboxBatch {
-			select {
-			case m := <-b.messages:
-				batch = append(batch, m)
-			default:
-				break drain
-			}
-		}
-		client, err := o.peers.client(vm)
-		if err != nil {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(o.ctx, raftCallTimeout)
-		// A lost batch is sent again by the protocol.
-		_ = client.Raft(ctx, &pb.RaftBatch{Messages: batch})
-		cancel()
-	}
-}
-
 // handler answers the calls of other processes.
 type handler struct {
+	// Calls of discovered deployments are for bluebellcore.
+	*pb.DRPCPeerUnimplementedServer
 	node *Node
 }
 
--- /dev/null
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -0,0 +1,251 @@
+// Package bluebellgateway puts the parts of an entry of a discovered deployment
+// together: the follower of the core processes, the placer, the relay and the
+// front.
+//
+// # Usage
+//
+//	gateway, err := bluebellgateway.New(bluebellgateway.Config{Settings: settings.Current, Logger: logger})
+//	err = gateway.Run(ctx)
+package bluebellgateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/sourcegraph/conc/pool"
+	"github.com/uber-go/tally/v4"
+
+	"bluebellhaven.org/bluebell/bluebellfleet"
+	"bluebellhaven.org/bluebell/bluebellmetrics"
+	"bluebellhaven.org/bluebell/bluebellnews"
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellpeer"
+	"bluebellhaven.org/bluebell/bluebellplace"
+	"bluebellhaven.org/bluebell/bluebellprocess"
+	"bluebellhaven.org/bluebellgate/internal/bluebellfront"
+	"bluebellhaven.org/bluebellgate/internal/bluebelllink"
+	"bluebellhaven.org/bluebellgate/internal/bluebellrelay"
+	"bluebellhaven.org/platform/bluebellplatform"
+)
+
+const (
+	// maxSources bounds the core processes that one entry follows: enough for one to
+	// be cut off and one to be down.
+	maxSources = 3
+	// settleFor is how long a new entry looks for a second source before it takes
+	// the word of one alone.
+	settleFor = 3 * time.Second
+	// refreshEvery is how often beliefs that depend on time alone are renewed.
+	refreshEvery = 200 * time.Millisecond
+	// silentAfter is the age of a registration from which on it is in doubt: three
+	// heartbeats of either user and their way.
+	silentAfter = 4500 * time.Millisecond
+	// weightsMargin is kept from the time in which calls may begin on older weights:
+	// the news of them takes a poll, and the clocks of a call and its answer differ.
+	weightsMargin = 1500 * time.Millisecond
+)
+
+// Config sets up a Gateway.
+type Config struct {
+	// Settings returns the latest settings.
+	Settings func() *pb.GateSettings
+	// Dial opens connections to core processes and endpoints; the system's if nil.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Logger *log.Logger
+}
+
+// Gateway is one entry process.
+type Gateway struct {
+	cfg      Config
+	address  string
+	started  time.Time
+	pool     *bluebellpeer.Pool
+	registry *bluebellfleet.Registry
+	follower *bluebellnews.Follower
+	placer   *bluebellplace.Placer
+	link     *bluebelllink.Client
+	front    *bluebellfront.Front
+	metrics  *bluebellmetrics.Metrics
+
+	state   atomic.Pointer[bluebellfront.State]
+	changed chan struct{}
+
+	mu         sync.Mutex
+	deployment *pb.Deployment
+	named      map[string]bluebellplace.Named
+}
+
+// New puts a gateway together.
+func New(cfg Config) *Gateway {
+	s := cfg.Settings()
+	g := &Gateway{
+		cfg: cfg, address: bluebellprocess.HostPort(s.Address, s.PeerPort), started: time.Now(),
+		changed: make(chan struct{}, 1), named: map[string]bluebellplace.Named{},
+		metrics: bluebellmetrics.New(bluebellmetrics.Config{Prefix: "bluebell_gate", Logger: cfg.Logger}),
+	}
+	g.state.Store(&bluebellfront.State{})
+	g.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: g.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
+	g.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: g.now})
+	g.follower = bluebellnews.NewFollower(bluebellnews.FollowerConfig{
+		Process: g.address, Entry: true, MaxSources: maxSources, Registry: g.registry,
+		Seeds: func() []string {
+			s := cfg.Settings()
+			return bluebellprocess.PeerAddresses(s.Seeds, s.PeerPort)
+		},
+		TakeDeployment: g.takeDeployment,
+		Ask: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
+			return g.pool.Client(source).Follow(ctx, r)
+		},
+		Now: g.now, Logger: cfg.Logger,
+	})
+	bounds := s.GetBounds()
+	g.placer = bluebellplace.New(bluebellplace.Config{
+		Self: g.address, FailureDomain: s.FailureDomain, SilentAfter: silentAfter,
+		WeightsWithin: millis(bounds.GetWeightsMillis()) - weightsMargin,
+		ColdFactor:    bounds.GetColdFactor(), ColdSlack: float64(bounds.GetColdSlack()),
+	})
+	g.link = bluebelllink.NewClient(bluebelllink.Config{
+		Dial: cfg.Dial, Opened: func(string) { g.metrics.Scope.Counter("connections_opened").Inc(1) },
+	})
+	g.front = bluebellfront.New(bluebellfront.Config{
+		State: func() bluebellfront.State { return *g.state.Load() }, Relay: g.newRelay(bounds), Ready: g.ready,
+		StopWithin: bounds.GetStop().AsDuration(), Draw: rand.Float64,
+		Count: func(status int) {
+			g.metrics.Scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("answers").Inc(1)
+		},
+		Logger: cfg.Logger,
+	})
+	return g
+}
+
+func (g *Gateway) newRelay(bounds *pb.Bounds) *bluebellrelay.Relay {
+	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+	scoped := func(target string) tally.Scope { return g.metrics.Scope.Tagged(map[string]string{"target": target}) }
+	return bluebellrelay.New(bluebellrelay.Config{
+		Placer: g.placer, Link: g.link, Now: g.now, Draw: rand.Float64, Logger: g.cfg.Logger,
+		Budget: bluebellrelay.Budget{
+			Ratio: bounds.GetRetryRatio(), Window: bounds.GetRetryWindow().AsDuration(), Slack: float64(bounds.GetRetrySlack()),
+		},
+		Count:      func(name, target string) { scoped(target).Counter(name).Inc(1) },
+		FirstEvent: func(target string, d time.Duration) { scoped(target).Histogram("first_event", buckets).RecordDuration(d) },
+	})
+}
+
+func millis(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (g *Gateway) now() time.Duration { return time.Since(g.started) }
+
+// Run serves until ctx ends and all calls that were taken have been answered.
+func (g *Gateway) Run(ctx context.Context) error {
+	s := g.cfg.Settings()
+	callers, err := net.Listen("tcp", s.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("callers: %w", err)
+	}
+	health, err := net.Listen("tcp", s.ReadyAddress)
+	if err != nil {
+		return errors.Join(fmt.Errorf("health checks: %w", err), callers.Close())
+	}
+	g.cfg.Logger.Info("started", "Name", s.Name, "FailureDomain", s.FailureDomain, "Callers", s.CallerAddress, "Seeds", s.Seeds)
+	// The parts outlive ctx: a planned stop answers what was taken.
+	partsCtx, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	parts := pool.New().WithContext(partsCtx).WithCancelOnError().WithFirstError()
+	parts.Go(func(ctx context.Context) error { g.follower.Run(ctx); return nil })
+	parts.Go(func(ctx context.Context) error { g.refresh(ctx); return nil })
+	parts.Go(func(ctx context.Context) error {
+		return bluebellprocess.ServeMetrics(ctx, s.Address, s.MetricsPort, g.metrics.Handler())
+	})
+	parts.Go(func(context.Context) error {
+		defer stopParts()
+		return g.front.Serve(ctx, callers, health)
+	})
+	err = parts.Wait()
+	g.pool.Close()
+	err = errors.Join(err, g.metrics.Close())
+	g.cfg.Logger.Info("stopped", "Name", s.Name, "Error", err)
+	return err
+}
+
+// takeDeployment puts what is declared in force.
+func (g *Gateway) takeDeployment(revision uint64, d *pb.Deployment) {
+	old := g.state.Load()
+	next := &bluebellfront.State{Plan: old.Plan, Revision: revision}
+	if d.Version > 0 && d.Version != old.Plan.Version() {
+		plan, err := bluebellplatform.DecodeDeclaration(d.Document)
+		if err != nil {
+			// It was checked before it was agreed, by another release perhaps.
+			g.cfg.Logger.Error("declaration not taken", "Revision", revision, "Version", d.Version, "Error", err)
+			return
+		}
+		next.Plan = plan
+	}
+	g.mu.Lock()
+	g.deployment = d
+	for _, w := range d.Weights {
+		if g.named[w.Model].Version < w.Version {
+			g.named[w.Model] = bluebellplace.Named{Version: w.Version, Since: g.now()}
+		}
+	}
+	g.mu.Unlock()
+	g.state.Store(next)
+	g.update()
+	g.cfg.Logger.Info("deployment in force", "Revision", revision, "Version", d.Version, "DomainsOut", d.DomainsOut, "Weights", d.Weights)
+}
+
+// refresh hands what is known of the endpoints to the placer.
+func (g *Gateway) refresh(ctx context.Context) {
+	ticker := time.NewTicker(refreshEvery)
+	defer ticker.Stop()
+	for {
+		_, changed := g.registry.Changes()
+		g.update()
+		select {
+		case <-changed:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gateway) update() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	endpoints := g.registry.Endpoints()
+	fleet := bluebellplace.Fleet{
+		Endpoints: endpoints, DomainsOut: g.deployment.GetDomainsOut(), Loading: g.follower.Loading(),
+		Named: make(map[string]bluebellplace.Named, len(g.named)), Entries: g.follower.Entries(),
+		ColdRates: map[string]float64{}, Current: g.follower.Fresh() > 0,
+	}
+	for model, named := range g.named {
+		fleet.Named[model] = named
+	}
+	if plan := g.state.Load().Plan; plan != nil {
+		for _, t := range plan.Targets() {
+			fleet.ColdRates[t.Name] = t.ColdRate
+		}
+	}
+	g.placer.Update(fleet)
+	addresses := make(map[string]bool, len(endpoints))
+	for _, e := range endpoints {
+		addresses[e.Address] = true
+	}
+	g.link.Retain(addresses)
+}
+
+// ready tells whether calls could be served: a declaration is in force, from more
+// than one source unless there has been time to find another, and an endpoint is
+// known.
+func (g *Gateway) ready() bool {
+	return g.state.Load().Plan != nil && g.placer.Serving() &&
+		(g.follower.Fresh() > 1 || g.now() > settleFor)
+}
--- /dev/null
+++ b/bluebellgate/internal/bluebelllink/exchange.go
@@ -0,0 +1,236 @@
+package bluebelllink
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxEventBytes bounds one event, and maxSkipped the answer to another call.
+	maxEventBytes = 1 << 20
+	maxSkipped    = 1 << 20
+	// maxForeign is the number of answers to other calls that are skipped.
+	maxForeign = 3
+	// inlineBody is the size up to which a body is sent before the answer is read: it
+	// fits the smallest window of a connection together with the header.
+	inlineBody = 4 << 10
+)
+
+// Request is one call to an endpoint.
+type Request struct {
+	Address string
+	Method  string
+	// URI is the path with the query, sent as it is.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Answers tells from its header whether an answer belongs to this call.
+	Answers func(status int, h http.Header) bool
+	// AnswerBy is when the header of the answer must have come.
+	AnswerBy time.Time
+}
+
+// Exchange is a call whose answer has begun.
+type Exchange struct {
+	client     *Client
+	conn       *conn
+	response   *http.Response
+	stopCancel func() bool
+	written    *atomic.Bool
+	events     *bufio.Reader
+	// whole is set once the answer has been read to its end.
+	whole  bool
+	closed bool
+}
+
+// Do sends a call and reads the header of its answer. The end of ctx closes the
+// connection, which tells the endpoint to stop. The caller must Close the exchange.
+func (c *Client) Do(ctx context.Context, r Request) (*Exchange, error) {
+	opened, err := c.open(ctx, r.Address)
+	if err != nil {
+		return nil, &Error{Stage: Connecting, Timeout: isTimeout(err), Err: err}
+	}
+	x := &Exchange{client: c, conn: opened, written: &atomic.Bool{}}
+	x.stopCancel = context.AfterFunc(ctx, func() { _ = opened.Close() })
+	if err := x.send(r); err != nil {
+		return nil, err
+	}
+	if err := x.readHeader(r); err != nil {
+		return nil, x.fail(AwaitingAnswer, err)
+	}
+	return x, nil
+}
+
+// Reused tells whether the connection had carried another call before.
+func (x *Exchange) Reused() bool { return x.conn.reused }
+
+// send writes the call. A long body goes out while the answer is awaited, since an
+// endpoint may answer before it has read it.
+func (x *Exchange) send(r Request) error {
+	if err := x.conn.SetDeadline(r.AnswerBy); err != nil {
+		return x.unsent(err)
+	}
+	head := encodeHead(r)
+	if len(r.Body) <= inlineBody {
+		n, err := x.conn.Write(append(head, r.Body...))
+		if err != nil && n == 0 {
+			return x.unsent(err)
+		}
+		if err != nil {
+			return x.fail(Sending, err)
+		}
+		x.written.Store(true)
+		return nil
+	}
+	if n, err := x.conn.Write(head); err != nil && n == 0 {
+		return x.unsent(err)
+	}
+	opened, written := x.conn, x.written
+	go func() {
+		// A failure shows when the answer is read.
+		if _, err := opened.Write(r.Body); err == nil {
+			written.Store(true)
+		}
+	}()
+	return nil
+}
+
+func encodeHead(r Request) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	// Writes to a buffer do not fail.
+	_ = r.Header.Write(&b)
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// readHeader reads up to the header of this call's own answer.
+func (x *Exchange) readHeader(r Request) error {
+	for range maxForeign + 1 {
+		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return err
+		}
+		switch {
+		case response.StatusCode < http.StatusOK:
+			continue
+		case r.Answers(response.StatusCode, response.Header):
+			x.response = response
+			return nil
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkipped)); err != nil {
+			return err
+		}
+		_ = response.Body.Close()
+	}
+	return errors.New("the connection carries answers to other calls")
+}
+
+// unsent ends an exchange of which certainly nothing has reached the endpoint.
+func (x *Exchange) unsent(err error) error {
+	x.Close()
+	return &Error{Stage: Sending, Timeout: isTimeout(err), Err: err}
+}
+
+func (x *Exchange) fail(stage Stage, err error) error {
+	x.Close()
+	return &Error{Stage: stage, Sent: true, Timeout: isTimeout(err), Err: err}
+}
+
+// Status returns the status code of the answer.
+func (x *Exchange) Status() int { return x.response.StatusCode }
+
+// Header returns the header of the answer.
+func (x *Exchange) Header() http.Header { return x.response.Header }
+
+// ReadAll returns the whole body of up to limit bytes, which must have come by a
+// time.
+func (x *Exchange) ReadAll(limit int64, by time.Time) ([]byte, error) {
+	if err := x.conn.SetReadDeadline(by); err != nil {
+		return nil, x.fail(ReadingAnswer, err)
+	}
+	body, err := io.ReadAll(io.LimitReader(x.response.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, x.fail(ReadingAnswer, err)
+	case int64(len(body)) > limit:
+		return nil, x.fail(ReadingAnswer, errors.New("the answer is too large"))
+	}
+	x.whole = true
+	return body, nil
+}
+
+// Event is one event of a stream, as it came.
+type Event struct {
+	// Text has the blank line at the end.
+	Text []byte
+	// ID is "" if the event has none.
+	ID string
+}
+
+// Next returns the next event, which must have come by a time. It returns io.EOF at
+// the end of a whole stream.
+func (x *Exchange) Next(by time.Time) (Event, error) {
+	if err := x.conn.SetReadDeadline(by); err != nil {
+		return Event{}, x.fail(ReadingAnswer, err)
+	}
+	if x.events == nil {
+		x.events = bufio.NewReader(x.response.Body)
+	}
+	var e Event
+	for {
+		line, err := x.events.ReadSlice('\n')
+		e.Text = append(e.Text, line...)
+		switch {
+		case errors.Is(err, io.EOF) && len(e.Text) == 0:
+			x.whole = true
+			return Event{}, io.EOF
+		case errors.Is(err, io.EOF):
+			return Event{}, x.fail(ReadingAnswer, ErrTruncated)
+		case errors.Is(err, bufio.ErrBufferFull):
+		case err != nil:
+			return Event{}, x.fail(ReadingAnswer, err)
+		}
+		if len(e.Text) > maxEventBytes {
+			return Event{}, x.fail(ReadingAnswer, errors.New("an event is too large"))
+		}
+		if err != nil {
+			continue
+		}
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.ID = string(bytes.TrimSpace(id))
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(e.Text) > len(line) {
+			return e, nil
+		}
+	}
+}
+
+// Close ends the exchange. The connection is kept after a whole answer; otherwise
+// closing it cancels the call.
+func (x *Exchange) Close() {
+	if x.closed {
+		return
+	}
+	x.closed = true
+	cancelled := !x.stopCancel()
+	reusable := !cancelled && x.whole && x.written.Load() && !x.response.Close && x.conn.reader.Buffered() == 0 &&
+		(x.response.ContentLength >= 0 || len(x.response.TransferEncoding) > 0)
+	if !reusable || x.conn.SetDeadline(time.Time{}) != nil {
+		_ = x.conn.Close()
+		return
+	}
+	x.client.keep(x.conn, x.response.Header)
+}
--- /dev/null
+++ b/bluebellgate/internal/bluebelllink/pool.go
@@ -0,0 +1,194 @@
+package bluebelllink
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// connectTimeout is many round trips; a lost first packet is sent again after a
+	// second, when another endpoint has long been asked.
+	connectTimeout = 400 * time.Millisecond
+	// silentConnection is how long a connection may go without an acknowledgement
+	// before the kernel gives it up.
+	silentConnection = 2 * time.Second
+	keepAliveEvery   = time.Second
+	keepAliveCount   = 2
+	// maxIdlePerAddress bounds the kept connections to one endpoint.
+	maxIdlePerAddress = 32
+	// idleFor is how long a connection is kept when the endpoint does not say.
+	idleFor = 8 * time.Second
+	// idleMargin is taken off what the endpoint says.
+	idleMargin     = 500 * time.Millisecond
+	readBufferSize = 8 << 10
+	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux.
+	tcpUserTimeout = 0x12
+)
+
+// Config sets up a Client.
+type Config struct {
+	// Dial opens connections; the system's if nil.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Opened is called for each new connection, if not nil.
+	Opened func(address string)
+}
+
+// Client keeps connections to endpoints. It is safe for concurrent use.
+type Client struct {
+	cfg Config
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// conn is one connection to an endpoint.
+type conn struct {
+	net.Conn
+	reader  *bufio.Reader
+	address string
+	reused  bool
+	// usableUntil is when the endpoint may close it.
+	usableUntil time.Time
+}
+
+// NewClient returns a client without connections.
+func NewClient(cfg Config) *Client {
+	if cfg.Dial == nil {
+		cfg.Dial = dialer().DialContext
+	}
+	return &Client{cfg: cfg, idle: map[string][]*conn{}}
+}
+
+// dialer notices connections that have gone silent.
+func dialer() *net.Dialer {
+	return &net.Dialer{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveCount},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var setErr error
+			err := raw.Control(func(fd uintptr) {
+				setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silentConnection.Milliseconds()))
+			})
+			return errors.Join(err, setErr)
+		},
+	}
+}
+
+// open returns a kept connection, or a new one. Connections that were kept before a
+// time are not used.
+func (c *Client) open(ctx context.Context, address string) (*conn, error) {
+	for {
+		kept := c.take(address)
+		if kept == nil {
+			break
+		}
+		if time.Now().Before(kept.usableUntil) && kept.quiet() {
+			kept.reused = true
+			return kept, nil
+		}
+		_ = kept.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	raw, err := c.cfg.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if c.cfg.Opened != nil {
+		c.cfg.Opened(address)
+	}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), address: address}, nil
+}
+
+// take returns the connection that was used last, so that others fall idle.
+func (c *Client) take(address string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	last := list[len(list)-1]
+	c.idle[address] = list[:len(list)-1]
+	return last
+}
+
+func (c *Client) keep(one *conn, h http.Header) {
+	one.usableUntil = time.Now().Add(keepFor(h))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[one.address]
+	if len(list) >= maxIdlePerAddress {
+		_ = one.Close()
+		return
+	}
+	c.idle[one.address] = append(list, one)
+}
+
+// keepFor returns how long the endpoint keeps an idle connection.
+func keepFor(h http.Header) time.Duration {
+	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
+		if seconds, err := strconv.Atoi(value); ok && err == nil {
+			return min(time.Duration(seconds)*time.Second-idleMargin, idleFor)
+		}
+	}
+	return idleFor
+}
+
+// Retain closes the idle connections to all other addresses, and those that their
+// endpoints are about to close.
+func (c *Client) Retain(addresses map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for address, list := range c.idle {
+		var kept []*conn
+		for _, one := range list {
+			if addresses[address] && now.Before(one.usableUntil) {
+				kept = append(kept, one)
+				continue
+			}
+			_ = one.Close()
+		}
+		if len(kept) == 0 {
+			delete(c.idle, address)
+			continue
+		}
+		c.idle[address] = kept
+	}
+}
+
+// quiet tells whether nothing has come on an idle connection, neither bytes nor
+// its end.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, recvErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(recvErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+var _ io.Closer = (*conn)(nil)
--- /dev/null
+++ b/bluebellgate/internal/bluebellrelay/patience.go
@@ -0,0 +1,56 @@
+package bluebellrelay
+
+import (
+	"time"
+
+	"bluebellhaven.org/bluebell/bluebellplan"
+)
+
+const (
+	// plainPatience is how many objectives an endpoint of a plain service may take
+	// before a call that may be repeated goes to another one.
+	plainPatience = 1.5
+	// streamPatience is the same for the first event of a stream: what is left of
+	// the objective is enough to begin elsewhere.
+	streamPatience = 0.6
+	// expectedPatience is how far the first event may exceed what was expected. More
+	// is seen in bursts, when leaving early only makes the load worse.
+	expectedPatience = 4
+	// pausePatience is how many of the route's longest pauses a stream may be silent
+	// for before it is resumed elsewhere.
+	pausePatience = 2
+	// leastPatience is a slow first answer of a healthy endpoint.
+	leastPatience = 150 * time.Millisecond
+	// defaultPause is used where a route states none.
+	defaultPause = 2 * time.Second
+)
+
+// firstPatience returns how long an endpoint may take to begin its answer. A call
+// that cannot be repeated waits for all the time that is left, and so does one
+// with too little left for another attempt.
+func firstPatience(r *bluebellplan.Route, expected, left time.Duration, mayRepeat bool) time.Duration {
+	if !mayRepeat {
+		return left
+	}
+	share := plainPatience
+	if r.Work == bluebellplan.Stream {
+		share = streamPatience
+	}
+	patience := max(time.Duration(share*float64(r.Objective)), expectedPatience*expected, leastPatience)
+	if patience > left/2 {
+		return left
+	}
+	return patience
+}
+
+// eventPatience returns how long a stream may be silent between two events.
+func eventPatience(r *bluebellplan.Route, left time.Duration, mayRepeat bool) time.Duration {
+	if !mayRepeat {
+		return left
+	}
+	pause := r.MaxPause
+	if pause <= 0 {
+		pause = defaultPause
+	}
+	return min(pausePatience*pause, left)
+}
--- /dev/null
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -0,0 +1,471 @@
+package bluebellrelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"bluebellhaven.org/bluebell/bluebelllimit"
+	"bluebellhaven.org/bluebell/bluebellplace"
+	"bluebellhaven.org/bluebell/bluebellplan"
+	"bluebellhaven.org/bluebellgate/internal/bluebelllink"
+	"bluebellhaven.org/platform/bluebellplatform"
+)
+
+const (
+	// maxSends bounds the endpoints that are asked for one call, those that decline
+	// included.
+	maxSends = 4
+	// maxAnswer bounds an answer that is held until it is complete, in bytes.
+	maxAnswer = 8 << 20
+	// leastLeft is the time below which a call is not sent any more: a round trip
+	// and the work of a plain service.
+	leastLeft = 20 * time.Millisecond
+	// answerMargin is kept from the time limit for the way back to the caller.
+	answerMargin = 10 * time.Millisecond
+	// placeWait is how long a call waits for an endpoint that can take it: a cold one
+	// that gets its next call, or one that is tried again.
+	placeWait  = 250 * time.Millisecond
+	placeRetry = 10 * time.Millisecond
+)
+
+// Query is a caller's call as the front has read it.
+type Query struct {
+	Call     bluebellplatform.Call
+	Route    *bluebellplan.Route
+	Target   *bluebellplan.Target
+	Customer *bluebellplan.Customer
+	Method   string
+	// URI is the path with the query, as it came.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Deadline is when the caller's or the route's time is over.
+	Deadline time.Time
+	// Revision of the deployment that the call was decided by.
+	Revision uint64
+}
+
+// priority of the call; that of the customer goes first.
+func (q *Query) priority() int {
+	if q.Customer != nil && q.Customer.HasPriority {
+		return q.Customer.Priority
+	}
+	return q.Route.Priority
+}
+
+// Sink is where the answer goes.
+type Sink struct {
+	// Begin sends the header. It is called once at most.
+	Begin func(status int, h http.Header)
+	// Write sends a part of the body at once.
+	Write func(part []byte) error
+	// Abort breaks the answer off visibly. It does not return.
+	Abort func()
+}
+
+// Budget is the repeats that one target allows this entry.
+type Budget struct {
+	Ratio  float64
+	Window time.Duration
+	Slack  float64
+}
+
+// budgetReserve is the part of the bound on repeats that is left unused.
+const budgetReserve = 0.2
+
+// Config sets up a Relay.
+type Config struct {
+	Placer *bluebellplace.Placer
+	Link   *bluebelllink.Client
+	Budget Budget
+	// Now is monotonic.
+	Now func() time.Duration
+	// Draw returns a number in [0, 1).
+	Draw func() float64
+	// Count counts an event, with the target that it concerns.
+	Count func(name, target string)
+	// FirstEvent records the time until an answer began.
+	FirstEvent func(target string, d time.Duration)
+	Logger     *log.Logger
+}
+
+// Relay is safe for concurrent use.
+type Relay struct {
+	cfg Config
+
+	mu      sync.Mutex
+	budgets map[string]*bluebelllimit.WindowBudget
+}
+
+// New returns a relay.
+func New(cfg Config) *Relay {
+	return &Relay{cfg: cfg, budgets: map[string]*bluebelllimit.WindowBudget{}}
+}
+
+// budget returns the budget of a target; the caller holds the lock.
+func (r *Relay) budget(target string) *bluebelllimit.WindowBudget {
+	b := r.budgets[target]
+	if b == nil {
+		b = &bluebelllimit.WindowBudget{
+			Window: r.cfg.Budget.Window, Ratio: r.cfg.Budget.Ratio, Slack: r.cfg.Budget.Slack, Reserve: budgetReserve,
+		}
+		r.budgets[target] = b
+	}
+	return b
+}
+
+func (r *Relay) noteCall(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budget(target).Call(r.cfg.Now())
+}
+
+func (r *Relay) mayRepeat(target string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(target).Repeat(r.cfg.Now(), r.cfg.Placer.Entries())
+}
+
+// serving is the course of one call.
+type serving struct {
+	relay *Relay
+	q     *Query
+	sink  Sink
+	start time.Duration
+
+	// sends are the endpoints that were asked, runs those that may have run the call.
+	sends, runs int
+	tried       []string
+	// begun is set once the header has gone to the caller.
+	begun bool
+	// lastEvent is the ID of the last event that the caller got.
+	lastEvent string
+	// kept is a whole answer of an endpoint with a failure, which is delivered if no
+	// better one comes.
+	kept *wholeAnswer
+	// cause of the latest failure.
+	cause error
+	// ended is set once the call has its final answer.
+	ended bool
+}
+
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// step tells what follows an attempt.
+type step int
+
+const (
+	// finished calls have their final answer.
+	finished step = iota
+	// again sends the call to another endpoint, if that is allowed.
+	again
+)
+
+// Serve answers one call. The end of ctx means that the caller has left.
+func (r *Relay) Serve(ctx context.Context, q *Query, sink Sink) {
+	s := &serving{relay: r, q: q, sink: sink, start: r.cfg.Now(), lastEvent: q.Call.ResumeAfter}
+	r.noteCall(q.Target.Name)
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	defer cancel()
+	for s.attempt(ctx) == again {
+		if ctx.Err() != nil || !s.mayGoOn() {
+			break
+		}
+	}
+	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		s.end("caller left", 0)
+		return
+	}
+	s.conclude()
+}
+
+// mayGoOn tells whether the call may go to another endpoint.
+func (s *serving) mayGoOn() bool {
+	if s.sends >= maxSends || s.runs >= s.q.Route.Attempts || s.left() < leastLeft {
+		return false
+	}
+	if s.runs > 0 && !s.q.Route.Repeatable() {
+		return false
+	}
+	if s.sends > 0 && !s.relay.mayRepeat(s.q.Target.Name) {
+		s.cause = errors.Join(s.cause, errors.New("the budget for repeats is used up"))
+		s.relay.cfg.Count("repeats_denied", s.q.Target.Name)
+		return false
+	}
+	return true
+}
+
+func (s *serving) left() time.Duration { return time.Until(s.q.Deadline) - answerMargin }
+
+// place waits a little for an endpoint that can take the call.
+func (s *serving) place(ctx context.Context) (bluebellplace.Choice, bluebellplace.Absence) {
+	r := bluebellplace.Request{Target: s.q.Target.Name, Tried: s.tried}
+	if s.q.Target.Engine != nil {
+		r.Model = s.q.Call.Model
+		describePrompt(&r, s.q.Call)
+	}
+	giveUpAt := s.relay.cfg.Now() + min(placeWait, s.left()/4)
+	for {
+		choice, absence := s.relay.cfg.Placer.Pick(s.relay.cfg.Now(), r)
+		if absence == bluebellplace.Present || absence == bluebellplace.AllUnfit && len(s.tried) > 0 || s.relay.cfg.Now() >= giveUpAt {
+			return choice, absence
+		}
+		select {
+		case <-time.After(placeRetry):
+		case <-ctx.Done():
+			return choice, absence
+		}
+	}
+}
+
+// describePrompt names the last block that other prompts share.
+func describePrompt(r *bluebellplace.Request, c bluebellplatform.Call) {
+	total := 0
+	for i, b := range c.Blocks {
+		total += b.Tokens
+		if i == len(c.Blocks)-2 || len(c.Blocks) == 1 {
+			r.Shared, r.SharedTokens = b.ID, total
+		}
+	}
+	r.OwnTokens = max(c.PromptTokens-r.SharedTokens, total-r.SharedTokens, 0)
+}
+
+// attempt sends the call to one endpoint and carries its answer back.
+func (s *serving) attempt(ctx context.Context) step {
+	choice, absence := s.place(ctx)
+	if absence != bluebellplace.Present {
+		s.cause = errors.Join(s.cause, errors.New("no endpoint: "+absence.String()))
+		return finished
+	}
+	left := s.left()
+	if left < leastLeft {
+		return finished
+	}
+	s.sends++
+	s.tried = append(s.tried, choice.Endpoint.ID)
+	cfg := &s.relay.cfg
+	cfg.Placer.Sent(&choice, cfg.Now())
+	cfg.Logger.Info("placed", "Call", s.q.Call.ID, "Endpoint", choice.Endpoint.ID, "Address", choice.Endpoint.Address,
+		"Home", choice.Home, "Expected", choice.Expected.Round(time.Millisecond), "Candidates", choice.Candidates,
+		"HeardAgo", choice.HeardAgo.Round(time.Millisecond), "Weights", choice.Weights, "Attempt", s.sends, "Revision", s.q.Revision)
+	mayRepeat := s.q.Route.Repeatable() && s.runs+1 < s.q.Route.Attempts
+	attemptCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	exchange, err := cfg.Link.Do(attemptCtx, bluebelllink.Request{
+		Address: choice.Endpoint.Address, Method: s.q.Method, URI: s.q.URI, Host: s.q.Host, Body: s.q.Body,
+		Header:   s.header(choice, left),
+		Answers:  s.answers,
+		AnswerBy: time.Now().Add(firstPatience(s.q.Route, choice.Expected, left, mayRepeat)),
+	})
+	if err != nil {
+		return s.failed(ctx, choice, err)
+	}
+	defer exchange.Close()
+	return s.answered(ctx, choice, exchange, mayRepeat)
+}
+
+// answers tells whether an answer belongs to this call. Answers that name no call
+// are taken, since an endpoint that declines early may not name it.
+func (s *serving) answers(status int, h http.Header) bool {
+	id := bluebellplatform.DecodeAnswer(status, h).CallID
+	return id == "" || id == s.q.Call.ID
+}
+
+func (s *serving) header(choice bluebellplace.Choice, left time.Duration) http.Header {
+	o := bluebellplatform.Outgoing{
+		Endpoint: choice.Endpoint.ID, Left: left, Weights: choice.Weights, Priority: s.q.priority(),
+		Engine: s.q.Target.Engine != nil, ResumeAfter: s.lastEvent, CacheScope: cacheScope(s.q.Customer, choice.Weights),
+	}
+	if s.q.Customer != nil {
+		o.Customer = s.q.Customer.Name
+	}
+	return bluebellplatform.EncodeCall(s.q.Header, o)
+}
+
+// failed handles a call without an answer.
+func (s *serving) failed(ctx context.Context, choice bluebellplace.Choice, err error) step {
+	var failure *bluebelllink.Error
+	if !errors.As(err, &failure) {
+		failure = &bluebelllink.Error{Sent: true, Err: err}
+	}
+	outcome := bluebellplace.BrokenOff
+	switch {
+	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		outcome = bluebellplace.Abandoned
+	case failure.Timeout && failure.Sent:
+		outcome = bluebellplace.Silent
+	}
+	s.done(choice, outcome, err)
+	if failure.Sent {
+		s.runs++
+	}
+	return again
+}
+
+func (s *serving) done(choice bluebellplace.Choice, o bluebellplace.Outcome, err error) {
+	cfg := &s.relay.cfg
+	cfg.Placer.Done(choice, cfg.Now(), o)
+	if o == bluebellplace.Answered {
+		return
+	}
+	s.cause = err
+	cfg.Count("attempt_"+o.String(), s.q.Target.Name)
+	cfg.Logger.Warn("attempt failed", "Call", s.q.Call.ID, "Endpoint", choice.Endpoint.ID, "Outcome", o, "Error", err,
+		"Attempt", s.sends, "Took", (cfg.Now() - s.start).Round(time.Millisecond))
+}
+
+// errDeclined is the cause of a call that its endpoint did not run.
+var errDeclined = errors.New("the endpoint did not run the call")
+
+// answered handles an answer that has begun.
+func (s *serving) answered(ctx context.Context, choice bluebellplace.Choice, x *bluebelllink.Exchange, mayRepeat bool) step {
+	a := bluebellplatform.DecodeAnswer(x.Status(), x.Header())
+	if a.NotRun {
+		return s.declined(choice, x, a)
+	}
+	s.runs++
+	good := x.Status() < http.StatusMultipleChoices
+	if good && (!a.Sealed || a.Encoded) {
+		s.done(choice, bluebellplace.Spoiled, errors.New("the answer is not the endpoint's"))
+		return again
+	}
+	if good && s.q.Route.Work == bluebellplan.Stream {
+		return s.stream(ctx, choice, x, mayRepeat)
+	}
+	body, err := x.ReadAll(maxAnswer, s.q.Deadline)
+	if err != nil {
+		s.done(choice, s.readOutcome(ctx, err), err)
+		return again
+	}
+	s.firstEvent(choice)
+	if !good {
+		return s.errored(choice, x, a, body)
+	}
+	s.done(choice, bluebellplace.Answered, nil)
+	s.deliver(wholeAnswer{x.Status(), x.Header(), body})
+	return finished
+}
+
+func (s *serving) readOutcome(ctx context.Context, err error) bluebellplace.Outcome {
+	var failure *bluebelllink.Error
+	switch {
+	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return bluebellplace.Abandoned
+	case errors.As(err, &failure) && failure.Timeout:
+		return bluebellplace.Silent
+	}
+	return bluebellplace.Spoiled
+}
+
+func (s *serving) declined(choice bluebellplace.Choice, x *bluebelllink.Exchange, a bluebellplatform.Answer) step {
+	// The rest of the answer is of no use, but reading it keeps the connection.
+	_, err := x.ReadAll(maxAnswer, time.Now().Add(leastLeft))
+	outcome := bluebellplace.Declined
+	if a.OtherEndpoint {
+		outcome = bluebellplace.Misdirected
+	}
+	s.done(choice, outcome, errors.Join(errDeclined, err))
+	return again
+}
+
+// errored handles a failure that an endpoint answered with. It is kept while
+// another endpoint may do better. A status that promises that the call has not run
+// is not passed on, since it does not come with that promise.
+func (s *serving) errored(choice bluebellplace.Choice, x *bluebelllink.Exchange, a bluebellplatform.Answer, body []byte) step {
+	outcome := bluebellplace.Errored
+	if x.Status() < http.StatusInternalServerError {
+		outcome = bluebellplace.Answered
+	}
+	s.done(choice, outcome, errors.New(http.StatusText(x.Status())))
+	if a.Sealed && !promises(x.Status()) {
+		s.kept = &wholeAnswer{x.Status(), x.Header(), body}
+	}
+	if outcome == bluebellplace.Answered && s.kept != nil {
+		return finished
+	}
+	return again
+}
+
+// promises tells whether a status says that a call has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func (s *serving) firstEvent(choice bluebellplace.Choice) {
+	cfg := &s.relay.cfg
+	cfg.Placer.FirstEvent(choice, cfg.Now())
+	cfg.FirstEvent(s.q.Target.Name, cfg.Now()-s.start)
+}
+
+// stream passes events on as they come. After a break it goes on at another
+// endpoint behind the last event that the caller has.
+func (s *serving) stream(ctx context.Context, choice bluebellplace.Choice, x *bluebelllink.Exchange, mayRepeat bool) step {
+	first := true
+	for {
+		patience := eventPatience(s.q.Route, s.left(), mayRepeat)
+		if first {
+			patience = firstPatience(s.q.Route, choice.Expected, s.left(), mayRepeat)
+		}
+		event, err := x.Next(time.Now().Add(patience))
+		if errors.Is(err, io.EOF) {
+			s.done(choice, bluebellplace.Answered, nil)
+			s.begin(x.Status(), x.Header())
+			s.end("answered", x.Status())
+			return finished
+		}
+		if err != nil {
+			s.done(choice, s.readOutcome(ctx, err), err)
+			return again
+		}
+		if first {
+			first = false
+			s.firstEvent(choice)
+			s.begin(x.Status(), x.Header())
+		}
+		if err := s.sink.Write(event.Text); err != nil {
+			s.done(choice, bluebellplace.Abandoned, err)
+			s.cause = err
+			s.abort()
+		}
+		if event.ID != "" {
+			s.lastEvent = event.ID
+		}
+	}
+}
+
+func (s *serving) begin(status int, h http.Header) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.sink.Begin(status, bluebellplatform.CopyHeader(h))
+}
+
+func (s *serving) deliver(a wholeAnswer) {
+	s.begin(a.status, a.header)
+	if err := s.sink.Write(a.body); err != nil {
+		s.cause = err
+		s.abort()
+	}
+	s.end("answered", a.status)
+}
+
+func (s *serving) abort() {
+	s.end("broken off", 0)
+	s.sink.Abort()
+}
