--- a/bluebell/bluebellnews/follower.go
+++ b/bluebell/bluebellnews/follower.go
@@ -12,8 +12,8 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellfleet"
+	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
 const (
@@ -66,8 +66,8 @@
 	// taking keeps deployments in order; it is taken before mu.
 	taking sync.Mutex
 
-	mu       sync.Mutex
-	sources  map[string]*source
+	mu      sync.Mutex
+	sources map[string]*source
 	// named tells when a source last named a core process.
 	named    map[string]time.Duration
 	revision uint64
--- a/bluebell/bluebellnews/source.go
+++ b/bluebell/bluebellnews/source.go
@@ -26,8 +26,8 @@
 	"sync"
 	"time"
 
-	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellfleet"
+	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
 const (
--- a/bluebell/bluebellplace/belief.go
+++ b/bluebell/bluebellplace/belief.go
@@ -144,7 +144,9 @@
 }
 
 // suspect tells whether others are to be preferred.
-func (b *belief) suspect(now time.Duration) bool { return now < b.pausedUntil || b.pause > 0 && b.failing() }
+func (b *belief) suspect(now time.Duration) bool {
+	return now < b.pausedUntil || b.pause > 0 && b.failing()
+}
 
 // mayTry lets one call at a time through to a suspect endpoint whose pause is over.
 func (b *belief) mayTry(now time.Duration) bool {
--- a/bluebell/bluebellvoter/voter.go
+++ b/bluebell/bluebellvoter/voter.go
@@ -25,8 +25,8 @@
 	// minCompact is the least number of entries between two snapshots, so that a
 	// log of few large entries is not written anew with each of them.
 	minCompact = 64
-	maxEntries    = 256 // in one message
-	maxDrift      = 0.1
+	maxEntries = 256 // in one message
+	maxDrift   = 0.1
 )
 
 // ErrLost is returned when another leader's entry took the command's place. The
--- a/bluebellcore/internal/bluebellkeeper/keeper.go
+++ b/bluebellcore/internal/bluebellkeeper/keeper.go
@@ -146,7 +146,9 @@
 	}
 	k.id = id
 	k.outboxes = bluebellpeer.NewOutboxes(bluebellpeer.OutboxConfig{
-		Client: func(member string) (*bluebellpeer.Client, error) { return k.pool.Client(bluebellvoter.VMOf(member)), nil },
+		Client: func(member string) (*bluebellpeer.Client, error) {
+			return k.pool.Client(bluebellvoter.VMOf(member)), nil
+		},
 	})
 	k.voter, err = bluebellvoter.New(bluebellvoter.Config{
 		ID: id, Members: members, FS: fs, Folder: filepath.Join(s.DataFolder, "log"),
--- a/bluebellcore/internal/bluebellkeeper/peers.go
+++ b/bluebellcore/internal/bluebellkeeper/peers.go
@@ -115,4 +115,3 @@
 	h.keeper.hear(in)
 	return &pb.AnnounceReply{Cores: slices.Clone(h.keeper.cores())}, nil
 }
-
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -134,8 +134,10 @@
 		Budget: bluebellrelay.Budget{
 			Ratio: bounds.GetRetryRatio(), Window: bounds.GetRetryWindow().AsDuration(), Slack: float64(bounds.GetRetrySlack()),
 		},
-		Count:      func(name, target string) { scoped(target).Counter(name).Inc(1) },
-		FirstEvent: func(target string, d time.Duration) { scoped(target).Histogram("first_event", buckets).RecordDuration(d) },
+		Count: func(name, target string) { scoped(target).Counter(name).Inc(1) },
+		FirstEvent: func(target string, d time.Duration) {
+			scoped(target).Histogram("first_event", buckets).RecordDuration(d)
+		},
 	})
 }
 
