--- a/bluebell/bluebellnews/follower.go
+++ b/bluebell/bluebellnews/follower.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
@@ -43,7 +44,9 @@
 	// TakeDeployment is called with each newer deployment, in order. It is nil for
 	// processes that have theirs from the log.
 	TakeDeployment func(revision uint64, d *pb.Deployment)
-	Ask            func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error)
+	// Uses returns what this entry has in flight; nil for other processes.
+	Uses func() []*pb.EndpointUse
+	Ask  func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error)
 	// Now is monotonic.
 	Now    func() time.Duration
 	Logger *log.Logger
@@ -57,6 +60,8 @@
 	startedAt time.Duration
 	entries   []string
 	loading   []string
+	others    []*pb.EndpointUse
+	directory *bluebelldirectory.View
 }
 
 // Follower keeps a registry and the deployment up to date. It is safe for
@@ -114,10 +119,79 @@
 	return f.Revision()
 }
 
+func (f *Follower) wait() time.Duration {
+	if f.cfg.Entry {
+		return entryWait
+	}
+	return maxWait
+}
+
+func (f *Follower) uses() []*pb.EndpointUse {
+	if f.cfg.Uses == nil {
+		return nil
+	}
+	return f.cfg.Uses()
+}
+
+// OtherUses returns what all other entries have in flight, as the source that has
+// answered last knows it; nil without a live source.
+func (f *Follower) OtherUses() []*pb.EndpointUse {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var latest *source
+	for _, s := range f.sources {
+		if f.isFresh(s) && (latest == nil || s.lastReply > latest.lastReply) {
+			latest = s
+		}
+	}
+	if latest == nil {
+		return nil
+	}
+	return latest.others
+}
+
 // Entries returns the entries that follow any source, in order. Without sources
 // it is what was known last.
 func (f *Follower) Entries() []string { return f.union(func(s *source) []string { return s.entries }) }
 
+// Directory returns what the first source that has answered lately knows of cache
+// stores, or nil. The views of several sources are not mixed: each is consistent
+// with the states of the stores that it names.
+func (f *Follower) Directory() *bluebelldirectory.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, address := range slices.Sorted(maps.Keys(f.sources)) {
+		if s := f.sources[address]; f.isFresh(s) {
+			return s.directory
+		}
+	}
+	return nil
+}
+
+// takeDirectory takes in what changed in a source's directory.
+func (f *Follower) takeDirectory(address string, reply *pb.FollowReply, anew bool) {
+	f.mu.Lock()
+	s := f.sources[address]
+	f.mu.Unlock()
+	if s == nil || !f.cfg.Entry {
+		return
+	}
+	now := f.cfg.Now()
+	var states []bluebelldirectory.StoreState
+	for _, m := range reply.Stores {
+		states = append(states, bluebelldirectory.StoreState{
+			Address: m.Address, Used: int(m.UsedTokens),
+			Following: m.FollowedFor != nil, FollowedSince: now - m.FollowedFor.AsDuration(),
+		})
+	}
+	var changes []bluebelldirectory.Change
+	for _, m := range reply.Blocks {
+		block := bluebelldirectory.Block{Key: bluebelldirectory.Key{Scope: m.Scope, ID: m.ID}, Tokens: int(m.Tokens)}
+		changes = append(changes, bluebelldirectory.Change{Store: m.Store, Block: block, Gone: m.Gone})
+	}
+	s.directory.Take(states, changes, anew)
+}
+
 // Loading returns the endpoints that are about to load other weights.
 func (f *Follower) Loading() []string { return f.union(func(s *source) []string { return s.loading }) }
 
@@ -148,7 +222,7 @@
 		for _, address := range f.missing() {
 			sourceCtx, cancel := context.WithCancel(ctx)
 			f.mu.Lock()
-			f.sources[address] = &source{cancel: cancel, startedAt: f.cfg.Now()}
+			f.sources[address] = &source{cancel: cancel, startedAt: f.cfg.Now(), directory: bluebelldirectory.NewView()}
 			f.mu.Unlock()
 			loops.Go(func() { f.follow(sourceCtx, address) })
 		}
@@ -207,14 +281,15 @@
 
 // follow polls one source.
 func (f *Follower) follow(ctx context.Context, address string) {
-	var epoch, cursor uint64
+	var epoch, cursor, directoryCursor uint64
 	pause := firstRetry
 	lost := true
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, maxWait+callSlack)
 		reply, err := f.cfg.Ask(callCtx, address, &pb.FollowRequest{
+			Uses:    f.uses(),
 			Process: f.cfg.Process, Entry: f.cfg.Entry, Epoch: epoch, Cursor: cursor,
-			Revision: f.heldRevision(), Wait: durationpb.New(maxWait),
+			Revision: f.heldRevision(), Wait: durationpb.New(f.wait()), DirectoryCursor: directoryCursor,
 		})
 		cancel()
 		if err != nil {
@@ -230,7 +305,9 @@
 			f.cfg.Logger.Info("source followed", "Source", address, "Revision", reply.Revision)
 		}
 		lost, pause = false, firstRetry
-		epoch, cursor = reply.Epoch, reply.Cursor
+		anew := reply.Epoch != epoch
+		epoch, cursor, directoryCursor = reply.Epoch, reply.Cursor, reply.DirectoryCursor
+		f.takeDirectory(address, reply, anew)
 		f.take(ctx, address, reply)
 	}
 }
@@ -258,7 +335,7 @@
 	if s == nil || ctx.Err() != nil {
 		return false
 	}
-	s.lastReply, s.entries, s.loading = now, reply.Entries, reply.Loading
+	s.lastReply, s.entries, s.loading, s.others = now, reply.Entries, reply.Loading, reply.Uses
 	for _, core := range reply.Cores {
 		f.named[core] = now
 	}
--- a/bluebell/bluebellnews/source.go
+++ b/bluebell/bluebellnews/source.go
@@ -22,10 +22,14 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
@@ -34,6 +38,9 @@
 	// maxWait is the longest time that a poll is held. It is also how often
 	// followers hear that endpoints are alive.
 	maxWait = 500 * time.Millisecond
+	// entryWait is the same for entries, which tell each other what they have in
+	// flight: about as long as a call takes.
+	entryWait = 200 * time.Millisecond
 	// entryTimeout is how long an entry that no longer polls counts as one that
 	// shares limits: two polls and a retry.
 	entryTimeout = 2 * time.Second
@@ -41,7 +48,8 @@
 
 // SourceConfig sets up a Source.
 type SourceConfig struct {
-	Registry *bluebellfleet.Registry
+	Registry  *bluebellfleet.Registry
+	Directory *bluebelldirectory.Directory
 	// Epoch differs between two starts of this process.
 	Epoch uint64
 	// Cores returns the peer addresses of the core processes that are known.
@@ -51,6 +59,12 @@
 	After func(d time.Duration) <-chan time.Time
 }
 
+// entry is what is known of one entry.
+type entry struct {
+	at   time.Duration
+	uses []*pb.EndpointUse
+}
+
 // Source answers followers. It is safe for concurrent use.
 type Source struct {
 	cfg SourceConfig
@@ -59,13 +73,13 @@
 	revision   uint64
 	deployment *pb.Deployment
 	loading    []string
-	entries    map[string]time.Duration
+	entries    map[string]entry
 	changed    chan struct{}
 }
 
 // NewSource returns a source without a deployment.
 func NewSource(cfg SourceConfig) *Source {
-	return &Source{cfg: cfg, entries: map[string]time.Duration{}, changed: make(chan struct{})}
+	return &Source{cfg: cfg, entries: map[string]entry{}, changed: make(chan struct{})}
 }
 
 // SetDeployment takes in what is agreed.
@@ -107,6 +121,7 @@
 func (s *Source) Answer(ctx context.Context, r *pb.FollowRequest) *pb.FollowReply {
 	// A follower that comes from another source, or that has nothing yet, is not
 	// made to wait.
+	s.noteEntry(r)
 	if r.Epoch != s.cfg.Epoch || r.Revision < s.currentRevision() {
 		return s.reply(r)
 	}
@@ -137,9 +152,9 @@
 }
 
 func (s *Source) reply(r *pb.FollowRequest) *pb.FollowReply {
-	cursor := r.Cursor
+	cursor, directoryCursor := r.Cursor, r.DirectoryCursor
 	if r.Epoch != s.cfg.Epoch {
-		cursor = 0
+		cursor, directoryCursor = 0, 0
 	}
 	now := s.cfg.Now()
 	endpoints, next := s.cfg.Registry.Since(cursor)
@@ -147,10 +162,13 @@
 	for _, e := range endpoints {
 		reply.Registrations = append(reply.Registrations, bluebellfleet.ToMessage(e, now))
 	}
+	if r.Entry {
+		s.addDirectory(reply, directoryCursor, now)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Entry {
-		s.entries[r.Process] = now
+		reply.Uses = s.usesWithout(r.Process)
 	}
 	reply.Entries = s.liveEntries(now)
 	reply.Loading = s.loading
@@ -161,10 +179,59 @@
 	return reply
 }
 
+func (s *Source) noteEntry(r *pb.FollowRequest) {
+	if !r.Entry {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries[r.Process] = entry{at: s.cfg.Now(), uses: r.Uses}
+}
+
+// usesWithout adds up what all entries but one have in flight.
+func (s *Source) usesWithout(process string) []*pb.EndpointUse {
+	sums := map[string]*pb.EndpointUse{}
+	for address, e := range s.entries {
+		if address == process {
+			continue
+		}
+		for _, u := range e.uses {
+			sum := sums[u.Endpoint]
+			if sum == nil {
+				sum = &pb.EndpointUse{Endpoint: u.Endpoint}
+				sums[u.Endpoint] = sum
+			}
+			sum.Calls += u.Calls
+			sum.Tokens += u.Tokens
+			sum.Unread += u.Unread
+		}
+	}
+	return slices.Collect(maps.Values(sums))
+}
+
+// addDirectory adds what changed in the directory of stores. The states come first,
+// so that a block is never newer than what is said of its store.
+func (s *Source) addDirectory(reply *pb.FollowReply, cursor uint64, now time.Duration) {
+	for _, state := range s.cfg.Directory.States() {
+		m := &pb.StoreState{Address: state.Address, UsedTokens: uint64(max(state.Used, 0))}
+		if state.Following {
+			m.FollowedFor = durationpb.New(now - state.FollowedSince)
+		}
+		reply.Stores = append(reply.Stores, m)
+	}
+	changes, next := s.cfg.Directory.Since(cursor)
+	reply.DirectoryCursor = next
+	for _, c := range changes {
+		reply.Blocks = append(reply.Blocks, &pb.StoredBlock{
+			Store: c.Store, Scope: c.Scope, ID: c.ID, Tokens: uint32(c.Tokens), Gone: c.Gone,
+		})
+	}
+}
+
 func (s *Source) liveEntries(now time.Duration) []string {
 	var live []string
-	for address, at := range s.entries {
-		if now-at > entryTimeout {
+	for address, e := range s.entries {
+		if now-e.at > entryTimeout {
 			delete(s.entries, address)
 			continue
 		}
--- a/bluebell/bluebellplace/belief.go
+++ b/bluebell/bluebellplace/belief.go
@@ -60,10 +60,10 @@
 	running int
 	// reading is the number of prompt tokens that were sent and not answered yet.
 	reading int
-	// excess is the wait beyond what was expected, as of excessAtTime.
-	excess       time.Duration
-	excessAtTime time.Duration
-	mean         time.Duration
+	// tokens that the running calls take.
+	tokens int
+	// mean is the running mean of the time to the first event.
+	mean time.Duration
 	// failed and total are decaying counts as of countedAt.
 	failed, total float64
 	countedAt     time.Duration
@@ -84,19 +84,12 @@
 }
 
 // noteWait takes in how long the first event of an answer took.
-func (b *belief) noteWait(now, waited, expected time.Duration) {
+func (b *belief) noteWait(now, waited time.Duration) {
 	b.answeredAt = now
 	if b.mean == 0 {
 		b.mean = waited
 	}
 	b.mean += time.Duration(typicalWeight * float64(waited-b.mean))
-	excess := max(waited-expected, 0)
-	b.excess = (b.excessAt(now) + excess) / 2
-	b.excessAtTime = now
-}
-
-func (b *belief) excessAt(now time.Duration) time.Duration {
-	return time.Duration(float64(b.excess) * decay(now-b.excessAtTime, excessHalfLife))
 }
 
 func decay(d, halfLife time.Duration) float64 {
--- a/bluebell/bluebellplace/doc.go
+++ b/bluebell/bluebellplace/doc.go
@@ -6,9 +6,9 @@
 // # Choice
 //
 // Endpoints that run models are compared by the expected time to the first event:
-// the tokens of the prompt that are missing there, the tokens that this entry has
-// sent and that are still being read, and the wait that answers have lately shown
-// beyond both. A prompt's home is the first endpoint in rendezvous order of its
+// the tokens of the prompt that are missing there, and the tokens that all entries
+// have sent and that are still being read. An engine gets no more calls than leave
+// a part of its memory to cached blocks. A prompt's home is the first endpoint in rendezvous order of its
 // last shared block, so entries agree on it without a message; a prompt goes
 // elsewhere when its home would be slower although it has the prompt's blocks.
 // Endpoints of plain services are compared by what is running there.
--- a/bluebell/bluebellplace/place.go
+++ b/bluebell/bluebellplace/place.go
@@ -34,8 +34,17 @@
 	// outdatedCost keeps calls from endpoints with weights that are no longer wanted
 	// while others can run them.
 	outdatedCost = 300 * time.Millisecond
-	// excessHalfLife is how fast the wait that answers have shown is forgotten.
-	excessHalfLife = time.Second
+	// fetchWeight is how many times its own time a fetch from a cache store counts: it
+	// takes the store's link from the fetches of others, and pushes blocks out.
+	fetchWeight = 4
+	// awayCost is what a call away from its home costs later prompts, whose blocks it
+	// pushes out: and it keeps calls at home while the home is not
+	// busier than others.
+	awayCost = 15 * time.Millisecond
+	// fillShare of an engine's memory is given to running calls; the rest holds the
+	// blocks of the prompts that return to it. Engines that were filled with running
+	// calls had to read every prompt again, and stayed full.
+	fillShare = 0.6
 )
 
 // Config sets up a Placer.
@@ -72,10 +81,22 @@
 	Entries []string
 	// ColdRates are the calls a second that a cold endpoint of a target bears.
 	ColdRates map[string]float64
+	// Rooms are the tokens that an engine of a target has memory for.
+	Rooms map[string]int
+	// Others is what other entries have in flight at an endpoint.
+	Others map[string]Use
 	// Current is set while the registrations come from a live source.
 	Current bool
 }
 
+// Use is what is in flight at an endpoint.
+type Use struct {
+	Calls int
+	// Tokens of the prompts and answers, and those of prompts that are not known to
+	// have been read.
+	Tokens, Unread int
+}
+
 // Request describes a call.
 type Request struct {
 	Target string
@@ -85,6 +106,11 @@
 	// up to its end; OwnTokens follow.
 	Shared                  string
 	SharedTokens, OwnTokens int
+	// OutputTokens at the most.
+	OutputTokens int
+	// Fetch is the time in which an endpoint gets the shared tokens from a cache
+	// store; 0 if none holds them.
+	Fetch time.Duration
 	// Tried endpoints are not picked again.
 	Tried []string
 }
@@ -94,19 +120,22 @@
 	Endpoint bluebellfleet.Endpoint
 	// Weights that the endpoint is known to have; 0 for plain services.
 	Weights uint64
-	// Home tells whether the endpoint is the prompt's home.
-	Home bool
-	// Expected time to the first event.
-	Expected time.Duration
+	// Home tells whether the endpoint is the prompt's home, whose address is
+	// HomeAddress.
+	Home        bool
+	HomeAddress string
+	// Expected time to the first event, and the mean time that the target's endpoints
+	// have lately taken.
+	Expected, Typical time.Duration
 	// HeardAgo is the age of the endpoint's registration.
 	HeardAgo time.Duration
 	// Candidates is the number of endpoints that could have been picked.
 	Candidates int
 
-	tokens int
-	shared string
-	sentAt time.Duration
-	read   *bool
+	missing, tokens int
+	shared          string
+	sentAt          time.Duration
+	read            *bool
 }
 
 // Absence tells why no endpoint could be picked.
@@ -114,7 +143,9 @@
 
 // The reasons for an absence.
 const (
-	Present Absence = iota
+	// Untried is the absence before the first try.
+	Untried Absence = iota
+	Present
 	// NoEndpoint is registered for the target.
 	NoEndpoint
 	// AllUnfit endpoints are leaving, out, loading, cold beyond what they bear, or
@@ -122,10 +153,12 @@
 	AllUnfit
 	// AllSuspect endpoints have lately failed.
 	AllSuspect
+	// AllFull endpoints have as many calls in their memory as is good for them.
+	AllFull
 )
 
 func (a Absence) String() string {
-	return [...]string{"Present", "NoEndpoint", "AllUnfit", "AllSuspect"}[a]
+	return [...]string{"Untried", "Present", "NoEndpoint", "AllUnfit", "AllSuspect", "AllFull"}[a]
 }
 
 // group is the state of one target under its own lock.
@@ -193,6 +226,18 @@
 	return b
 }
 
+// typical returns the mean of the times that endpoints have lately taken to answer.
+func (g *group) typical() time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, b := range g.beliefs {
+		if b.mean > 0 {
+			sum += b.mean
+			n++
+		}
+	}
+	return sum / time.Duration(max(n, 1))
+}
+
 // Serving tells whether any endpoint says that it serves.
 func (p *Placer) Serving() bool {
 	p.mu.RLock()
@@ -207,6 +252,21 @@
 	return max(len(p.fleet.Entries), 1)
 }
 
+// Domain returns the failure domain of this entry.
+func (p *Placer) Domain() string { return p.cfg.FailureDomain }
+
+// Named returns the weights of a model that most endpoints have or are to have: the
+// version that operators named, or the highest that any endpoint has.
+func (p *Placer) Named(model string) uint64 {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	version := p.fleet.Named[model].Version
+	for _, e := range p.fleet.Endpoints {
+		version = max(version, e.Weights[model])
+	}
+	return version
+}
+
 // candidate is an endpoint in the course of one choice.
 type candidate struct {
 	endpoint bluebellfleet.Endpoint
@@ -215,6 +275,7 @@
 	cold     bool
 	suspect  bool
 	home     bool
+	full     bool
 	cost     time.Duration
 	missing  int
 }
@@ -237,31 +298,62 @@
 	case len(candidates) == 0:
 		return Choice{}, AllUnfit
 	}
-	markHome(candidates, r.Shared)
+	home := markHome(candidates, r.Shared)
 	for i := range candidates {
 		p.cost(now, g, &candidates[i], r)
 	}
 	slices.SortFunc(candidates, compareCandidates)
 	for i := range candidates {
 		c := &candidates[i]
-		if c.suspect && !c.belief.mayTry(now) {
+		if c.full || c.suspect && !c.belief.mayTry(now) {
 			continue
 		}
 		if c.cold && !c.belief.takeCold(now, p.coldRate(r.Target)) {
 			continue
 		}
 		return Choice{
-			Endpoint: c.endpoint, Weights: c.weights, Home: c.home, Expected: c.cost,
+			Endpoint: c.endpoint, Weights: c.weights, Home: c.home, HomeAddress: home, Expected: c.cost, Typical: g.typical(),
 			HeardAgo: now - c.endpoint.HeardAt, Candidates: len(candidates),
-			tokens: c.missing, shared: r.Shared, read: new(bool),
+			missing: c.missing, tokens: r.Tokens(), shared: r.Shared, read: new(bool),
 		}, Present
 	}
-	if candidates[0].suspect {
+	switch {
+	case slices.ContainsFunc(candidates, func(c candidate) bool { return c.full }):
+		return Choice{}, AllFull
+	case candidates[0].suspect:
 		return Choice{}, AllSuspect
 	}
 	return Choice{}, AllUnfit
 }
 
+// Tokens is the memory that a call takes at an engine.
+func (r Request) Tokens() int { return r.SharedTokens + r.OwnTokens + r.OutputTokens }
+
+// isFull tells whether a call would take memory that cached blocks should have. An
+// idle engine takes any call.
+func (p *Placer) isFull(e bluebellfleet.Endpoint, b *belief, r Request) bool {
+	room := p.fleet.Rooms[e.Target]
+	used := b.tokens + p.fleet.Others[e.ID].Tokens
+	return room > 0 && used > 0 && float64(used+r.Tokens()) > fillShare*float64(room)
+}
+
+// Uses returns what this entry has in flight, by endpoint.
+func (p *Placer) Uses() map[string]Use {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	uses := map[string]Use{}
+	for _, g := range p.groups {
+		g.mu.Lock()
+		for id, b := range g.beliefs {
+			if b.running > 0 {
+				uses[id] = Use{Calls: b.running, Tokens: b.tokens, Unread: b.reading}
+			}
+		}
+		g.mu.Unlock()
+	}
+	return uses
+}
+
 func compareCandidates(a, b candidate) int {
 	if a.suspect != b.suspect {
 		if a.suspect {
@@ -298,6 +390,7 @@
 		silent := p.fleet.Current && p.cfg.SilentAfter > 0 && now-e.HeardAt > p.cfg.SilentAfter && !b.answeredSince(now-p.cfg.SilentAfter)
 		list = append(list, candidate{
 			endpoint: e, belief: b, weights: weights, cold: cold, suspect: silent || b.suspect(now),
+			full: p.isFull(e, b, r),
 		})
 	}
 	return list, known
@@ -320,10 +413,11 @@
 	return version, true
 }
 
-// markHome marks the first endpoint in rendezvous order.
-func markHome(candidates []candidate, shared string) {
+// markHome marks the first endpoint in rendezvous order and returns its address;
+// "" while it is suspect.
+func markHome(candidates []candidate, shared string) string {
 	if shared == "" {
-		return
+		return ""
 	}
 	best, bestScore := 0, uint64(0)
 	for i := range candidates {
@@ -332,6 +426,10 @@
 		}
 	}
 	candidates[best].home = true
+	if candidates[best].suspect {
+		return ""
+	}
+	return candidates[best].endpoint.Address
 }
 
 func rendezvous(key, name string) uint64 {
@@ -356,13 +454,21 @@
 		// Plain services are compared by what runs there.
 		c.cost = c.belief.typical() * time.Duration(1+c.belief.running)
 	} else {
-		c.missing = r.OwnTokens + int(math.Round(missing*float64(r.SharedTokens)))
-		c.cost = readTime(c.missing+c.belief.reading) + time.Duration(c.belief.running)*stepCost
+		c.missing = r.OwnTokens
+		if r.Fetch > 0 {
+			c.cost = time.Duration(missing * fetchWeight * float64(r.Fetch))
+		} else {
+			c.missing += int(math.Round(missing * float64(r.SharedTokens)))
+		}
+		others := p.fleet.Others[c.endpoint.ID]
+		c.cost += readTime(c.missing+c.belief.reading+others.Unread) + time.Duration(c.belief.running+others.Calls)*stepCost
 		if named := p.fleet.Named[r.Model]; c.weights < named.Version {
 			c.cost += outdatedCost
 		}
 	}
-	c.cost += c.belief.excessAt(now)
+	if !c.home && r.Shared != "" {
+		c.cost += awayCost
+	}
 	if c.endpoint.FailureDomain != p.cfg.FailureDomain {
 		c.cost += otherDomainCost
 	}
@@ -377,7 +483,8 @@
 	c.sentAt = now
 	p.with(c, func(g *group, b *belief) {
 		b.running++
-		b.reading += c.tokens
+		b.reading += c.missing
+		b.tokens += c.tokens
 		if c.shared == "" {
 			return
 		}
@@ -399,8 +506,8 @@
 			return
 		}
 		*c.read = true
-		b.reading -= c.tokens
-		b.noteWait(now, now-c.sentAt, c.Expected)
+		b.reading -= c.missing
+		b.noteWait(now, now-c.sentAt)
 	})
 }
 
@@ -408,9 +515,10 @@
 func (p *Placer) Done(c Choice, now time.Duration, o Outcome) {
 	p.with(&c, func(_ *group, b *belief) {
 		b.running--
+		b.tokens -= c.tokens
 		if !*c.read {
 			*c.read = true
-			b.reading -= c.tokens
+			b.reading -= c.missing
 		}
 		b.note(now, o)
 	})
--- a/bluebell/bluebellplan/plan.go
+++ b/bluebell/bluebellplan/plan.go
@@ -97,7 +97,23 @@
 	Slots int
 	// Tokens is the room for running calls and cached blocks.
 	Tokens int
-	Models []string
+	// TokenBytes is the size of one token's cache.
+	TokenBytes float64
+	Models     []string
+}
+
+// Store is a cache store beside the engines.
+type Store struct {
+	Name          string
+	Address       string
+	FailureDomain string
+	// Tokens is the room for blocks.
+	Tokens int
+	// BytesPerSecond of its link, and the time before each transfer.
+	BytesPerSecond float64
+	FirstDelay     time.Duration
+	// Managed stores drop nothing by themselves.
+	Managed bool
 }
 
 // Customer is who is told apart by keys.
@@ -124,6 +140,7 @@
 	Version   uint64
 	Routes    []Route
 	Targets   []Target
+	Stores    []Store
 	Customers []Customer
 	Limits    Limits
 }
@@ -245,6 +262,14 @@
 // Targets returns all targets.
 func (p *Plan) Targets() []Target { return p.declaration.Targets }
 
+// Stores returns all cache stores.
+func (p *Plan) Stores() []Store {
+	if p == nil {
+		return nil
+	}
+	return p.declaration.Stores
+}
+
 // Route returns the route with the longest prefix that begins the path, or nil.
 func (p *Plan) Route(host, path string) *Route {
 	for _, r := range p.byHost[strings.ToLower(host)] {
--- /dev/null
+++ b/bluebell/bluebellqueue/queue.go
@@ -0,0 +1,73 @@
+// Package bluebellqueue decides in which order calls that wait for an endpoint get
+// one, and for how long they wait.
+//
+// The load that it answers: more prompts arrive than fit into the engines' memory.
+// If all of them are sent on, running calls fill the memory, nothing is left for
+// cached blocks, every prompt is read again, and the engines stay busy with calls
+// that are all late, long after the burst is over. So calls wait at the entry while
+// the engines are as full as is good for them. Calls that can still be in time go
+// first, the more urgent first, then those that came first; what will not get an
+// endpoint is told so early.
+//
+// # Usage
+//
+//	order := bluebellqueue.Order(waiters, now)
+//	until := bluebellqueue.HoldUntil(waiter, returned)
+package bluebellqueue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// holdShare of its objective is how long a call waits at the most: beyond it the
+	// rest does not suffice to be in time.
+	holdShare = 0.5
+	// lateShare of the time that is left is how long a call waits whose objective is
+	// over already, such as one that has come back.
+	lateShare = 0.25
+)
+
+// Waiter is a call that waits.
+type Waiter struct {
+	// Priority ranks calls, 0 first.
+	Priority int
+	// Arrived is when the call came, InTimeUntil when its objective is over, and
+	// Deadline when its caller leaves.
+	Arrived, InTimeUntil, Deadline time.Duration
+}
+
+// late tells whether a call can no longer be in time.
+func (w Waiter) late(now time.Duration) bool { return now >= w.InTimeUntil }
+
+// Order returns the indexes of the waiters in the order in which they are tried.
+func Order(waiters []Waiter, now time.Duration) []int {
+	order := make([]int, len(waiters))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(i, j int) int { return compare(waiters[i], waiters[j], now) })
+	return order
+}
+
+func compare(a, b Waiter, now time.Duration) int {
+	if lateA, lateB := a.late(now), b.late(now); lateA != lateB {
+		if lateA {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Arrived, b.Arrived))
+}
+
+// HoldUntil returns how long a call that has just come may wait.
+func HoldUntil(w Waiter) time.Duration {
+	inTime := w.Arrived + time.Duration(holdShare*float64(w.InTimeUntil-w.Arrived))
+	late := w.Arrived + time.Duration(lateShare*float64(w.Deadline-w.Arrived))
+	if w.late(w.Arrived) {
+		return late
+	}
+	return min(inTime, w.Deadline)
+}
--- a/bluebellcore/internal/bluebellkeeper/keeper.go
+++ b/bluebellcore/internal/bluebellkeeper/keeper.go
@@ -23,6 +23,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc/pool"
 
+	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	"bluebellhaven.org/bluebell/bluebellmember"
 	"bluebellhaven.org/bluebell/bluebellmetrics"
@@ -34,6 +35,7 @@
 	"bluebellhaven.org/bluebell/bluebellwal"
 	"bluebellhaven.org/bluebellcore/internal/bluebellcontrol"
 	"bluebellhaven.org/bluebellcore/internal/bluebellorder"
+	"bluebellhaven.org/bluebellcore/internal/bluebellstock"
 )
 
 const (
@@ -75,6 +77,7 @@
 	source   *bluebellnews.Source
 	follower *bluebellnews.Follower
 	orderer  *bluebellorder.Orderer
+	stock    *bluebellstock.Stock
 	control  *bluebellcontrol.Server
 	metrics  *bluebellmetrics.Metrics
 
@@ -94,8 +97,9 @@
 	}
 	k.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: k.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
 	k.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: k.now})
+	directory := bluebelldirectory.New()
 	k.source = bluebellnews.NewSource(bluebellnews.SourceConfig{
-		Registry: k.registry, Epoch: rand.Uint64(), Cores: k.cores, Now: k.now, After: time.After,
+		Registry: k.registry, Directory: directory, Epoch: rand.Uint64(), Cores: k.cores, Now: k.now, After: time.After,
 	})
 	if err := k.openVoter(s); err != nil {
 		return nil, err
@@ -113,6 +117,12 @@
 		Leads: k.leads, Propose: k.propose, Dial: cfg.Dial, Now: k.now, Logger: cfg.Logger,
 		Count: func(name string) { k.metrics.Scope.Counter(name).Inc(1) },
 	})
+	retired := &retirement{registry: k.registry, deployment: k.source.Deployment, now: k.now, since: map[string]time.Duration{}}
+	declared := &declaredStores{deployment: k.source.Deployment}
+	k.stock = bluebellstock.New(bluebellstock.Config{
+		Directory: directory, Stores: declared.stores, Leads: k.leads, Retired: retired.version,
+		Dial: cfg.Dial, Now: k.now, Logger: cfg.Logger,
+	})
 	k.control = bluebellcontrol.New(bluebellcontrol.Config{
 		Registry: k.registry, Deployment: k.source.Deployment, Propose: k.propose, Now: k.now, Logger: cfg.Logger,
 		Observe: func(verb string, status int, d time.Duration) {
@@ -184,6 +194,7 @@
 	parts.Go(func(ctx context.Context) error { k.announceAll(ctx); return nil })
 	parts.Go(func(ctx context.Context) error { k.keepMembers(ctx); return nil })
 	parts.Go(func(ctx context.Context) error { k.orderer.Run(ctx); return nil })
+	parts.Go(func(ctx context.Context) error { k.stock.Run(ctx); return nil })
 	parts.Go(func(ctx context.Context) error { return k.control.Serve(ctx, control) })
 	parts.Go(func(ctx context.Context) error {
 		return bluebellprocess.ServeMetrics(ctx, s.Address, s.MetricsPort, k.metrics.Handler())
--- a/bluebellgate/internal/bluebellfront/front.go
+++ b/bluebellgate/internal/bluebellfront/front.go
@@ -48,9 +48,13 @@
 	// startReturn is when a caller may come back to an entry that has just started:
 	// the time in which it hears of the declaration.
 	startReturn = 500 * time.Millisecond
-	// rotationDelay is how long new connections are taken after the entry has said
-	// that it is not ready: the balancer asks each second and believes two answers.
-	rotationDelay = 3200 * time.Millisecond
+	// rotationDelay is how long calls are taken after the entry has said that it is
+	// not ready: the balancer asks each second and believes two answers. Calls that
+	// come later might outlast the stop.
+	rotationDelay = 2800 * time.Millisecond
+	// elsewhereReturn is when a caller may come back whose call came too late: it
+	// meets another entry.
+	elsewhereReturn = 50 * time.Millisecond
 	// stopMargin is kept from the time that a stop may take.
 	stopMargin = 500 * time.Millisecond
 	readyPath  = "/readyz"
@@ -82,16 +86,18 @@
 
 // Front serves callers and health checks of one entry.
 type Front struct {
-	cfg      Config
-	callers  *http.Server
-	health   *http.Server
-	stopping atomic.Bool
+	cfg     Config
+	callers *http.Server
+	health  *http.Server
+	// stopping is set while callers are asked to go elsewhere, closed once no more
+	// calls are taken.
+	stopping, closed atomic.Bool
 }
 
 // New returns a front that does not listen yet.
 func New(cfg Config) *Front {
 	f := &Front{cfg: cfg}
-	complaints := cfg.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel})
+	complaints := cfg.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
 	f.callers = &http.Server{
 		Handler: http.HandlerFunc(f.serveCall), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: complaints, DisableGeneralOptionsHandler: true,
@@ -126,6 +132,7 @@
 	f.cfg.Logger.Info("stopping", "Within", f.cfg.StopWithin)
 	delay := min(rotationDelay, f.cfg.StopWithin/2)
 	time.Sleep(delay)
+	f.closed.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), f.cfg.StopWithin-delay-stopMargin)
 	defer cancel()
 	if err := f.callers.Shutdown(ctx); err != nil {
@@ -206,6 +213,9 @@
 
 // read makes a query of a caller's request.
 func (f *Front) read(w http.ResponseWriter, r *http.Request, state State, start time.Time) (*bluebellrelay.Query, *refusal) {
+	if f.closed.Load() {
+		return nil, &refusal{http.StatusServiceUnavailable, elsewhereReturn, errors.New("the entry is stopping")}
+	}
 	if state.Plan == nil {
 		return nil, &refusal{http.StatusServiceUnavailable, startReturn, errors.New("nothing is declared yet")}
 	}
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -29,10 +29,12 @@
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellpeer"
 	"bluebellhaven.org/bluebell/bluebellplace"
+	"bluebellhaven.org/bluebell/bluebellplan"
 	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/bluebellgate/internal/bluebellfront"
 	"bluebellhaven.org/bluebellgate/internal/bluebelllink"
 	"bluebellhaven.org/bluebellgate/internal/bluebellrelay"
+	"bluebellhaven.org/bluebellgate/internal/bluebelltier"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
@@ -44,7 +46,7 @@
 	// the word of one alone.
 	settleFor = 3 * time.Second
 	// refreshEvery is how often beliefs that depend on time alone are renewed.
-	refreshEvery = 200 * time.Millisecond
+	refreshEvery = 100 * time.Millisecond
 	// silentAfter is the age of a registration from which on it is in doubt: three
 	// heartbeats of either user and their way.
 	silentAfter = 4500 * time.Millisecond
@@ -101,6 +103,7 @@
 			return bluebellprocess.PeerAddresses(s.Seeds, s.PeerPort)
 		},
 		TakeDeployment: g.takeDeployment,
+		Uses:           g.uses,
 		Ask: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
 			return g.pool.Client(source).Follow(ctx, r)
 		},
@@ -128,13 +131,18 @@
 
 func (g *Gateway) newRelay(bounds *pb.Bounds) *bluebellrelay.Relay {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+	tier := bluebelltier.New(bluebelltier.Config{
+		Stores:    func() []bluebellplan.Store { return g.state.Load().Plan.Stores() },
+		Directory: g.follower.Directory, Now: g.now,
+	})
 	scoped := func(target string) tally.Scope { return g.metrics.Scope.Tagged(map[string]string{"target": target}) }
 	return bluebellrelay.New(bluebellrelay.Config{
-		Placer: g.placer, Link: g.link, Now: g.now, Draw: rand.Float64, Logger: g.cfg.Logger,
+		Placer: g.placer, Link: g.link, Tier: tier, Now: g.now, Draw: rand.Float64, Logger: g.cfg.Logger,
 		Budget: bluebellrelay.Budget{
 			Ratio: bounds.GetRetryRatio(), Window: bounds.GetRetryWindow().AsDuration(), Slack: float64(bounds.GetRetrySlack()),
 		},
-		Count: func(name, target string) { scoped(target).Counter(name).Inc(1) },
+		Waited: func(target string, d time.Duration) { scoped(target).Histogram("waited", buckets).RecordDuration(d) },
+		Count:  func(name, target string) { scoped(target).Counter(name).Inc(1) },
 		FirstEvent: func(target string, d time.Duration) {
 			scoped(target).Histogram("first_event", buckets).RecordDuration(d)
 		},
@@ -226,7 +234,7 @@
 	fleet := bluebellplace.Fleet{
 		Endpoints: endpoints, DomainsOut: g.deployment.GetDomainsOut(), Loading: g.follower.Loading(),
 		Named: make(map[string]bluebellplace.Named, len(g.named)), Entries: g.follower.Entries(),
-		ColdRates: map[string]float64{}, Current: g.follower.Fresh() > 0,
+		ColdRates: map[string]float64{}, Rooms: map[string]int{}, Others: g.others(), Current: g.follower.Fresh() > 0,
 	}
 	for model, named := range g.named {
 		fleet.Named[model] = named
@@ -234,6 +242,9 @@
 	if plan := g.state.Load().Plan; plan != nil {
 		for _, t := range plan.Targets() {
 			fleet.ColdRates[t.Name] = t.ColdRate
+			if t.Engine != nil {
+				fleet.Rooms[t.Name] = t.Engine.Tokens
+			}
 		}
 	}
 	g.placer.Update(fleet)
@@ -244,6 +255,26 @@
 	g.link.Retain(addresses)
 }
 
+// uses tells other entries what this one has in flight.
+func (g *Gateway) uses() []*pb.EndpointUse {
+	var list []*pb.EndpointUse
+	for id, u := range g.placer.Uses() {
+		list = append(list, &pb.EndpointUse{
+			Endpoint: id, Calls: uint32(u.Calls), Tokens: uint64(max(u.Tokens, 0)), Unread: uint64(max(u.Unread, 0)),
+		})
+	}
+	return list
+}
+
+// others returns what other entries have in flight.
+func (g *Gateway) others() map[string]bluebellplace.Use {
+	uses := map[string]bluebellplace.Use{}
+	for _, u := range g.follower.OtherUses() {
+		uses[u.Endpoint] = bluebellplace.Use{Calls: int(u.Calls), Tokens: int(u.Tokens), Unread: int(u.Unread)}
+	}
+	return uses
+}
+
 // ready tells whether calls could be served: a declaration is in force, from more
 // than one source unless there has been time to find another, and an endpoint is
 // known.
--- a/bluebellgate/internal/bluebellrelay/conclude.go
+++ b/bluebellgate/internal/bluebellrelay/conclude.go
@@ -2,24 +2,20 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
-	"bluebellhaven.org/bluebell/bluebellplan"
+	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
-// sharedScope is the scope of customers that are not isolated.
-const sharedScope = "shared"
-
 // cacheScope keeps the cached blocks of isolated customers apart from all others,
 // and those of different weights from each other.
-func cacheScope(c *bluebellplan.Customer, weights uint64) string {
-	scope := sharedScope
-	if c != nil && c.Isolated {
-		scope = "customer/" + c.Name
+func (s *serving) cacheScope(weights uint64) string {
+	isolated := ""
+	if s.q.Customer != nil && s.q.Customer.Isolated {
+		isolated = s.q.Customer.Name
 	}
-	return scope + "/" + strconv.FormatUint(weights, 10)
+	return bluebelldirectory.Scope(isolated, s.q.Call.Model, weights)
 }
 
 // conclude gives a call its final answer after its last attempt, unless it has one.
--- /dev/null
+++ b/bluebellgate/internal/bluebellrelay/lobby.go
@@ -0,0 +1,134 @@
+package bluebellrelay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"bluebellhaven.org/bluebell/bluebellplace"
+	"bluebellhaven.org/bluebell/bluebellqueue"
+)
+
+const (
+	// lobbyTick is how often waiting calls are tried without a cause: news of the load
+	// of other entries comes that often at the most.
+	lobbyTick = 20 * time.Millisecond
+	// leastTick keeps answers that end together from having all that wait tried each
+	// time.
+	leastTick = 2 * time.Millisecond
+)
+
+// guest is a call in a lobby.
+type guest struct {
+	waiter  bluebellqueue.Waiter
+	request bluebellplace.Request
+	choice  bluebellplace.Choice
+	absence bluebellplace.Absence
+	// placed is closed once choice is set.
+	placed chan struct{}
+}
+
+// lobby holds the calls of one target that wait for an endpoint.
+type lobby struct {
+	place func(r bluebellplace.Request) (bluebellplace.Choice, bluebellplace.Absence)
+	now   func() time.Duration
+
+	mu      sync.Mutex
+	guests  []*guest
+	triedAt time.Duration
+	ticking bool
+}
+
+// wait returns an endpoint for a call, or why there is none by the end of its wait.
+func (l *lobby) wait(ctx context.Context, g *guest, until time.Duration) (bluebellplace.Choice, bluebellplace.Absence) {
+	if l.enter(g) {
+		return g.choice, bluebellplace.Present
+	}
+	select {
+	case <-g.placed:
+	case <-time.After(until - l.now()):
+	case <-ctx.Done():
+	}
+	return l.leave(g)
+}
+
+// enter places a call at once if no other waits, and otherwise lets it wait.
+func (l *lobby) enter(g *guest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	g.placed = make(chan struct{})
+	if len(l.guests) == 0 {
+		if g.choice, g.absence = l.place(g.request); g.absence == bluebellplace.Present {
+			return true
+		}
+	}
+	l.guests = append(l.guests, g)
+	if !l.ticking {
+		l.ticking = true
+		go l.tick()
+	}
+	return false
+}
+
+// tick tries those that wait until there are none.
+func (l *lobby) tick() {
+	for {
+		time.Sleep(lobbyTick)
+		l.mu.Lock()
+		l.admit()
+		l.ticking = len(l.guests) > 0
+		ticking := l.ticking
+		l.mu.Unlock()
+		if !ticking {
+			return
+		}
+	}
+}
+
+// leave returns what a call that stops waiting has got.
+func (l *lobby) leave(g *guest) (bluebellplace.Choice, bluebellplace.Absence) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.guests = slices.DeleteFunc(l.guests, func(one *guest) bool { return one == g })
+	return g.choice, g.absence
+}
+
+// ended lets calls that wait take the place of one that has ended.
+func (l *lobby) ended() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.now()-l.triedAt >= leastTick {
+		l.admit()
+	}
+}
+
+// admit gives endpoints to those that wait, in order; the lock is held. A call that
+// finds none does not hold up smaller ones behind it, and larger ones are not tried
+// after it.
+func (l *lobby) admit() {
+	if len(l.guests) == 0 {
+		return
+	}
+	l.triedAt = l.now()
+	waiters := make([]bluebellqueue.Waiter, len(l.guests))
+	for i, g := range l.guests {
+		waiters[i] = g.waiter
+	}
+	tooLarge := 0
+	for _, i := range bluebellqueue.Order(waiters, l.triedAt) {
+		g := l.guests[i]
+		if tooLarge > 0 && g.request.Tokens() >= tooLarge {
+			g.absence = bluebellplace.AllFull
+			continue
+		}
+		g.choice, g.absence = l.place(g.request)
+		switch g.absence {
+		case bluebellplace.Present:
+			close(g.placed)
+		case bluebellplace.AllFull:
+			tooLarge = g.request.Tokens()
+		}
+	}
+	l.guests = slices.DeleteFunc(l.guests, func(g *guest) bool { return g.absence == bluebellplace.Present })
+}
--- a/bluebellgate/internal/bluebellrelay/patience.go
+++ b/bluebellgate/internal/bluebellrelay/patience.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebellhaven.org/bluebell/bluebellplace"
 	"bluebellhaven.org/bluebell/bluebellplan"
 )
 
@@ -13,12 +14,14 @@
 	// streamPatience is the same for the first event of a stream: what is left of
 	// the objective is enough to begin elsewhere.
 	streamPatience = 0.6
-	// expectedPatience is how far the first event may exceed what was expected. More
-	// is seen in bursts, when leaving early only makes the load worse.
+	// expectedPatience is how far the first event may exceed what was expected.
 	expectedPatience = 4
 	// pausePatience is how many of the route's longest pauses a stream may be silent
 	// for before it is resumed elsewhere.
 	pausePatience = 2
+	// typicalPatience is how far it may exceed what all endpoints take at the time: when
+	// all are busy, leaving early only makes the load worse.
+	typicalPatience = 3
 	// leastPatience is a slow first answer of a healthy endpoint.
 	leastPatience = 150 * time.Millisecond
 	// defaultPause is used where a route states none.
@@ -28,7 +31,7 @@
 // firstPatience returns how long an endpoint may take to begin its answer. A call
 // that cannot be repeated waits for all the time that is left, and so does one
 // with too little left for another attempt.
-func firstPatience(r *bluebellplan.Route, expected, left time.Duration, mayRepeat bool) time.Duration {
+func firstPatience(r *bluebellplan.Route, c bluebellplace.Choice, left time.Duration, mayRepeat bool) time.Duration {
 	if !mayRepeat {
 		return left
 	}
@@ -36,7 +39,7 @@
 	if r.Work == bluebellplan.Stream {
 		share = streamPatience
 	}
-	patience := max(time.Duration(share*float64(r.Objective)), expectedPatience*expected, leastPatience)
+	patience := max(time.Duration(share*float64(r.Objective)), expectedPatience*c.Expected, typicalPatience*c.Typical, leastPatience)
 	if patience > left/2 {
 		return left
 	}
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -13,7 +13,9 @@
 	"bluebellhaven.org/bluebell/bluebelllimit"
 	"bluebellhaven.org/bluebell/bluebellplace"
 	"bluebellhaven.org/bluebell/bluebellplan"
+	"bluebellhaven.org/bluebell/bluebellqueue"
 	"bluebellhaven.org/bluebellgate/internal/bluebelllink"
+	"bluebellhaven.org/bluebellgate/internal/bluebelltier"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
@@ -28,10 +30,8 @@
 	leastLeft = 20 * time.Millisecond
 	// answerMargin is kept from the time limit for the way back to the caller.
 	answerMargin = 10 * time.Millisecond
-	// placeWait is how long a call waits for an endpoint that can take it: a cold one
-	// that gets its next call, or one that is tried again.
-	placeWait  = 250 * time.Millisecond
-	placeRetry = 10 * time.Millisecond
+	// retryWait is how long a call that was sent before waits for another endpoint.
+	retryWait = 100 * time.Millisecond
 )
 
 // Query is a caller's call as the front has read it.
@@ -84,6 +84,7 @@
 type Config struct {
 	Placer *bluebellplace.Placer
 	Link   *bluebelllink.Client
+	Tier   *bluebelltier.Tier
 	Budget Budget
 	// Now is monotonic.
 	Now func() time.Duration
@@ -93,7 +94,9 @@
 	Count func(name, target string)
 	// FirstEvent records the time until an answer began.
 	FirstEvent func(target string, d time.Duration)
-	Logger     *log.Logger
+	// Waited records how long a call waited for an endpoint.
+	Waited func(target string, d time.Duration)
+	Logger *log.Logger
 }
 
 // Relay is safe for concurrent use.
@@ -102,11 +105,12 @@
 
 	mu      sync.Mutex
 	budgets map[string]*bluebelllimit.WindowBudget
+	lobbies map[string]*lobby
 }
 
 // New returns a relay.
 func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg, budgets: map[string]*bluebelllimit.WindowBudget{}}
+	return &Relay{cfg: cfg, budgets: map[string]*bluebelllimit.WindowBudget{}, lobbies: map[string]*lobby{}}
 }
 
 // budget returns the budget of a target; the caller holds the lock.
@@ -208,25 +212,62 @@
 
 func (s *serving) left() time.Duration { return time.Until(s.q.Deadline) - answerMargin }
 
-// place waits a little for an endpoint that can take the call.
+// place waits for an endpoint that can take the call.
 func (s *serving) place(ctx context.Context) (bluebellplace.Choice, bluebellplace.Absence) {
+	cfg := &s.relay.cfg
 	r := bluebellplace.Request{Target: s.q.Target.Name, Tried: s.tried}
 	if s.q.Target.Engine != nil {
 		r.Model = s.q.Call.Model
 		describePrompt(&r, s.q.Call)
+		r.Fetch = cfg.Tier.FetchTime(s.shared(cfg.Placer.Named(r.Model), cfg.Placer.Domain()))
 	}
-	giveUpAt := s.relay.cfg.Now() + min(placeWait, s.left()/4)
-	for {
-		choice, absence := s.relay.cfg.Placer.Pick(s.relay.cfg.Now(), r)
-		if absence == bluebellplace.Present || absence == bluebellplace.AllUnfit && len(s.tried) > 0 || s.relay.cfg.Now() >= giveUpAt {
-			return choice, absence
-		}
-		select {
-		case <-time.After(placeRetry):
-		case <-ctx.Done():
-			return choice, absence
-		}
+	now := cfg.Now()
+	w := bluebellqueue.Waiter{
+		Priority: s.q.priority(), Arrived: now, InTimeUntil: s.start + s.q.Route.Objective, Deadline: now + s.left(),
+	}
+	until := bluebellqueue.HoldUntil(w)
+	if len(s.tried) > 0 {
+		until = min(until, now+retryWait)
+	}
+	choice, absence := s.relay.lobby(r.Target).wait(ctx, &guest{waiter: w, request: r}, until)
+	if waited := cfg.Now() - now; waited > lobbyTick {
+		cfg.Waited(r.Target, waited)
+	}
+	return choice, absence
+}
+
+func (r *Relay) lobby(target string) *lobby {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.lobbies[target]
+	if l == nil {
+		l = &lobby{now: r.cfg.Now, place: r.placeNow}
+		r.lobbies[target] = l
+	}
+	return l
+}
+
+// placeNow picks an endpoint and counts the call as sent to it, so that the next
+// one that waits finds it so.
+func (r *Relay) placeNow(request bluebellplace.Request) (bluebellplace.Choice, bluebellplace.Absence) {
+	now := r.cfg.Now()
+	choice, absence := r.cfg.Placer.Pick(now, request)
+	if absence == bluebellplace.Present {
+		r.cfg.Placer.Sent(&choice, now)
+	}
+	return choice, absence
+}
+
+// shared describes the shared blocks of the prompt to the tier: all but the last,
+// which belongs to the call itself.
+func (s *serving) shared(weights uint64, domain string) bluebelltier.Request {
+	r := bluebelltier.Request{
+		Scope: s.cacheScope(weights), FailureDomain: domain, TokenBytes: s.q.Target.Engine.TokenBytes,
+	}
+	for _, b := range s.q.Call.Blocks[:max(len(s.q.Call.Blocks)-1, 0)] {
+		r.Blocks = append(r.Blocks, bluebelltier.Block{ID: b.ID, Tokens: b.Tokens})
 	}
+	return r
 }
 
 // describePrompt names the last block that other prompts share.
@@ -239,6 +280,7 @@
 		}
 	}
 	r.OwnTokens = max(c.PromptTokens-r.SharedTokens, total-r.SharedTokens, 0)
+	r.OutputTokens = c.MaxOutputTokens
 }
 
 // attempt sends the call to one endpoint and carries its answer back.
@@ -250,12 +292,12 @@
 	}
 	left := s.left()
 	if left < leastLeft {
+		s.relay.cfg.Placer.Done(choice, s.relay.cfg.Now(), bluebellplace.Abandoned)
 		return finished
 	}
 	s.sends++
 	s.tried = append(s.tried, choice.Endpoint.ID)
 	cfg := &s.relay.cfg
-	cfg.Placer.Sent(&choice, cfg.Now())
 	cfg.Logger.Info("placed", "Call", s.q.Call.ID, "Endpoint", choice.Endpoint.ID, "Address", choice.Endpoint.Address,
 		"Home", choice.Home, "Expected", choice.Expected.Round(time.Millisecond), "Candidates", choice.Candidates,
 		"HeardAgo", choice.HeardAgo.Round(time.Millisecond), "Weights", choice.Weights, "Attempt", s.sends, "Revision", s.q.Revision)
@@ -266,7 +308,7 @@
 		Address: choice.Endpoint.Address, Method: s.q.Method, URI: s.q.URI, Host: s.q.Host, Body: s.q.Body,
 		Header:   s.header(choice, left),
 		Answers:  s.answers,
-		AnswerBy: time.Now().Add(firstPatience(s.q.Route, choice.Expected, left, mayRepeat)),
+		AnswerBy: time.Now().Add(firstPatience(s.q.Route, choice, left, mayRepeat)),
 	})
 	if err != nil {
 		return s.failed(ctx, choice, err)
@@ -285,7 +327,17 @@
 func (s *serving) header(choice bluebellplace.Choice, left time.Duration) http.Header {
 	o := bluebellplatform.Outgoing{
 		Endpoint: choice.Endpoint.ID, Left: left, Weights: choice.Weights, Priority: s.q.priority(),
-		Engine: s.q.Target.Engine != nil, ResumeAfter: s.lastEvent, CacheScope: cacheScope(s.q.Customer, choice.Weights),
+		Engine: s.q.Target.Engine != nil, ResumeAfter: s.lastEvent, CacheScope: s.cacheScope(choice.Weights),
+	}
+	if s.q.Target.Engine != nil && len(s.q.Call.Blocks) > 0 {
+		r := s.shared(choice.Weights, choice.Endpoint.FailureDomain)
+		if !choice.Home {
+			r.Home = choice.HomeAddress
+		}
+		plan := s.relay.cfg.Tier.Plan(r)
+		o.Fetch, o.Save = plan.Fetch, plan.Save
+		s.relay.cfg.Logger.Info("tier", "Call", s.q.Call.ID, "Scope", r.Scope, "Held", plan.Held, "Shared", r.Tokens(),
+			"Fetch", plan.Fetch, "Save", plan.Save)
 	}
 	if s.q.Customer != nil {
 		o.Customer = s.q.Customer.Name
@@ -316,6 +368,7 @@
 func (s *serving) done(choice bluebellplace.Choice, o bluebellplace.Outcome, err error) {
 	cfg := &s.relay.cfg
 	cfg.Placer.Done(choice, cfg.Now(), o)
+	s.relay.lobby(s.q.Target.Name).ended()
 	if o == bluebellplace.Answered {
 		return
 	}
@@ -419,7 +472,7 @@
 	for {
 		patience := eventPatience(s.q.Route, s.left(), mayRepeat)
 		if first {
-			patience = firstPatience(s.q.Route, choice.Expected, s.left(), mayRepeat)
+			patience = firstPatience(s.q.Route, choice, s.left(), mayRepeat)
 		}
 		event, err := x.Next(time.Now().Add(patience))
 		if errors.Is(err, io.EOF) {
--- /dev/null
+++ b/bluebellgate/internal/bluebelltier/tier.go
@@ -0,0 +1,262 @@
+// Package bluebelltier decides which blocks of a prompt an endpoint fetches from
+// where, and which ones it writes to a cache store.
+//
+// Reading a shared block again costs an engine many times what it costs to fetch it,
+// so every shared block that a store holds is named, in case the endpoint lacks it.
+// A block that no store holds is written to one with room, in the endpoint's failure
+// domain if possible, once: entries choose the same store for it, and a store that
+// has it keeps the first copy. Where no store holds a block, the prompt's home is
+// asked, whose link is fast.
+//
+// # Usage
+//
+//	tier := bluebelltier.New(bluebelltier.Config{...})
+//	plan := tier.Plan(bluebelltier.Request{...})
+package bluebelltier
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebellhaven.org/bluebell/bluebelldirectory"
+	"bluebellhaven.org/bluebell/bluebellplan"
+)
+
+const (
+	// otherDomainFactor is how much longer a transfer between failure domains takes.
+	otherDomainFactor = 2
+	// pendingFor is how long a block that was to be written is expected to show up as
+	// held: its read, its transfer and the events of the store.
+	pendingFor = 6 * time.Second
+	// fillLimit is the part of a store's room that is written to; the rest is for
+	// writes that other entries have begun.
+	fillLimit = 0.95
+	// busyFor is how long a fetch that was named is counted as load of a store's link.
+	busyFor = 500 * time.Millisecond
+)
+
+// Block is a shared block of a prompt.
+type Block struct {
+	ID     string
+	Tokens int
+}
+
+// Request describes the shared blocks of a prompt.
+type Request struct {
+	Scope  string
+	Blocks []Block
+	// FailureDomain of the endpoint that runs the call.
+	FailureDomain string
+	// Home is the address of the prompt's home if that is another endpoint; "" if
+	// not.
+	Home string
+	// TokenBytes is the size of one token's cache.
+	TokenBytes float64
+}
+
+// Tokens returns the size of the shared blocks.
+func (r Request) Tokens() int {
+	total := 0
+	for _, b := range r.Blocks {
+		total += b.Tokens
+	}
+	return total
+}
+
+// Plan names an address for each shared block, or "".
+type Plan struct {
+	Fetch, Save []string
+	// Tokens that some store holds.
+	Held int
+}
+
+// Config sets up a Tier.
+type Config struct {
+	// Stores returns the declared stores.
+	Stores func() []bluebellplan.Store
+	// Directory returns what is known of them, or nil without a live source.
+	Directory func() *bluebelldirectory.View
+	// Now is monotonic, and the clock of the directory.
+	Now func() time.Duration
+}
+
+// write is a block that this entry has had written.
+type write struct {
+	store  string
+	tokens int
+	at     time.Duration
+}
+
+// use is the bytes that were lately fetched from a store.
+type use struct {
+	bytes float64
+	at    time.Duration
+}
+
+// Tier is safe for concurrent use.
+type Tier struct {
+	cfg Config
+
+	mu      sync.Mutex
+	pending map[bluebelldirectory.Key]write
+	uses    map[string]use
+}
+
+// New returns a tier that has planned nothing yet.
+func New(cfg Config) *Tier {
+	return &Tier{cfg: cfg, pending: map[bluebelldirectory.Key]write{}, uses: map[string]use{}}
+}
+
+// FetchTime estimates how long an endpoint in a failure domain needs to fetch the
+// shared blocks of a prompt; 0 if some of them are held nowhere.
+func (t *Tier) FetchTime(r Request) time.Duration {
+	view := t.cfg.Directory()
+	if view == nil || len(r.Blocks) == 0 {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stores := t.declared()
+	total := time.Duration(0)
+	for _, b := range r.Blocks {
+		_, took := t.nearest(view, stores, r, b)
+		if took == 0 {
+			return 0
+		}
+		total += took
+	}
+	return total
+}
+
+// Plan decides for a call that goes to an endpoint.
+func (t *Tier) Plan(r Request) Plan {
+	p := Plan{Fetch: make([]string, len(r.Blocks)+1), Save: make([]string, len(r.Blocks)+1)}
+	view := t.cfg.Directory()
+	now := t.cfg.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(now)
+	stores := t.declared()
+	for i, b := range r.Blocks {
+		if view != nil {
+			if address, _ := t.nearest(view, stores, r, b); address != "" {
+				p.Fetch[i] = address
+				p.Held += b.Tokens
+				t.noteUse(address, float64(b.Tokens)*r.TokenBytes, now)
+				continue
+			}
+			p.Save[i] = t.choose(view, stores, r, b, now)
+		}
+		p.Fetch[i] = r.Home
+	}
+	return p
+}
+
+func (t *Tier) declared() map[string]bluebellplan.Store {
+	stores := map[string]bluebellplan.Store{}
+	for _, s := range t.cfg.Stores() {
+		stores[s.Address] = s
+	}
+	return stores
+}
+
+// nearest returns the store from which a block comes soonest, and how long it takes.
+func (t *Tier) nearest(view *bluebelldirectory.View, stores map[string]bluebellplan.Store, r Request, b Block) (string, time.Duration) {
+	best, bestTook := "", time.Duration(0)
+	for _, address := range view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}) {
+		s, declared := stores[address]
+		if !declared || s.BytesPerSecond <= 0 {
+			continue
+		}
+		took := t.transfer(s, r.FailureDomain, float64(b.Tokens)*r.TokenBytes)
+		if best == "" || took < bestTook {
+			best, bestTook = address, took
+		}
+	}
+	return best, bestTook
+}
+
+// transfer estimates how long bytes take from a store, behind what this entry has
+// lately fetched from it.
+func (t *Tier) transfer(s bluebellplan.Store, domain string, bytes float64) time.Duration {
+	seconds := (bytes + t.backlog(s, t.cfg.Now())) / s.BytesPerSecond
+	if s.FailureDomain != domain {
+		seconds *= otherDomainFactor
+	}
+	return s.FirstDelay + time.Duration(seconds*float64(time.Second))
+}
+
+// backlog returns the bytes that the link has not carried yet.
+func (t *Tier) backlog(s bluebellplan.Store, now time.Duration) float64 {
+	u := t.uses[s.Address]
+	if now-u.at > busyFor {
+		return 0
+	}
+	return max(u.bytes-(now-u.at).Seconds()*s.BytesPerSecond, 0)
+}
+
+func (t *Tier) noteUse(address string, bytes float64, now time.Duration) {
+	for _, s := range t.cfg.Stores() {
+		if s.Address == address {
+			t.uses[address] = use{bytes: t.backlog(s, now) + bytes, at: now}
+		}
+	}
+}
+
+// choose returns the store that a block is written to, or "" for none.
+func (t *Tier) choose(view *bluebelldirectory.View, stores map[string]bluebellplan.Store, r Request, b Block, now time.Duration) string {
+	key := bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}
+	if _, begun := t.pending[key]; begun {
+		return ""
+	}
+	var fit []bluebellplan.Store
+	for address, state := range view.Writable(now) {
+		s, declared := stores[address]
+		if declared && float64(state.Used+t.pendingAt(address)+b.Tokens) <= fillLimit*float64(s.Tokens) {
+			fit = append(fit, s)
+		}
+	}
+	if len(fit) == 0 {
+		return ""
+	}
+	best := slices.MinFunc(fit, func(x, y bluebellplan.Store) int {
+		if nearX, nearY := x.FailureDomain == r.FailureDomain, y.FailureDomain == r.FailureDomain; nearX != nearY {
+			if nearX {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(rank(b.ID, x), rank(b.ID, y))
+	})
+	t.pending[key] = write{store: best.Address, tokens: b.Tokens, at: now}
+	return best.Address
+}
+
+// rank orders the stores for a block alike on all entries.
+func rank(block string, s bluebellplan.Store) uint64 {
+	return xxhash.Sum64String(block + "\x00" + s.Address)
+}
+
+// pendingAt returns the tokens that this entry has had written to a store and that
+// may not count in its use yet.
+func (t *Tier) pendingAt(address string) int {
+	tokens := 0
+	for _, w := range t.pending {
+		if w.store == address {
+			tokens += w.tokens
+		}
+	}
+	return tokens
+}
+
+func (t *Tier) forget(now time.Duration) {
+	for key, w := range t.pending {
+		if now-w.at > pendingFor {
+			delete(t.pending, key)
+		}
+	}
+}
