--- /dev/null
+++ b/bluebell/bluebellfleet/fleet_test.go
@@ -0,0 +1,145 @@
+package bluebellfleet_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebell/bluebellfleet"
+)
+
+type clock struct{ now time.Duration }
+
+func newRegistry() (*bluebellfleet.Registry, *clock) {
+	c := &clock{}
+	return bluebellfleet.NewRegistry(bluebellfleet.Config{Now: func() time.Duration { return c.now }}), c
+}
+
+func endpoint(id, address string, born int64, sequence uint64) bluebellfleet.Endpoint {
+	return bluebellfleet.Endpoint{
+		ID: id, Target: "llm", Address: address, State: bluebellfleet.Serving, Born: born, Sequence: sequence,
+		Weights: map[string]uint64{"m0": 1},
+	}
+}
+
+func ids(r *bluebellfleet.Registry) []string {
+	var list []string
+	for _, e := range r.Endpoints() {
+		list = append(list, e.ID)
+	}
+	return list
+}
+
+func TestALateRegistrationChangesNothing(t *testing.T) {
+	r, _ := newRegistry()
+	require.Equal(t, bluebellfleet.Changed, r.Merge(endpoint("i-1", "a:1", 10, 5)))
+	require.Equal(t, bluebellfleet.Late, r.Merge(endpoint("i-1", "b:1", 10, 4)))
+	require.Equal(t, bluebellfleet.Late, r.Merge(endpoint("i-1", "b:1", 9, 50)), "of an earlier incarnation")
+	require.Equal(t, bluebellfleet.Heard, r.Merge(endpoint("i-1", "a:1", 10, 6)))
+	e, found := r.Endpoint("i-1")
+	require.True(t, found)
+	require.Equal(t, "a:1", e.Address)
+}
+
+func TestAnEndpointMayStartAgainUnderItsID(t *testing.T) {
+	r, _ := newRegistry()
+	r.Merge(endpoint("i-1", "a:1", 10, 50))
+	require.Equal(t, bluebellfleet.Changed, r.Merge(endpoint("i-1", "a:1", 20, 1)), "its count starts anew")
+}
+
+func TestGoneIsFinalForAnIncarnation(t *testing.T) {
+	r, _ := newRegistry()
+	r.Merge(endpoint("i-1", "a:1", 10, 5))
+	require.True(t, r.Leave("i-1"))
+	require.Equal(t, bluebellfleet.Late, r.Merge(endpoint("i-1", "a:1", 10, 6)))
+	require.Empty(t, ids(r))
+	require.Equal(t, bluebellfleet.Changed, r.Merge(endpoint("i-1", "a:1", 11, 1)))
+	require.False(t, r.Leave("i-2"), "not known")
+}
+
+func TestAnAddressBelongsToTheYoungestIncarnation(t *testing.T) {
+	r, _ := newRegistry()
+	r.Merge(endpoint("i-old", "a:1", 10, 5))
+	require.Equal(t, bluebellfleet.Changed, r.Merge(endpoint("i-new", "a:1", 20, 1)))
+	require.Equal(t, []string{"i-new"}, ids(r))
+	require.Equal(t, bluebellfleet.Late, r.Merge(endpoint("i-older", "a:1", 5, 9)), "held up on its way")
+	require.Equal(t, bluebellfleet.Late, r.Merge(endpoint("i-old", "a:1", 10, 6)))
+	require.Equal(t, []string{"i-new"}, ids(r))
+}
+
+func TestWeightsOfAnIncarnationOnlyGrow(t *testing.T) {
+	r, _ := newRegistry()
+	r.Merge(endpoint("i-1", "a:1", 10, 5))
+	r.SetWeights("i-1", 10, map[string]uint64{"m0": 2})
+	r.Merge(endpoint("i-1", "a:1", 10, 6))
+	e, _ := r.Endpoint("i-1")
+	require.Equal(t, uint64(2), e.Weights["m0"], "a heartbeat that was sent before the load")
+	r.SetWeights("i-1", 9, map[string]uint64{"m0": 7})
+	e, _ = r.Endpoint("i-1")
+	require.Equal(t, uint64(2), e.Weights["m0"], "a report of an earlier incarnation")
+}
+
+func TestChangesWakeFollowersAndHeartbeatsDoNot(t *testing.T) {
+	r, _ := newRegistry()
+	r.Merge(endpoint("i-1", "a:1", 10, 5))
+	at, changed := r.Changes()
+	r.Merge(endpoint("i-1", "a:1", 10, 6))
+	select {
+	case <-changed:
+		require.Fail(t, "woken by a heartbeat")
+	default:
+	}
+	list, cursor := r.Since(at)
+	require.Len(t, list, 1, "but the next poll carries it")
+	r.Merge(endpoint("i-1", "a:1", 10, 7).WithState(bluebellfleet.Draining))
+	<-changed
+	list, _ = r.Since(cursor)
+	require.Equal(t, bluebellfleet.Draining, list[0].State)
+}
+
+func TestWhatIsGoneIsForgotten(t *testing.T) {
+	r, c := newRegistry()
+	r.Merge(endpoint("i-1", "a:1", 10, 5))
+	r.Leave("i-1")
+	c.now = time.Hour
+	require.Empty(t, r.Endpoints())
+	_, found := r.Endpoint("i-1")
+	require.False(t, found)
+}
+
+// Registries that follow each other come to the same state, in whatever order the
+// registrations of restarted, moved and leaving endpoints reach them.
+func TestRegistriesConverge(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		var registries []*bluebellfleet.Registry
+		for range 3 {
+			r, _ := newRegistry()
+			registries = append(registries, r)
+		}
+		for range 60 {
+			born := int64(rng.IntN(4) + 1)
+			e := endpoint([]string{"i-1", "i-2", "i-3"}[rng.IntN(3)], []string{"a:1", "b:1"}[rng.IntN(2)], born, uint64(rng.IntN(20)+1))
+			if rng.IntN(6) == 0 {
+				e = e.WithState(bluebellfleet.Gone)
+			}
+			registries[rng.IntN(3)].Merge(e)
+		}
+		cursors := map[[2]int]uint64{}
+		for range 8 {
+			for i, to := range registries {
+				for j, from := range registries {
+					changes, next := from.Since(cursors[[2]int{i, j}])
+					cursors[[2]int{i, j}] = next
+					for _, e := range changes {
+						to.Merge(bluebellfleet.FromMessage(bluebellfleet.ToMessage(e, 0), 0))
+					}
+				}
+			}
+		}
+		require.Equal(t, ids(registries[0]), ids(registries[1]), "seed %d", seed)
+		require.Equal(t, ids(registries[0]), ids(registries[2]), "seed %d", seed)
+	}
+}
--- /dev/null
+++ b/bluebell/bluebelllimit/window_test.go
@@ -0,0 +1,71 @@
+package bluebelllimit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebell/bluebelllimit"
+)
+
+func newWindow(reserve float64) *bluebelllimit.WindowBudget {
+	return &bluebelllimit.WindowBudget{Window: 10 * time.Second, Ratio: 0.2, Slack: 52, Reserve: reserve}
+}
+
+// Six entries, with calls that come unevenly and each asking for a repeat all the
+// time, keep the bound of all together in any window.
+func TestEntriesKeepOneBoundOnRepeats(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	budgets := make([]*bluebelllimit.WindowBudget, 6)
+	for i := range budgets {
+		budgets[i] = newWindow(0.2)
+	}
+	type event struct {
+		at     time.Duration
+		repeat bool
+	}
+	var events []event
+	for now := time.Duration(0); now < time.Minute; now += 10 * time.Millisecond {
+		for i, b := range budgets {
+			if rng.IntN(12) < i+1 && now%(20*time.Second) < 15*time.Second {
+				b.Call(now)
+				events = append(events, event{now, false})
+			}
+			if b.Repeat(now, len(budgets)) {
+				events = append(events, event{now, true})
+			}
+		}
+	}
+	count := func(from, to time.Duration, repeat bool) float64 {
+		n := 0.0
+		for _, e := range events {
+			if e.at >= from && e.at < to && e.repeat == repeat {
+				n++
+			}
+		}
+		return n
+	}
+	total := 0.0
+	for from := time.Duration(0); from < 50*time.Second; from += 250 * time.Millisecond {
+		to := from + 10*time.Second
+		calls := max(count(from, to, false), count(from-5*time.Second, to-5*time.Second, false), count(from-10*time.Second, from, false))
+		repeats := count(from, to, true)
+		require.LessOrEqual(t, repeats, 0.2*calls+52, "from %v", from)
+		total += repeats
+	}
+	require.Positive(t, total)
+}
+
+func TestSlackAloneAllowsSomeRepeats(t *testing.T) {
+	b := newWindow(0)
+	allowed := 0
+	for range 100 {
+		if b.Repeat(time.Second, 2) {
+			allowed++
+		}
+	}
+	require.Equal(t, 26, allowed)
+	require.True(t, b.Repeat(20*time.Second, 2), "a later window")
+}
--- /dev/null
+++ b/bluebell/bluebellmember/member_test.go
@@ -0,0 +1,126 @@
+package bluebellmember_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebell/bluebellmember"
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+)
+
+const now = time.Minute
+
+func process(id, address, domain string, silent time.Duration) bluebellmember.Process {
+	return bluebellmember.Process{ID: id, Address: address, FailureDomain: domain, LastHeard: now - silent}
+}
+
+func input(processes ...bluebellmember.Process) bluebellmember.Input {
+	return bluebellmember.Input{
+		Self: "a:1", Members: &pb.Members{Voters: []string{"a:1", "b:1", "c:1"}},
+		Processes: append([]bluebellmember.Process{process("a:1", "a:1", "a", 0), process("b:1", "b:1", "b", 0)}, processes...),
+		Voters:    3, Now: now,
+	}
+}
+
+func TestNothingChangesWhileAllAreWell(t *testing.T) {
+	next, _ := bluebellmember.Decide(input(process("c:1", "c:1", "c", 0)))
+	require.Nil(t, next)
+	next, _ = bluebellmember.Decide(input(process("c:1", "c:1", "c", 20*time.Second)))
+	require.Nil(t, next, "without a spare a silent voter stays")
+}
+
+// A VM comes back with an empty disk: its new identity learns first, the old one
+// leaves, and then the new one votes. Each step is one change.
+func TestALostDiskIsReplaced(t *testing.T) {
+	wiped := process("c:1/x", "c:1", "c", 0)
+	wiped.FirstHeard = now - 2*time.Second
+	in := input(process("c:1", "c:1", "c", 5*time.Second), wiped)
+	var steps []*pb.Members
+	for range 5 {
+		next, _ := bluebellmember.Decide(in)
+		if next == nil {
+			break
+		}
+		changed := 0
+		for _, v := range next.Voters {
+			if !contains(in.Members.Voters, v) {
+				changed++
+			}
+		}
+		changed += len(in.Members.Voters) - (len(next.Voters) - changed)
+		require.LessOrEqual(t, changed, 1)
+		in.Members = next
+		steps = append(steps, next)
+	}
+	require.Len(t, steps, 3)
+	require.Equal(t, []string{"c:1/x"}, steps[0].Learners)
+	require.Equal(t, []string{"a:1", "b:1"}, steps[1].Voters)
+	require.Equal(t, []string{"a:1", "b:1", "c:1/x"}, steps[2].Voters)
+	require.Empty(t, steps[2].Learners)
+}
+
+func contains(ids []string, id string) bool {
+	for _, one := range ids {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+// The disk is lost again while the first replacement still learns.
+func TestASecondLossDuringTheCatchUp(t *testing.T) {
+	first, second := process("c:1/x", "c:1", "c", 3*time.Second), process("c:1/y", "c:1", "c", 0)
+	first.FirstHeard, second.FirstHeard = now-10*time.Second, now-2*time.Second
+	in := input(process("c:1", "c:1", "c", 12*time.Second), first, second)
+	in.Members.Learners = []string{"c:1/x"}
+	for range 6 {
+		next, _ := bluebellmember.Decide(in)
+		if next == nil {
+			break
+		}
+		in.Members = next
+	}
+	require.Equal(t, []string{"a:1", "b:1", "c:1/y"}, in.Members.Voters)
+	require.Empty(t, in.Members.Learners)
+}
+
+func TestAVoterThatIsOnlyCutOffBecomesALearner(t *testing.T) {
+	in := input(process("c:1", "c:1", "c", 5*time.Second), process("d:1/x", "d:1", "c", 0))
+	in.Members.Learners = []string{"d:1/x"}
+	next, _ := bluebellmember.Decide(in)
+	require.Equal(t, []string{"a:1", "b:1"}, next.Voters)
+	require.Contains(t, next.Learners, "c:1", "it keeps its identity")
+}
+
+func TestWhatALeaderDidNotHearBeforeItLedDoesNotCount(t *testing.T) {
+	in := input(process("d:1/x", "d:1", "c", 0))
+	in.Members.Learners = []string{"d:1/x"}
+	in.LeadingSince = now - time.Second
+	next, _ := bluebellmember.Decide(in)
+	require.Nil(t, next, "c may be well")
+}
+
+func TestMoreVotersAreTakenFromOtherDomains(t *testing.T) {
+	in := input(process("c:1", "c:1", "c", 0), process("a2:1/x", "a2:1", "a", 0), process("d:1/x", "d:1", "d", 0))
+	in.Voters = 5
+	in.Members.Learners = []string{"a2:1/x", "d:1/x"}
+	next, _ := bluebellmember.Decide(in)
+	require.Equal(t, []string{"a:1", "b:1", "c:1", "d:1/x"}, next.Voters)
+}
+
+func TestSilentLearnersLeaveAfterAWhile(t *testing.T) {
+	in := input(process("c:1", "c:1", "c", 0), process("d:1/x", "d:1", "d", 40*time.Second))
+	in.Members.Learners = []string{"d:1/x"}
+	next, _ := bluebellmember.Decide(in)
+	require.Empty(t, next.Learners)
+}
+
+func TestAStrangerIsKnownForAWhileFirst(t *testing.T) {
+	young := process("d:1/x", "d:1", "d", 0)
+	young.FirstHeard = now - 100*time.Millisecond
+	next, _ := bluebellmember.Decide(input(process("c:1", "c:1", "c", 0), young))
+	require.Nil(t, next)
+}
--- /dev/null
+++ b/bluebell/bluebellnews/news_test.go
@@ -0,0 +1,203 @@
+package bluebellnews_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebell/bluebelldirectory"
+	"bluebellhaven.org/bluebell/bluebellfleet"
+	"bluebellhaven.org/bluebell/bluebellnews"
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+)
+
+const patience = 10 * time.Second
+
+// core is a source with what it tells.
+type core struct {
+	*bluebellnews.Source
+	registry  *bluebellfleet.Registry
+	directory *bluebelldirectory.Directory
+	down      atomic.Bool
+	asked     atomic.Int64
+}
+
+type deployment struct {
+	started time.Time
+	cores   map[string]*core
+}
+
+func (d *deployment) now() time.Duration { return time.Since(d.started) + time.Second }
+
+func newDeployment(names ...string) *deployment {
+	d := &deployment{started: time.Now(), cores: map[string]*core{}}
+	for i, name := range names {
+		c := &core{registry: bluebellfleet.NewRegistry(bluebellfleet.Config{Now: d.now}), directory: bluebelldirectory.New()}
+		c.Source = bluebellnews.NewSource(bluebellnews.SourceConfig{
+			Registry: c.registry, Directory: c.directory, Epoch: uint64(i + 1), Cores: func() []string { return names }, Now: d.now, After: time.After,
+		})
+		d.cores[name] = c
+	}
+	return d
+}
+
+// entry is a follower with what it has heard.
+type entry struct {
+	*bluebellnews.Follower
+	registry  *bluebellfleet.Registry
+	mu        sync.Mutex
+	revisions []uint64
+}
+
+func (d *deployment) follow(t *testing.T, name string, seeds ...string) *entry {
+	t.Helper()
+	e := &entry{registry: bluebellfleet.NewRegistry(bluebellfleet.Config{Now: d.now})}
+	e.Follower = bluebellnews.NewFollower(bluebellnews.FollowerConfig{
+		Process: name, Entry: true, Seeds: func() []string { return seeds }, MaxSources: 3, Registry: e.registry,
+		TakeDeployment: func(revision uint64, _ *pb.Deployment) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.revisions = append(e.revisions, revision)
+		},
+		Uses: func() []*pb.EndpointUse {
+			return []*pb.EndpointUse{{Endpoint: "i-1", Calls: 1, Tokens: 100, Unread: 10}}
+		},
+		Ask: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
+			c := d.cores[source]
+			if c == nil || c.down.Load() {
+				return nil, errors.New("no answer")
+			}
+			c.asked.Add(1)
+			return c.Answer(ctx, r), nil
+		},
+		Now: d.now, Logger: log.New(io.Discard),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return e
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, patience, 5*time.Millisecond, what)
+}
+
+func TestRevisionsNeverGoBack(t *testing.T) {
+	d := newDeployment("c1", "c2")
+	d.cores["c1"].SetDeployment(5, &pb.Deployment{Version: 5})
+	d.cores["c2"].SetDeployment(3, &pb.Deployment{Version: 3})
+	e := d.follow(t, "e1", "c1", "c2")
+	eventually(t, "revision 5", func() bool { return e.Revision() == 5 })
+	d.cores["c2"].SetDeployment(8, &pb.Deployment{Version: 8})
+	eventually(t, "revision 8", func() bool { return e.Revision() == 8 })
+	d.cores["c1"].SetDeployment(7, &pb.Deployment{Version: 7})
+	eventually(t, "two sources", func() bool { return e.Fresh() == 2 })
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	require.IsIncreasing(t, e.revisions)
+}
+
+func TestAnOlderRevisionIsNotTakenBySource(t *testing.T) {
+	d := newDeployment("c1")
+	d.cores["c1"].SetDeployment(5, &pb.Deployment{Version: 5})
+	d.cores["c1"].SetDeployment(4, &pb.Deployment{Version: 4})
+	got, revision := d.cores["c1"].Deployment()
+	require.Equal(t, uint64(5), revision)
+	require.Equal(t, uint64(5), got.Version)
+}
+
+func TestAChangeComesAtOnce(t *testing.T) {
+	d := newDeployment("c1")
+	e := d.follow(t, "e1", "c1")
+	eventually(t, "a source", func() bool { return e.Fresh() == 1 })
+	start := time.Now()
+	d.cores["c1"].registry.Merge(bluebellfleet.Endpoint{ID: "i-1", Target: "llm", State: bluebellfleet.Serving, Born: 1, Sequence: 1})
+	eventually(t, "the endpoint", func() bool { return len(e.registry.Endpoints()) == 1 })
+	require.Less(t, time.Since(start), 2*time.Second)
+}
+
+// Followers that want no deployment must not make their source answer all the time.
+func TestPollsWait(t *testing.T) {
+	d := newDeployment("c1")
+	d.cores["c1"].SetDeployment(5, &pb.Deployment{Version: 5})
+	registry := bluebellfleet.NewRegistry(bluebellfleet.Config{Now: d.now})
+	f := bluebellnews.NewFollower(bluebellnews.FollowerConfig{
+		Process: "c2", Seeds: func() []string { return []string{"c1"} }, MaxSources: 3, Registry: registry,
+		Ask: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
+			d.cores[source].asked.Add(1)
+			return d.cores[source].Answer(ctx, r), nil
+		},
+		Now: d.now, Logger: log.New(io.Discard),
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	f.Run(ctx)
+	require.LessOrEqual(t, d.cores["c1"].asked.Load(), int64(6), "a poll is held for half a second")
+}
+
+func TestAnEntryGoesOnWithWhatItKnows(t *testing.T) {
+	d := newDeployment("c1", "c2")
+	d.cores["c1"].SetDeployment(5, &pb.Deployment{Version: 5})
+	d.cores["c1"].registry.Merge(bluebellfleet.Endpoint{ID: "i-1", Target: "llm", State: bluebellfleet.Serving, Born: 1, Sequence: 1})
+	d.cores["c2"].down.Store(true)
+	e := d.follow(t, "e1", "c1", "c2")
+	eventually(t, "revision 5", func() bool { return e.Revision() == 5 && len(e.registry.Endpoints()) == 1 })
+	d.cores["c1"].down.Store(true)
+	eventually(t, "no source", func() bool { return e.Fresh() == 0 })
+	require.Equal(t, uint64(5), e.Revision())
+	require.Len(t, e.registry.Endpoints(), 1)
+	require.Nil(t, e.Directory(), "but it trusts no listing of stores")
+	d.cores["c2"].down.Store(false)
+	d.cores["c2"].SetDeployment(6, &pb.Deployment{Version: 6})
+	eventually(t, "revision 6", func() bool { return e.Revision() == 6 })
+}
+
+func TestANewCoreProcessIsFoundThroughOthers(t *testing.T) {
+	d := newDeployment("c1", "c2")
+	d.cores["c2"].SetDeployment(9, &pb.Deployment{Version: 9})
+	e := d.follow(t, "e1", "c1", "gone")
+	eventually(t, "revision 9", func() bool { return e.Revision() == 9 })
+}
+
+func TestEntriesHearOfEachOther(t *testing.T) {
+	d := newDeployment("c1")
+	e1 := d.follow(t, "e1", "c1")
+	d.follow(t, "e2", "c1")
+	d.follow(t, "e3", "c1")
+	eventually(t, "three entries", func() bool { return len(e1.Entries()) == 3 })
+	eventually(t, "the load of the two others", func() bool {
+		uses := e1.OtherUses()
+		return len(uses) == 1 && uses[0].Calls == 2 && uses[0].Tokens == 200 && uses[0].Unread == 20
+	})
+}
+
+func TestTheDirectoryIsFollowed(t *testing.T) {
+	d := newDeployment("c1")
+	key := bluebelldirectory.Key{Scope: "*/m0/1", ID: "a"}
+	d.cores["c1"].directory.Reset("s1", []bluebelldirectory.Block{{Key: key, Tokens: 9}}, 0)
+	e := d.follow(t, "e1", "c1")
+	holders := func() int {
+		if v := e.Directory(); v != nil {
+			return len(v.Holders(key))
+		}
+		return -1
+	}
+	eventually(t, "the block", func() bool { return holders() == 1 })
+	d.cores["c1"].directory.Drop("s1", key)
+	eventually(t, "no block", func() bool { return holders() == 0 })
+}
--- /dev/null
+++ b/bluebell/bluebellqueue/queue_test.go
@@ -0,0 +1,35 @@
+package bluebellqueue_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebell/bluebellqueue"
+)
+
+func waiter(priority int, arrived, inTimeUntil time.Duration) bluebellqueue.Waiter {
+	return bluebellqueue.Waiter{Priority: priority, Arrived: arrived, InTimeUntil: inTimeUntil, Deadline: arrived + 10*time.Second}
+}
+
+func TestInTimeThenUrgentThenFirst(t *testing.T) {
+	now := 5 * time.Second
+	waiters := []bluebellqueue.Waiter{
+		waiter(0, time.Second, 4*time.Second),   // late, urgent
+		waiter(2, 2*time.Second, 6*time.Second), // in time, least urgent
+		waiter(1, 4*time.Second, 6*time.Second),
+		waiter(1, 3*time.Second, 6*time.Second), // came before the one above
+	}
+	require.Equal(t, []int{3, 2, 1, 0}, bluebellqueue.Order(waiters, now))
+	require.Empty(t, bluebellqueue.Order(nil, now))
+}
+
+func TestACallIsToldWhileItCanStillGoElsewhere(t *testing.T) {
+	w := waiter(0, time.Second, 2*time.Second)
+	require.Equal(t, 1500*time.Millisecond, bluebellqueue.HoldUntil(w), "half of its objective")
+	late := waiter(0, 3*time.Second, 2*time.Second)
+	require.Equal(t, 5500*time.Millisecond, bluebellqueue.HoldUntil(late), "a quarter of what is left")
+	short := bluebellqueue.Waiter{Arrived: time.Second, InTimeUntil: 10 * time.Second, Deadline: 2 * time.Second}
+	require.Equal(t, 2*time.Second, bluebellqueue.HoldUntil(short), "never beyond the deadline")
+}
--- /dev/null
+++ b/bluebell/bluebellstate/deployment_test.go
@@ -0,0 +1,76 @@
+package bluebellstate_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellstate"
+)
+
+func declare(version uint64, document string) *pb.Command {
+	return &pb.Command{Body: &pb.Command_DeclareDeployment{
+		DeclareDeployment: &pb.DeclareDeployment{Version: version, Document: []byte(document)},
+	}}
+}
+
+func nameWeights(model string, version uint64) *pb.Command {
+	return &pb.Command{Body: &pb.Command_NameWeights{NameWeights: &pb.NameWeights{Model: model, Version: version}}}
+}
+
+func orderDomain(name string, out bool) *pb.Command {
+	return &pb.Command{Body: &pb.Command_OrderDomain{OrderDomain: &pb.OrderDomain{Name: name, Out: out}}}
+}
+
+func TestTheHighestDeclarationIsInForce(t *testing.T) {
+	m := bluebellstate.New()
+	for _, c := range []*pb.Command{
+		declare(3, "three"), declare(7, "seven"), declare(5, "five"), declare(7, "another seven"), declare(3, "three"),
+	} {
+		require.Equal(t, pb.Verdict_Accepted, m.Apply(c).Verdict, "a change that is sent again is never refused")
+	}
+	require.Equal(t, uint64(7), m.View().Deployment.Version)
+	require.Equal(t, "seven", string(m.View().Deployment.Document), "other content under a version held is not obeyed")
+}
+
+func TestOnlyWhatChangesMakesARevision(t *testing.T) {
+	m := bluebellstate.New()
+	m.Apply(declare(1, "one"))
+	revision := m.View().Revision
+	for _, c := range []*pb.Command{
+		declare(1, "one"), orderDomain("a", false), nameWeights("m0", 0),
+		{Body: &pb.Command_Barrier{Barrier: &pb.Barrier{}}},
+	} {
+		require.Equal(t, revision, m.Apply(c).Revision)
+	}
+	require.Equal(t, revision+1, m.Apply(orderDomain("a", true)).Revision)
+}
+
+func TestPublishedDeploymentsAreNotAltered(t *testing.T) {
+	m := bluebellstate.New()
+	m.Apply(nameWeights("m0", 1))
+	m.Apply(orderDomain("a", true))
+	before := m.View()
+	m.Apply(nameWeights("m0", 2))
+	m.Apply(nameWeights("m1", 1))
+	m.Apply(orderDomain("a", false))
+	require.Equal(t, uint64(1), bluebellstate.WeightsOf(before.Deployment, "m0"))
+	require.Equal(t, []string{"a"}, before.Deployment.DomainsOut)
+	require.Equal(t, uint64(2), bluebellstate.WeightsOf(m.View().Deployment, "m0"))
+	require.Empty(t, m.View().Deployment.DomainsOut)
+}
+
+func TestASnapshotHoldsTheDeployment(t *testing.T) {
+	m := bluebellstate.New()
+	m.Apply(declare(4, "four"))
+	m.Apply(nameWeights("m0", 3))
+	m.Apply(orderDomain("b", true))
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	restored, err := bluebellstate.Restore(data)
+	require.NoError(t, err)
+	require.Equal(t, "four", string(restored.View().Deployment.Document))
+	require.Equal(t, uint64(3), bluebellstate.WeightsOf(restored.View().Deployment, "m0"))
+	require.Equal(t, []string{"b"}, restored.View().Deployment.DomainsOut)
+}
