--- /dev/null
+++ b/bluebellgate/internal/bluebellfront/front_test.go
@@ -0,0 +1,369 @@
+package bluebellfront_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebell/bluebelldirectory"
+	"bluebellhaven.org/bluebell/bluebellplace"
+	"bluebellhaven.org/bluebell/bluebellplan"
+	"bluebellhaven.org/bluebellfake/bluebellstandin"
+	"bluebellhaven.org/bluebellgate/internal/bluebellfront"
+	"bluebellhaven.org/bluebellgate/internal/bluebelllink"
+	"bluebellhaven.org/bluebellgate/internal/bluebellrelay"
+	"bluebellhaven.org/bluebellgate/internal/bluebelltier"
+	"bluebellhaven.org/platform/bluebellplatform"
+)
+
+const patience = 10 * time.Second
+
+func plan(t *testing.T) *bluebellplan.Plan {
+	t.Helper()
+	route := func(name, prefix string, work bluebellplan.Work, attempts int) bluebellplan.Route {
+		return bluebellplan.Route{
+			Name: name, Host: "h.example", Prefix: prefix, Work: work, Attempts: attempts, Timeout: 3 * time.Second,
+			Objective: 400 * time.Millisecond, MaxPause: 200 * time.Millisecond, Resumable: name == "resumable",
+			Targets: []bluebellplan.WeightedTarget{{Name: "app", Weight: 1}},
+		}
+	}
+	public := route("public", "/public/", bluebellplan.Idempotent, 2)
+	public.Public = true
+	p, findings := bluebellplan.New(bluebellplan.Declaration{
+		Version: 1, Targets: []bluebellplan.Target{{Name: "app"}},
+		Routes: []bluebellplan.Route{
+			route("once", "/once/", bluebellplan.NonIdempotent, 1), route("read", "/read/", bluebellplan.Idempotent, 2),
+			route("resumable", "/stream/again/", bluebellplan.Stream, 2), route("stream", "/stream/", bluebellplan.Stream, 2), public,
+		},
+		Customers: []bluebellplan.Customer{{Name: "c", Keys: []string{"k"}}}, Limits: bluebellplan.Limits{MaxBodyBytes: 1 << 20},
+	})
+	require.True(t, findings.Empty(), findings.Error())
+	return p
+}
+
+// entry is a front before stand-ins of endpoints.
+type entry struct {
+	address   string
+	endpoints []*bluebellstandin.Endpoint
+	placer    *bluebellplace.Placer
+	plan      atomic.Pointer[bluebellplan.Plan]
+	stop      context.CancelFunc
+	ended     chan error
+	calls     atomic.Int64
+}
+
+func start(t *testing.T, endpoints int) *entry {
+	t.Helper()
+	started := time.Now()
+	now := func() time.Duration { return time.Since(started) + time.Second }
+	e := &entry{placer: bluebellplace.New(bluebellplace.Config{Self: "e1"}), ended: make(chan error, 1)}
+	e.plan.Store(plan(t))
+	fleet := bluebellplace.Fleet{Entries: []string{"e1"}}
+	for i := range endpoints {
+		one, err := bluebellstandin.Start(bluebellstandin.Config{ID: fmt.Sprint("i-", i), Target: "app", Work: 5 * time.Millisecond})
+		require.NoError(t, err)
+		t.Cleanup(one.Stop)
+		e.endpoints = append(e.endpoints, one)
+		registered := one.Registration()
+		registered.HeardAt = now()
+		fleet.Endpoints = append(fleet.Endpoints, registered)
+	}
+	e.placer.Update(fleet)
+	relay := bluebellrelay.New(bluebellrelay.Config{
+		Placer: e.placer, Link: bluebelllink.NewClient(bluebelllink.Config{}),
+		Tier: bluebelltier.New(bluebelltier.Config{
+			Stores: func() []bluebellplan.Store { return nil }, Directory: func() *bluebelldirectory.View { return nil }, Now: now,
+		}),
+		Budget: bluebellrelay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+		Now:    now, Draw: func() float64 { return 0 }, Count: func(string, string) {},
+		FirstEvent: func(string, time.Duration) {}, Waited: func(string, time.Duration) {}, Logger: log.New(io.Discard),
+	})
+	front := bluebellfront.New(bluebellfront.Config{
+		State: func() bluebellfront.State { return bluebellfront.State{Plan: e.plan.Load(), Revision: 1} }, Relay: relay,
+		Ready: func() bool { return true }, StopWithin: 8 * time.Second, Draw: func() float64 { return 0 },
+		Count: func(int) {}, Logger: log.New(io.Discard),
+	})
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	health, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e.address = callers.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	go func() { e.ended <- front.Serve(ctx, callers, health) }()
+	t.Cleanup(cancel)
+	return e
+}
+
+// call is one call with its answer.
+type call struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	// closes is set if the connection ends with the answer.
+	closes bool
+	err    error
+}
+
+func (e *entry) do(method, path, body string) call {
+	return e.doKey(method, path, body, "k")
+}
+
+func (e *entry) doKey(method, path, body, key string) call {
+	c := call{id: fmt.Sprintf("call-%d", e.calls.Add(1))}
+	r, err := http.NewRequest(method, "http://"+e.address+path, strings.NewReader(body))
+	if err != nil {
+		c.err = err
+		return c
+	}
+	r.Host = "h.example"
+	r.Header = bluebellplatform.CallerHeader(bluebellplatform.Call{ID: c.id, Key: key, Left: 2 * time.Second})
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		c.err = err
+		return c
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	c.status, c.header, c.body, c.closes, c.err = response.StatusCode, response.Header, string(text), response.Close, err
+	return c
+}
+
+func (e *entry) runs() []bluebellstandin.Run {
+	var all []bluebellstandin.Run
+	for _, one := range e.endpoints {
+		all = append(all, one.Runs()...)
+	}
+	return all
+}
+
+func (e *entry) behave(b bluebellstandin.Behaviour) {
+	for _, one := range e.endpoints {
+		one.Behave(b)
+	}
+}
+
+func TestACallIsCarriedThere(t *testing.T) {
+	e := start(t, 1)
+	c := e.do(http.MethodPost, "/once/a%2Fb?x=1&y=%20", "the body")
+	require.NoError(t, c.err)
+	require.Equal(t, http.StatusOK, c.status)
+	require.Equal(t, bluebellstandin.Body(c.id), c.body)
+	require.Equal(t, "i-0."+c.id, bluebellplatform.Seal(c.header))
+	runs := e.runs()
+	require.Len(t, runs, 1)
+	require.Equal(t, "/once/a%2Fb?x=1&y=%20", runs[0].URI)
+	require.Equal(t, "the body", runs[0].Body)
+	require.Equal(t, "c", runs[0].Call.Customer)
+	require.False(t, runs[0].Call.HasKey)
+	require.LessOrEqual(t, runs[0].Call.Left, 2*time.Second)
+}
+
+func TestWhoMayCall(t *testing.T) {
+	e := start(t, 1)
+	require.Equal(t, http.StatusUnauthorized, e.doKey(http.MethodGet, "/read/x", "", "other").status)
+	require.Equal(t, http.StatusUnauthorized, e.doKey(http.MethodGet, "/read/x", "", "").status)
+	require.Equal(t, http.StatusNotFound, e.do(http.MethodGet, "/nowhere/x", "").status)
+	require.Equal(t, http.StatusOK, e.doKey(http.MethodGet, "/public/x", "", "").status)
+	require.Equal(t, http.StatusRequestEntityTooLarge, e.do(http.MethodPost, "/read/x", strings.Repeat("x", 1<<20+1)).status)
+	e.plan.Store(nil)
+	c := e.do(http.MethodGet, "/read/x", "")
+	require.Equal(t, http.StatusServiceUnavailable, c.status, "never 401 or 404 before a declaration is known")
+	require.NotEmpty(t, c.header.Get("Retry-After"))
+}
+
+// A call that must not run twice is never sent again unless its endpoint said that
+// it did not run.
+func TestACallRunsOnceAtMost(t *testing.T) {
+	for _, c := range []struct {
+		behaviour bluebellstandin.Behaviour
+		status    int
+	}{
+		{bluebellstandin.Cutting, http.StatusBadGateway},
+		{bluebellstandin.Failing, http.StatusInternalServerError},
+		{bluebellstandin.Unsealed, http.StatusBadGateway},
+		{bluebellstandin.Misleading, http.StatusBadGateway},
+		{bluebellstandin.Mute, http.StatusGatewayTimeout},
+	} {
+		e := start(t, 3)
+		e.behave(c.behaviour)
+		got := e.do(http.MethodPost, "/once/x", "order")
+		require.NoError(t, got.err)
+		require.Equal(t, c.status, got.status, c.behaviour)
+		require.Len(t, e.runs(), 1, c.behaviour)
+	}
+}
+
+func TestARefusalSaysThatTheCallHasNotRun(t *testing.T) {
+	e := start(t, 3)
+	e.behave(bluebellstandin.Declining)
+	c := e.do(http.MethodPost, "/once/x", "order")
+	require.Equal(t, http.StatusServiceUnavailable, c.status)
+	require.NotEmpty(t, c.header.Get("Retry-After"))
+	require.Empty(t, bluebellplatform.Seal(c.header))
+	require.Empty(t, e.runs())
+	e.endpoints[1].Behave(bluebellstandin.Well)
+	require.Equal(t, http.StatusOK, e.do(http.MethodPost, "/once/x", "order").status, "the others declined")
+}
+
+func TestAReadIsTriedElsewhere(t *testing.T) {
+	for _, b := range []bluebellstandin.Behaviour{
+		bluebellstandin.Cutting, bluebellstandin.Failing, bluebellstandin.Unsealed, bluebellstandin.Mute, bluebellstandin.Misleading,
+	} {
+		e := start(t, 2)
+		e.endpoints[0].Behave(b)
+		for range 4 {
+			c := e.do(http.MethodGet, "/read/x", "")
+			require.NoError(t, c.err)
+			require.Equal(t, http.StatusOK, c.status, b)
+			require.Equal(t, bluebellstandin.Body(c.id), c.body)
+		}
+	}
+}
+
+func TestAnEndpointsOwnFailureIsPassedOn(t *testing.T) {
+	e := start(t, 2)
+	e.behave(bluebellstandin.Failing)
+	c := e.do(http.MethodGet, "/read/x", "")
+	require.Equal(t, http.StatusInternalServerError, c.status)
+	require.NotEmpty(t, bluebellplatform.Seal(c.header))
+	require.Len(t, e.runs(), 2, "the attempts of its route")
+}
+
+func TestAnswersToOtherCallsAreNotMixedIn(t *testing.T) {
+	for _, b := range []bluebellstandin.Behaviour{bluebellstandin.Doubling, bluebellstandin.Unframed} {
+		e := start(t, 1)
+		e.behave(b)
+		for range 10 {
+			c := e.do(http.MethodPost, "/once/x", "order")
+			require.NoError(t, c.err)
+			require.Equal(t, bluebellstandin.Body(c.id), c.body)
+		}
+	}
+}
+
+func events(id string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString(bluebellstandin.Event(id, i))
+	}
+	return b.String()
+}
+
+func TestAStreamIsPassedOn(t *testing.T) {
+	e := start(t, 1)
+	c := e.do(http.MethodPost, "/stream/x", "prompt")
+	require.NoError(t, c.err)
+	require.Equal(t, events(c.id, bluebellstandin.StreamEvents), c.body)
+}
+
+func TestABrokenStreamIsResumedOnlyWhereItMay(t *testing.T) {
+	e := start(t, 2)
+	e.endpoints[0].Behave(bluebellstandin.Cutting)
+	resumed := false
+	for range 6 {
+		c := e.do(http.MethodPost, "/stream/again/x", "prompt")
+		require.NoError(t, c.err)
+		require.Equal(t, events(c.id, bluebellstandin.StreamEvents), c.body)
+	}
+	for _, r := range e.endpoints[1].Runs() {
+		resumed = resumed || r.Call.ResumeAfter == "2"
+	}
+	require.True(t, resumed)
+
+	e = start(t, 1)
+	e.behave(bluebellstandin.Cutting)
+	c := e.do(http.MethodPost, "/stream/x", "prompt")
+	require.Error(t, c.err, "it must not look complete")
+	require.Equal(t, events(c.id, 2), c.body, "whole events only")
+	require.Len(t, e.runs(), 1)
+}
+
+func TestAbandonedWorkIsStopped(t *testing.T) {
+	e := start(t, 1)
+	e.behave(bluebellstandin.Mute)
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.address+"/once/x", strings.NewReader("order"))
+	require.NoError(t, err)
+	r.Host = "h.example"
+	r.Header = bluebellplatform.CallerHeader(bluebellplatform.Call{ID: "gone", Key: "k", Left: 2 * time.Second})
+	go func() {
+		response, err := http.DefaultClient.Do(r)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}()
+	require.Eventually(t, func() bool { return e.endpoints[0].Active() == 1 }, patience, time.Millisecond)
+	cancel()
+	left := time.Now()
+	require.Eventually(t, func() bool { return e.endpoints[0].Active() == 0 }, patience, time.Millisecond)
+	require.Less(t, time.Since(left), 500*time.Millisecond)
+}
+
+// What hides behind an ambiguous length is not read as a call.
+func TestSmuggledCallsAreNotRun(t *testing.T) {
+	e := start(t, 1)
+	hidden := "POST /once/hidden HTTP/1.1\r\nHost: h.example\r\nTry-Id: hidden\r\nAuthorization: Token k\r\nContent-Length: 0\r\n\r\n"
+	for name, text := range map[string]string{
+		"length and chunks": "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"two lengths":       "Content-Length: 0\r\nContent-Length: 5\r\n\r\n" + hidden,
+		"unknown coding":    "Transfer-Encoding: xchunked\r\n\r\n" + hidden,
+		"a body":            fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(hidden), hidden),
+	} {
+		conn, err := net.Dial("tcp", e.address)
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nTry-Id: seen\r\nAuthorization: Token k\r\n"+text)
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
+		_, _ = io.Copy(io.Discard, bufio.NewReader(conn))
+		require.NoError(t, conn.Close())
+		for _, r := range e.runs() {
+			require.Equal(t, "seen", r.Call.CallID, name)
+		}
+	}
+}
+
+// A planned stop answers what it has taken. A call that comes when the stop could end
+// before its answer is told to go elsewhere, on the connection that it came on.
+func TestAPlannedStopCutsNothing(t *testing.T) {
+	e := start(t, 1)
+	require.Equal(t, http.StatusOK, e.do(http.MethodGet, "/read/x", "").status)
+	e.stop()
+	stopped := time.Now()
+	refused := false
+	for time.Since(stopped) < 2500*time.Millisecond {
+		c := e.do(http.MethodPost, "/once/x", "order")
+		require.NoError(t, c.err)
+		require.Equal(t, http.StatusOK, c.status)
+		require.True(t, c.closes || time.Since(stopped) < time.Second)
+		time.Sleep(50 * time.Millisecond)
+	}
+	for !refused {
+		c := e.do(http.MethodPost, "/once/x", "order")
+		if c.err != nil {
+			break
+		}
+		refused = c.status == http.StatusServiceUnavailable
+	}
+	select {
+	case err := <-e.ended:
+		require.NoError(t, err)
+	case <-time.After(patience):
+		require.Fail(t, "not stopped")
+	}
+	require.Less(t, time.Since(stopped), 8*time.Second)
+	for _, r := range e.runs() {
+		require.True(t, r.Finished)
+	}
+}
--- /dev/null
+++ b/bluebellgate/internal/bluebelltier/tier_test.go
@@ -0,0 +1,135 @@
+package bluebelltier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebell/bluebelldirectory"
+	"bluebellhaven.org/bluebell/bluebellplan"
+	"bluebellhaven.org/bluebellgate/internal/bluebelltier"
+)
+
+type fixture struct {
+	directory *bluebelldirectory.Directory
+	view      *bluebelldirectory.View
+	now       time.Duration
+	live      bool
+}
+
+func newFixture() *fixture {
+	f := &fixture{directory: bluebelldirectory.New(), view: bluebelldirectory.NewView(), now: time.Minute, live: true}
+	for _, s := range []string{"near", "far"} {
+		f.directory.Reset(s, nil, 0)
+	}
+	return f
+}
+
+func (f *fixture) tier() *bluebelltier.Tier {
+	return bluebelltier.New(bluebelltier.Config{
+		Stores: func() []bluebellplan.Store {
+			return []bluebellplan.Store{
+				{Name: "n", Address: "near", FailureDomain: "a", Tokens: 10_000, BytesPerSecond: 1e9, FirstDelay: time.Millisecond},
+				{Name: "f", Address: "far", FailureDomain: "b", Tokens: 100_000, BytesPerSecond: 1e9, FirstDelay: time.Millisecond},
+			}
+		},
+		Directory: func() *bluebelldirectory.View {
+			if !f.live {
+				return nil
+			}
+			changes, _ := f.directory.Since(0)
+			f.view.Take(f.directory.States(), changes, true)
+			return f.view
+		},
+		Now: func() time.Duration { return f.now },
+	})
+}
+
+func (f *fixture) hold(store, id string, tokens int) {
+	f.directory.Hold(store, bluebelldirectory.Block{Key: bluebelldirectory.Key{Scope: "*/m0/1", ID: id}, Tokens: tokens})
+}
+
+func request() bluebelltier.Request {
+	return bluebelltier.Request{
+		Scope: "*/m0/1", FailureDomain: "a", TokenBytes: 1000,
+		Blocks: []bluebelltier.Block{{ID: "system", Tokens: 500}, {ID: "doc", Tokens: 8000}},
+	}
+}
+
+func TestHeldBlocksAreFetchedAndOthersWrittenOnce(t *testing.T) {
+	f := newFixture()
+	f.hold("far", "system", 500)
+	tier := f.tier()
+	p := tier.Plan(request())
+	require.Equal(t, []string{"far", "", ""}, p.Fetch, "the last block is the call's own")
+	require.Equal(t, []string{"", "near", ""}, p.Save)
+	require.Equal(t, 500, p.Held)
+	require.Empty(t, tier.Plan(request()).Save[1], "it is on its way")
+	f.hold("near", "doc", 8000)
+	p = tier.Plan(request())
+	require.Equal(t, []string{"far", "near", ""}, p.Fetch)
+	f.now += time.Minute
+	require.Empty(t, tier.Plan(request()).Save[1])
+}
+
+func TestABlockThatWasNotKeptIsWrittenAgainLater(t *testing.T) {
+	f := newFixture()
+	tier := f.tier()
+	require.NotEmpty(t, tier.Plan(request()).Save[1])
+	f.now += 10 * time.Second
+	require.NotEmpty(t, tier.Plan(request()).Save[1])
+}
+
+func TestAFullStoreIsNotWrittenTo(t *testing.T) {
+	f := newFixture()
+	f.hold("near", "x", 2000)
+	require.Equal(t, "far", f.tier().Plan(request()).Save[1], "8,000 do not fit beside 2,000 in 10,000")
+	f.hold("far", "y", 90_000)
+	require.Empty(t, f.tier().Plan(request()).Save[1])
+}
+
+func TestStoresThatHaveNotSettledAreNotWrittenTo(t *testing.T) {
+	f := newFixture()
+	f.directory.Reset("near", nil, f.now-time.Second)
+	f.directory.Reset("far", nil, f.now-time.Second)
+	p := f.tier().Plan(request())
+	require.Equal(t, []string{"", "", ""}, p.Save)
+}
+
+func TestWithoutASourceOnlyTheHomeIsAsked(t *testing.T) {
+	f := newFixture()
+	f.hold("near", "doc", 8000)
+	f.live = false
+	r := request()
+	r.Home = "home:1"
+	p := f.tier().Plan(r)
+	require.Equal(t, []string{"home:1", "home:1", ""}, p.Fetch)
+	require.Equal(t, []string{"", "", ""}, p.Save)
+	require.Zero(t, f.tier().FetchTime(r))
+}
+
+func TestOtherWeightsAndCustomersShareNothing(t *testing.T) {
+	f := newFixture()
+	f.hold("near", "doc", 8000)
+	for _, scope := range []string{"*/m0/2", "c1/m0/1", "*/m1/1"} {
+		r := request()
+		r.Scope = scope
+		require.Equal(t, []string{"", "", ""}, f.tier().Plan(r).Fetch, scope)
+	}
+}
+
+// The load pattern: many prompts return at once, and one of two stores that hold a
+// block is asked for all of them.
+func TestFetchesAreSpreadOverTheStoresThatHoldABlock(t *testing.T) {
+	f := newFixture()
+	f.hold("near", "doc", 8000)
+	f.hold("far", "doc", 8000)
+	tier := f.tier()
+	used := map[string]int{}
+	for range 12 {
+		used[tier.Plan(request()).Fetch[1]]++
+	}
+	require.Greater(t, used["near"], used["far"])
+	require.NotZero(t, used["far"])
+}
