--- a/bluebell/bluebellplace/place.go
+++ b/bluebell/bluebellplace/place.go
@@ -32,8 +32,11 @@
 	// call goes there for a gain of more than two round trips.
 	otherDomainCost = 4 * time.Millisecond
 	// outdatedCost keeps calls from endpoints with weights that are no longer wanted
-	// while others can run them.
-	outdatedCost = 300 * time.Millisecond
+	// while others can run them: it is above what a prompt away from its home costs.
+	outdatedCost = 2 * time.Second
+	// rereadWeight is how many times its own time counts to read shared blocks anywhere
+	// but at the home, which has them or is about to: it takes the engine from others.
+	rereadWeight = 3
 	// fetchWeight is how many times its own time a fetch from a cache store counts: it
 	// takes the store's link from the fetches of others, and pushes blocks out.
 	fetchWeight = 4
@@ -458,7 +461,11 @@
 		if r.Fetch > 0 {
 			c.cost = time.Duration(missing * fetchWeight * float64(r.Fetch))
 		} else {
-			c.missing += int(math.Round(missing * float64(r.SharedTokens)))
+			again := int(math.Round(missing * float64(r.SharedTokens)))
+			c.missing += again
+			if !c.home {
+				c.cost += readTime((rereadWeight - 1) * again)
+			}
 		}
 		others := p.fleet.Others[c.endpoint.ID]
 		c.cost += readTime(c.missing+c.belief.reading+others.Unread) + time.Duration(c.belief.running+others.Calls)*stepCost
--- a/bluebellcore/internal/bluebellkeeper/keeper.go
+++ b/bluebellcore/internal/bluebellkeeper/keeper.go
@@ -9,6 +9,7 @@
 package bluebellkeeper
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -177,7 +178,7 @@
 	if err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
-	peers, err := net.Listen("tcp", k.address)
+	peers, err := net.Listen("tcp", cmp.Or(s.PeerListen, k.address))
 	if err != nil {
 		return errors.Join(fmt.Errorf("peers: %w", err), control.Close())
 	}
--- a/bluebellgate/internal/bluebellfront/front_test.go
+++ b/bluebellgate/internal/bluebellfront/front_test.go
@@ -82,7 +82,8 @@
 	relay := bluebellrelay.New(bluebellrelay.Config{
 		Placer: e.placer, Link: bluebelllink.NewClient(bluebelllink.Config{}),
 		Tier: bluebelltier.New(bluebelltier.Config{
-			Stores: func() []bluebellplan.Store { return nil }, Directory: func() *bluebelldirectory.View { return nil }, Now: now,
+			Stores: func() []bluebellplan.Store { return nil }, Directory: func() *bluebelldirectory.View { return nil },
+			Others: func() map[string]int { return nil }, Now: now,
 		}),
 		Budget: bluebellrelay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
 		Now:    now, Draw: func() float64 { return 0 }, Count: func(string, string) {},
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -73,12 +73,14 @@
 	registry *bluebellfleet.Registry
 	follower *bluebellnews.Follower
 	placer   *bluebellplace.Placer
+	tier     *bluebelltier.Tier
 	link     *bluebelllink.Client
 	front    *bluebellfront.Front
 	metrics  *bluebellmetrics.Metrics
 
-	state   atomic.Pointer[bluebellfront.State]
-	changed chan struct{}
+	state        atomic.Pointer[bluebellfront.State]
+	otherFetches atomic.Pointer[map[string]int]
+	changed      chan struct{}
 
 	mu         sync.Mutex
 	deployment *pb.Deployment
@@ -94,6 +96,7 @@
 		metrics: bluebellmetrics.New(bluebellmetrics.Config{Prefix: "bluebell_gate", Logger: cfg.Logger}),
 	}
 	g.state.Store(&bluebellfront.State{})
+	g.otherFetches.Store(&map[string]int{})
 	g.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: g.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
 	g.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: g.now})
 	g.follower = bluebellnews.NewFollower(bluebellnews.FollowerConfig{
@@ -115,6 +118,10 @@
 		WeightsWithin: millis(bounds.GetWeightsMillis()) - weightsMargin,
 		ColdFactor:    bounds.GetColdFactor(), ColdSlack: float64(bounds.GetColdSlack()),
 	})
+	g.tier = bluebelltier.New(bluebelltier.Config{
+		Stores:    func() []bluebellplan.Store { return g.state.Load().Plan.Stores() },
+		Directory: g.follower.Directory, Others: g.fetches, Now: g.now,
+	})
 	g.link = bluebelllink.NewClient(bluebelllink.Config{
 		Dial: cfg.Dial, Opened: func(string) { g.metrics.Scope.Counter("connections_opened").Inc(1) },
 	})
@@ -131,13 +138,9 @@
 
 func (g *Gateway) newRelay(bounds *pb.Bounds) *bluebellrelay.Relay {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
-	tier := bluebelltier.New(bluebelltier.Config{
-		Stores:    func() []bluebellplan.Store { return g.state.Load().Plan.Stores() },
-		Directory: g.follower.Directory, Now: g.now,
-	})
 	scoped := func(target string) tally.Scope { return g.metrics.Scope.Tagged(map[string]string{"target": target}) }
 	return bluebellrelay.New(bluebellrelay.Config{
-		Placer: g.placer, Link: g.link, Tier: tier, Now: g.now, Draw: rand.Float64, Logger: g.cfg.Logger,
+		Placer: g.placer, Link: g.link, Tier: g.tier, Now: g.now, Draw: rand.Float64, Logger: g.cfg.Logger,
 		Budget: bluebellrelay.Budget{
 			Ratio: bounds.GetRetryRatio(), Window: bounds.GetRetryWindow().AsDuration(), Slack: float64(bounds.GetRetrySlack()),
 		},
@@ -263,15 +266,24 @@
 			Endpoint: id, Calls: uint32(u.Calls), Tokens: uint64(max(u.Tokens, 0)), Unread: uint64(max(u.Unread, 0)),
 		})
 	}
+	// Fetches are told in the same way, under the address of their store.
+	for store, tokens := range g.tier.InFlight() {
+		list = append(list, &pb.EndpointUse{Endpoint: store, Unread: uint64(max(tokens, 0))})
+	}
 	return list
 }
 
+// fetches returns the tokens that other entries have named for a fetch, by store.
+func (g *Gateway) fetches() map[string]int { return *g.otherFetches.Load() }
+
 // others returns what other entries have in flight.
 func (g *Gateway) others() map[string]bluebellplace.Use {
-	uses := map[string]bluebellplace.Use{}
+	uses, fetches := map[string]bluebellplace.Use{}, map[string]int{}
 	for _, u := range g.follower.OtherUses() {
+		fetches[u.Endpoint] = int(u.Unread)
 		uses[u.Endpoint] = bluebellplace.Use{Calls: int(u.Calls), Tokens: int(u.Tokens), Unread: int(u.Unread)}
 	}
+	g.otherFetches.Store(&fetches)
 	return uses
 }
 
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -52,12 +52,21 @@
 	Revision uint64
 }
 
-// priority of the call; that of the customer goes first.
+const (
+	// routeRanks is the number of priorities of routes that are told apart within one
+	// priority of customers: with as many of these they fit the platform's ten.
+	routeRanks = 3
+	// plainCustomer is the priority of a customer that has none, the middle one.
+	plainCustomer = 1
+)
+
+// priority of the call: that of the customer goes before that of the route.
 func (q *Query) priority() int {
+	customer := plainCustomer
 	if q.Customer != nil && q.Customer.HasPriority {
-		return q.Customer.Priority
+		customer = q.Customer.Priority
 	}
-	return q.Route.Priority
+	return customer*routeRanks + min(q.Route.Priority, routeRanks-1)
 }
 
 // Sink is where the answer goes.
@@ -149,6 +158,8 @@
 	tried       []string
 	// begun is set once the header has gone to the caller.
 	begun bool
+	// tier is what the present attempt fetches and writes.
+	tier bluebelltier.Plan
 	// lastEvent is the ID of the last event that the caller got.
 	lastEvent string
 	// kept is a whole answer of an endpoint with a failure, which is delivered if no
@@ -335,6 +346,7 @@
 			r.Home = choice.HomeAddress
 		}
 		plan := s.relay.cfg.Tier.Plan(r)
+		s.tier = plan
 		o.Fetch, o.Save = plan.Fetch, plan.Save
 		s.relay.cfg.Logger.Info("tier", "Call", s.q.Call.ID, "Scope", r.Scope, "Held", plan.Held, "Shared", r.Tokens(),
 			"Fetch", plan.Fetch, "Save", plan.Save)
@@ -368,6 +380,7 @@
 func (s *serving) done(choice bluebellplace.Choice, o bluebellplace.Outcome, err error) {
 	cfg := &s.relay.cfg
 	cfg.Placer.Done(choice, cfg.Now(), o)
+	cfg.Tier.Arrived(s.tier)
 	s.relay.lobby(s.q.Target.Name).ended()
 	if o == bluebellplace.Answered {
 		return
@@ -462,6 +475,7 @@
 func (s *serving) firstEvent(choice bluebellplace.Choice) {
 	cfg := &s.relay.cfg
 	cfg.Placer.FirstEvent(choice, cfg.Now())
+	cfg.Tier.Arrived(s.tier)
 	cfg.FirstEvent(s.q.Target.Name, cfg.Now()-s.start)
 }
 
--- a/bluebellgate/internal/bluebelltier/tier.go
+++ b/bluebellgate/internal/bluebelltier/tier.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -35,8 +36,10 @@
 	// fillLimit is the part of a store's room that is written to; the rest is for
 	// writes that other entries have begun.
 	fillLimit = 0.95
-	// busyFor is how long a fetch that was named is counted as load of a store's link.
-	busyFor = 500 * time.Millisecond
+	// maxWait is the longest wait behind other fetches that is shorter than to read the
+	// blocks again and to push others out. Endpoints start no transfer that would wait
+	// for twice as long.
+	maxWait = time.Second
 )
 
 // Block is a shared block of a prompt.
@@ -72,6 +75,8 @@
 	Fetch, Save []string
 	// Tokens that some store holds.
 	Held int
+	// fetched are the tokens to fetch from each store.
+	fetched map[string]int
 }
 
 // Config sets up a Tier.
@@ -80,6 +85,9 @@
 	Stores func() []bluebellplan.Store
 	// Directory returns what is known of them, or nil without a live source.
 	Directory func() *bluebelldirectory.View
+	// Others returns the tokens that other entries have named for a fetch and that have
+	// not arrived, by store.
+	Others func() map[string]int
 	// Now is monotonic, and the clock of the directory.
 	Now func() time.Duration
 }
@@ -91,24 +99,19 @@
 	at     time.Duration
 }
 
-// use is the bytes that were lately fetched from a store.
-type use struct {
-	bytes float64
-	at    time.Duration
-}
-
 // Tier is safe for concurrent use.
 type Tier struct {
 	cfg Config
 
 	mu      sync.Mutex
 	pending map[bluebelldirectory.Key]write
-	uses    map[string]use
+	// inFlight are the tokens that this entry has named for a fetch, by store.
+	inFlight map[string]int
 }
 
 // New returns a tier that has planned nothing yet.
 func New(cfg Config) *Tier {
-	return &Tier{cfg: cfg, pending: map[bluebelldirectory.Key]write{}, uses: map[string]use{}}
+	return &Tier{cfg: cfg, pending: map[bluebelldirectory.Key]write{}, inFlight: map[string]int{}}
 }
 
 // FetchTime estimates how long an endpoint in a failure domain needs to fetch the
@@ -134,7 +137,7 @@
 
 // Plan decides for a call that goes to an endpoint.
 func (t *Tier) Plan(r Request) Plan {
-	p := Plan{Fetch: make([]string, len(r.Blocks)+1), Save: make([]string, len(r.Blocks)+1)}
+	p := Plan{Fetch: make([]string, len(r.Blocks)+1), Save: make([]string, len(r.Blocks)+1), fetched: map[string]int{}}
 	view := t.cfg.Directory()
 	now := t.cfg.Now()
 	t.mu.Lock()
@@ -146,10 +149,13 @@
 			if address, _ := t.nearest(view, stores, r, b); address != "" {
 				p.Fetch[i] = address
 				p.Held += b.Tokens
-				t.noteUse(address, float64(b.Tokens)*r.TokenBytes, now)
+				p.fetched[address] += b.Tokens
+				t.inFlight[address] += b.Tokens
 				continue
 			}
-			p.Save[i] = t.choose(view, stores, r, b, now)
+			if len(view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID})) == 0 {
+				p.Save[i] = t.choose(view, stores, r, b, now)
+			}
 		}
 		p.Fetch[i] = r.Home
 	}
@@ -165,6 +171,7 @@
 }
 
 // nearest returns the store from which a block comes soonest, and how long it takes.
+// Stores whose fetches wait for too long are passed over.
 func (t *Tier) nearest(view *bluebelldirectory.View, stores map[string]bluebellplan.Store, r Request, b Block) (string, time.Duration) {
 	best, bestTook := "", time.Duration(0)
 	for _, address := range view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}) {
@@ -172,7 +179,10 @@
 		if !declared || s.BytesPerSecond <= 0 {
 			continue
 		}
-		took := t.transfer(s, r.FailureDomain, float64(b.Tokens)*r.TokenBytes)
+		took, wait := t.transfer(s, r, b.Tokens)
+		if wait > maxWait {
+			continue
+		}
 		if best == "" || took < bestTook {
 			best, bestTook = address, took
 		}
@@ -180,31 +190,35 @@
 	return best, bestTook
 }
 
-// transfer estimates how long bytes take from a store, behind what this entry has
-// lately fetched from it.
-func (t *Tier) transfer(s bluebellplan.Store, domain string, bytes float64) time.Duration {
-	seconds := (bytes + t.backlog(s, t.cfg.Now())) / s.BytesPerSecond
-	if s.FailureDomain != domain {
-		seconds *= otherDomainFactor
+// transfer estimates how long a block takes from a store, and how long it waits
+// behind what all entries have named for a fetch from it.
+func (t *Tier) transfer(s bluebellplan.Store, r Request, tokens int) (took, wait time.Duration) {
+	perToken := r.TokenBytes / s.BytesPerSecond
+	if s.FailureDomain != r.FailureDomain {
+		perToken *= otherDomainFactor
 	}
-	return s.FirstDelay + time.Duration(seconds*float64(time.Second))
+	ahead := t.inFlight[s.Address] + t.cfg.Others()[s.Address]
+	wait = time.Duration(float64(ahead) * perToken * float64(time.Second))
+	return s.FirstDelay + wait + time.Duration(float64(tokens)*perToken*float64(time.Second)), wait
 }
 
-// backlog returns the bytes that the link has not carried yet.
-func (t *Tier) backlog(s bluebellplan.Store, now time.Duration) float64 {
-	u := t.uses[s.Address]
-	if now-u.at > busyFor {
-		return 0
+// Arrived notes that the blocks of a plan have come, or will not.
+func (t *Tier) Arrived(p Plan) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, tokens := range p.fetched {
+		if t.inFlight[address] -= tokens; t.inFlight[address] <= 0 {
+			delete(t.inFlight, address)
+		}
 	}
-	return max(u.bytes-(now-u.at).Seconds()*s.BytesPerSecond, 0)
+	clear(p.fetched)
 }
 
-func (t *Tier) noteUse(address string, bytes float64, now time.Duration) {
-	for _, s := range t.cfg.Stores() {
-		if s.Address == address {
-			t.uses[address] = use{bytes: t.backlog(s, now) + bytes, at: now}
-		}
-	}
+// InFlight returns the tokens that this entry has named for a fetch, by store.
+func (t *Tier) InFlight() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.inFlight)
 }
 
 // choose returns the store that a block is written to, or "" for none.
--- a/bluebellgate/internal/bluebelltier/tier_test.go
+++ b/bluebellgate/internal/bluebelltier/tier_test.go
@@ -16,6 +16,7 @@
 	view      *bluebelldirectory.View
 	now       time.Duration
 	live      bool
+	others    map[string]int
 }
 
 func newFixture() *fixture {
@@ -42,7 +43,8 @@
 			f.view.Take(f.directory.States(), changes, true)
 			return f.view
 		},
-		Now: func() time.Duration { return f.now },
+		Others: func() map[string]int { return f.others },
+		Now:    func() time.Duration { return f.now },
 	})
 }
 
@@ -127,9 +129,33 @@
 	f.hold("far", "doc", 8000)
 	tier := f.tier()
 	used := map[string]int{}
+	var plans []bluebelltier.Plan
 	for range 12 {
-		used[tier.Plan(request()).Fetch[1]]++
+		plans = append(plans, tier.Plan(request()))
+		used[plans[len(plans)-1].Fetch[1]]++
 	}
 	require.Greater(t, used["near"], used["far"])
 	require.NotZero(t, used["far"])
+	require.Equal(t, map[string]int{"near": used["near"] * 8000, "far": used["far"] * 8000}, tier.InFlight())
+	for _, p := range plans {
+		tier.Arrived(p)
+		tier.Arrived(p)
+	}
+	require.Empty(t, tier.InFlight())
+}
+
+// The load pattern: the link of a store has slowed down, and the fetches of all
+// entries pile up at it.
+func TestAStoreWithAPileOfFetchesIsPassedOver(t *testing.T) {
+	f := newFixture()
+	f.hold("near", "doc", 8000)
+	tier := f.tier()
+	f.others = map[string]int{"near": 900_000}
+	require.Equal(t, "near", tier.Plan(request()).Fetch[1], "0.9 s at 1 GB/s and 1,000 bytes a token")
+	f.others = map[string]int{"near": 1_100_000}
+	p := tier.Plan(request())
+	require.Empty(t, p.Fetch[1])
+	require.Empty(t, p.Save[1], "it is held")
+	f.hold("far", "doc", 8000)
+	require.Equal(t, "far", tier.Plan(request()).Fetch[1])
 }
