--- /dev/null
+++ b/bluebellsoak/bluebelldrill/drill_test.go
@@ -0,0 +1,45 @@
+package bluebelldrill_test
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebellsoak/bluebelldrill"
+)
+
+// regressions are seeds that failed once, each with its cause.
+var regressions = []uint64{
+	1, // the drill itself started an endpoint twice after two crashes that overlapped
+}
+
+// build makes the programs.
+func build(t *testing.T) string {
+	t.Helper()
+	bin := t.TempDir()
+	for _, program := range []string{"bluebellgate", "bluebellcore"} {
+		command := exec.Command("go", "build", "-o", bin+string(filepath.Separator), "./"+program)
+		command.Dir = "../.."
+		out, err := command.CombinedOutput()
+		require.NoError(t, err, string(out))
+	}
+	return bin
+}
+
+func TestAShortDrillBreaksNoPromise(t *testing.T) {
+	bin := build(t)
+	for _, seed := range append([]uint64{101}, regressions...) {
+		report, err := bluebelldrill.Run(context.Background(), bluebelldrill.Config{
+			Bin: bin, Data: filepath.Join(t.TempDir(), "drill"), Seed: seed, Duration: 8 * time.Second, Gates: 3, Cores: 3, Endpoints: 6,
+		})
+		require.NoError(t, err)
+		require.Empty(t, report.Findings, "seed %d", seed)
+		require.Positive(t, report.Served)
+		require.Positive(t, report.Reads)
+		require.Positive(t, report.Faults)
+	}
+}
