--- a/bluebellgate/internal/bluebelllink/exchange.go
+++ b/bluebellgate/internal/bluebelllink/exchange.go
@@ -35,6 +35,8 @@
 	Body   []byte
 	// Answers tells from its header whether an answer belongs to this call.
 	Answers func(status int, h http.Header) bool
+	// ConnectWithin bounds the time until a new connection is open.
+	ConnectWithin time.Duration
 	// AnswerBy is when the header of the answer must have come.
 	AnswerBy time.Time
 }
@@ -55,7 +57,7 @@
 // Do sends a call and reads the header of its answer. The end of ctx closes the
 // connection, which tells the endpoint to stop. The caller must Close the exchange.
 func (c *Client) Do(ctx context.Context, r Request) (*Exchange, error) {
-	opened, err := c.open(ctx, r.Address)
+	opened, err := c.open(ctx, r.Address, r.ConnectWithin)
 	if err != nil {
 		return nil, &Error{Stage: Connecting, Timeout: isTimeout(err), Err: err}
 	}
--- a/bluebellgate/internal/bluebelllink/pool.go
+++ b/bluebellgate/internal/bluebelllink/pool.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// connectTimeout is many round trips; a lost first packet is sent again after a
-	// second, when another endpoint has long been asked.
-	connectTimeout = 400 * time.Millisecond
 	// silentConnection is how long a connection may go without an acknowledgement
 	// before the kernel gives it up.
 	silentConnection = 2 * time.Second
@@ -82,9 +79,8 @@
 	}
 }
 
-// open returns a kept connection, or a new one. Connections that were kept before a
-// time are not used.
-func (c *Client) open(ctx context.Context, address string) (*conn, error) {
+// open returns a kept connection that is quiet, or a new one.
+func (c *Client) open(ctx context.Context, address string, within time.Duration) (*conn, error) {
 	for {
 		kept := c.take(address)
 		if kept == nil {
@@ -96,7 +92,7 @@
 		}
 		_ = kept.Close()
 	}
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	raw, err := c.cfg.Dial(ctx, "tcp", address)
 	if err != nil {
--- a/bluebellgate/internal/bluebellrelay/patience.go
+++ b/bluebellgate/internal/bluebellrelay/patience.go
@@ -24,6 +24,12 @@
 	typicalPatience = 3
 	// leastPatience is a slow first answer of a healthy endpoint.
 	leastPatience = 150 * time.Millisecond
+	// connectShare of the objective is spent on a new connection at the most, within
+	// bounds that are many round trips; a lost first packet is sent again after a second,
+	// when another endpoint has long been asked.
+	connectShare = 0.5
+	leastConnect = 80 * time.Millisecond
+	mostConnect  = 400 * time.Millisecond
 	// defaultPause is used where a route states none.
 	defaultPause = 2 * time.Second
 )
@@ -57,3 +63,9 @@
 	}
 	return min(pausePatience*pause, left)
 }
+
+// connectPatience returns how long a new connection may take. Nothing has been sent
+// until then, so any call may go elsewhere.
+func connectPatience(r *bluebellplan.Route) time.Duration {
+	return min(max(time.Duration(connectShare*float64(r.Objective)), leastConnect), mostConnect)
+}
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -191,7 +191,7 @@
 func (r *Relay) Serve(ctx context.Context, q *Query, sink Sink) {
 	s := &serving{relay: r, q: q, sink: sink, start: r.cfg.Now(), lastEvent: q.Call.ResumeAfter}
 	r.noteCall(q.Target.Name)
-	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline.Add(-answerMargin))
 	defer cancel()
 	for s.attempt(ctx) == again {
 		if ctx.Err() != nil || !s.mayGoOn() {
@@ -317,9 +317,10 @@
 	defer cancel()
 	exchange, err := cfg.Link.Do(attemptCtx, bluebelllink.Request{
 		Address: choice.Endpoint.Address, Method: s.q.Method, URI: s.q.URI, Host: s.q.Host, Body: s.q.Body,
-		Header:   s.header(choice, left),
-		Answers:  s.answers,
-		AnswerBy: time.Now().Add(firstPatience(s.q.Route, choice, left, mayRepeat)),
+		Header:        s.header(choice, left),
+		Answers:       s.answers,
+		ConnectWithin: connectPatience(s.q.Route),
+		AnswerBy:      time.Now().Add(firstPatience(s.q.Route, choice, left, mayRepeat)),
 	})
 	if err != nil {
 		return s.failed(ctx, choice, err)
