Blocks that are held are always fetched; prompts of a busy home meet at its second homes; one store for a block

Also, entries wrote a block to stores near the endpoint of the call, which differed; now near its home.

--- a/bluebell/bluebellplace/place.go
+++ b/bluebell/bluebellplace/place.go
@@ -28,6 +28,16 @@
 	seenFor     = 20 * time.Second
 	// maxSeen bounds the prompts that are remembered for a target.
 	maxSeen = 4096
+	// secondHomes are the endpoints next to the home in rendezvous order, which a
+	// prompt goes to while its home is busy. They come to hold its blocks as well.
+	// Calls that went to whichever endpoint was idle met one that had to read again,
+	// and all entries met at the same one.
+	secondHomes = 2
+	// secondMissing is the part of the shared blocks that they are expected to lack.
+	secondMissing = 0.5
+	// farCost is added for all others: a prompt goes there only if its homes are far
+	// behind.
+	farCost = 600 * time.Millisecond
 	// otherDomainCost is the price of bytes between failure domains as a time: a
 	// call goes there for a gain of more than two round trips.
 	otherDomainCost = 4 * time.Millisecond
@@ -125,8 +135,10 @@
 	Weights uint64
 	// Home tells whether the endpoint is the prompt's home, whose address is
 	// HomeAddress.
+	// HomeAddress is "" while the home is suspect.
 	Home        bool
 	HomeAddress string
+	HomeDomain  string
 	// Expected time to the first event, and the mean time that the target's endpoints
 	// have lately taken.
 	Expected, Typical time.Duration
@@ -278,6 +290,7 @@
 	cold     bool
 	suspect  bool
 	home     bool
+	second   bool
 	full     bool
 	cost     time.Duration
 	missing  int
@@ -301,7 +314,7 @@
 	case len(candidates) == 0:
 		return Choice{}, AllUnfit
 	}
-	home := markHome(candidates, r.Shared)
+	home := homeOf(markHomes(candidates, r.Shared))
 	for i := range candidates {
 		p.cost(now, g, &candidates[i], r)
 	}
@@ -315,7 +328,7 @@
 			continue
 		}
 		return Choice{
-			Endpoint: c.endpoint, Weights: c.weights, Home: c.home, HomeAddress: home, Expected: c.cost, Typical: g.typical(),
+			Endpoint: c.endpoint, Weights: c.weights, Home: c.home, HomeAddress: home.address, HomeDomain: home.domain, Expected: c.cost, Typical: g.typical(),
 			HeardAgo: now - c.endpoint.HeardAt, Candidates: len(candidates),
 			missing: c.missing, tokens: r.Tokens(), shared: r.Shared, read: new(bool),
 		}, Present
@@ -416,23 +429,45 @@
 	return version, true
 }
 
-// markHome marks the first endpoint in rendezvous order and returns its address;
-// "" while it is suspect.
-func markHome(candidates []candidate, shared string) string {
+// markHomes marks the first endpoints in rendezvous order and returns the home.
+func markHomes(candidates []candidate, shared string) *candidate {
 	if shared == "" {
-		return ""
+		return nil
 	}
-	best, bestScore := 0, uint64(0)
+	var first [1 + secondHomes]*candidate
+	var scores [1 + secondHomes]uint64
 	for i := range candidates {
-		if score := rendezvous(shared, candidates[i].endpoint.ID); score >= bestScore {
-			best, bestScore = i, score
+		c, score := &candidates[i], rendezvous(shared, candidates[i].endpoint.ID)
+		for at := range first {
+			if first[at] == nil || score > scores[at] {
+				first[at], c = c, first[at]
+				scores[at], score = score, scores[at]
+			}
+			if c == nil {
+				break
+			}
 		}
 	}
-	candidates[best].home = true
-	if candidates[best].suspect {
-		return ""
+	for at, c := range first {
+		if c != nil {
+			c.home, c.second = at == 0, at > 0
+		}
 	}
-	return candidates[best].endpoint.Address
+	return first[0]
+}
+
+// home is where a prompt belongs.
+type home struct{ address, domain string }
+
+func homeOf(c *candidate) home {
+	if c == nil {
+		return home{}
+	}
+	h := home{domain: c.endpoint.FailureDomain}
+	if !c.suspect {
+		h.address = c.endpoint.Address
+	}
+	return h
 }
 
 func rendezvous(key, name string) uint64 {
@@ -452,6 +487,8 @@
 		missing = seenMissing
 	case c.home:
 		missing = homeMissing
+	case c.second:
+		missing = secondMissing
 	}
 	if r.Model == "" {
 		// Plain services are compared by what runs there.
@@ -475,6 +512,9 @@
 	}
 	if !c.home && r.Shared != "" {
 		c.cost += awayCost
+		if !c.second {
+			c.cost += farCost
+		}
 	}
 	if c.endpoint.FailureDomain != p.cfg.FailureDomain {
 		c.cost += otherDomainCost
--- a/bluebell/bluebellplace/place_test.go
+++ b/bluebell/bluebellplace/place_test.go
@@ -88,6 +88,29 @@
 	require.Equal(t, home.Endpoint.Address, away.HomeAddress, "which still has the blocks")
 }
 
+// The load pattern: the homes of some prompts are busy. Entries agree on the few
+// endpoints that take them, so their blocks are read there once.
+func TestPromptsOfABusyHomeMeetAtItsSecondHomes(t *testing.T) {
+	f := fleet(60)
+	p := placer(config, f)
+	home, _ := p.Pick(second, prompt("doc"))
+	used := map[string]bool{}
+	for load := range 20 {
+		f.Others = map[string]bluebellplace.Use{home.Endpoint.ID: {Calls: 5, Tokens: 40_000, Unread: 40_000}}
+		for i := range 60 {
+			if id := fmt.Sprintf("i-%d", i); id != home.Endpoint.ID {
+				unread := (i * (load + 7) % 11) * 1_500
+				f.Others[id] = bluebellplace.Use{Calls: 1, Tokens: unread, Unread: unread}
+			}
+		}
+		p.Update(f)
+		choice, absence := p.Pick(second, prompt("doc"))
+		require.Equal(t, bluebellplace.Present, absence)
+		used[choice.Endpoint.ID] = true
+	}
+	require.LessOrEqual(t, len(used), 3)
+}
+
 // The load pattern: other entries have filled all engines up to the part that cached
 // blocks are to have.
 func TestFullEnginesTakeNoMore(t *testing.T) {
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -343,6 +343,7 @@
 	}
 	if s.q.Target.Engine != nil && len(s.q.Call.Blocks) > 0 {
 		r := s.shared(choice.Weights, choice.Endpoint.FailureDomain)
+		r.HomeDomain = choice.HomeDomain
 		if !choice.Home {
 			r.Home = choice.HomeAddress
 		}
--- a/bluebellgate/internal/bluebelltier/tier.go
+++ b/bluebellgate/internal/bluebelltier/tier.go
@@ -3,8 +3,8 @@
 //
 // Reading a shared block again costs an engine many times what it costs to fetch it,
 // so every shared block that a store holds is named, in case the endpoint lacks it.
-// A block that no store holds is written to one with room, in the endpoint's failure
-// domain if possible, once: entries choose the same store for it, and a store that
+// A block that no store holds is written to one with room, in the failure domain of
+// its home if possible, once: entries choose the same store for it, and a store that
 // has it keeps the first copy. Where no store holds a block, the prompt's home is
 // asked, whose link is fast.
 //
@@ -17,6 +17,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -36,10 +37,6 @@
 	// fillLimit is the part of a store's room that is written to; the rest is for
 	// writes that other entries have begun.
 	fillLimit = 0.95
-	// maxWait is the longest wait behind other fetches that is shorter than to read the
-	// blocks again and to push others out. Endpoints start no transfer that would wait
-	// for twice as long.
-	maxWait = time.Second
 )
 
 // Block is a shared block of a prompt.
@@ -55,8 +52,8 @@
 	// FailureDomain of the endpoint that runs the call.
 	FailureDomain string
 	// Home is the address of the prompt's home if that is another endpoint; "" if
-	// not.
-	Home string
+	// not. HomeDomain is the home's failure domain.
+	Home, HomeDomain string
 	// TokenBytes is the size of one token's cache.
 	TokenBytes float64
 }
@@ -126,11 +123,11 @@
 	stores := t.declared()
 	total := time.Duration(0)
 	for _, b := range r.Blocks {
-		_, took := t.nearest(view, stores, r, b)
-		if took == 0 {
+		s, held := t.nearest(view, stores, r, b)
+		if !held {
 			return 0
 		}
-		total += took
+		total += transfer(s, r, b.Tokens, 0)
 	}
 	return total
 }
@@ -146,16 +143,15 @@
 	stores := t.declared()
 	for i, b := range r.Blocks {
 		if view != nil {
-			if address, _ := t.nearest(view, stores, r, b); address != "" {
+			if s, held := t.nearest(view, stores, r, b); held {
+				address := s.Address
 				p.Fetch[i] = address
 				p.Held += b.Tokens
 				p.fetched[address] += b.Tokens
 				t.inFlight[address] += b.Tokens
 				continue
 			}
-			if len(view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID})) == 0 {
-				p.Save[i] = t.choose(view, stores, r, b, now)
-			}
+			p.Save[i] = t.choose(view, stores, r, b, now)
 		}
 		p.Fetch[i] = r.Home
 	}
@@ -170,36 +166,33 @@
 	return stores
 }
 
-// nearest returns the store from which a block comes soonest, and how long it takes.
-// Stores whose fetches wait for too long are passed over.
-func (t *Tier) nearest(view *bluebelldirectory.View, stores map[string]bluebellplan.Store, r Request, b Block) (string, time.Duration) {
-	best, bestTook := "", time.Duration(0)
+// nearest returns the store from which a block comes soonest. What all entries have
+// named for a fetch counts in the choice, but keeps no block from being fetched: most
+// of it waits for its engine, not for the link, and reading instead made engines wait.
+func (t *Tier) nearest(view *bluebelldirectory.View, stores map[string]bluebellplan.Store, r Request, b Block) (bluebellplan.Store, bool) {
+	var best bluebellplan.Store
+	found, bestTook := false, time.Duration(0)
+	others := t.cfg.Others()
 	for _, address := range view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}) {
 		s, declared := stores[address]
 		if !declared || s.BytesPerSecond <= 0 {
 			continue
 		}
-		took, wait := t.transfer(s, r, b.Tokens)
-		if wait > maxWait {
-			continue
-		}
-		if best == "" || took < bestTook {
-			best, bestTook = address, took
+		took := transfer(s, r, b.Tokens, t.inFlight[address]+others[address])
+		if !found || took < bestTook {
+			best, bestTook, found = s, took, true
 		}
 	}
-	return best, bestTook
+	return best, found
 }
 
-// transfer estimates how long a block takes from a store, and how long it waits
-// behind what all entries have named for a fetch from it.
-func (t *Tier) transfer(s bluebellplan.Store, r Request, tokens int) (took, wait time.Duration) {
+// transfer estimates how long a block takes from a store, behind a number of tokens.
+func transfer(s bluebellplan.Store, r Request, tokens, ahead int) time.Duration {
 	perToken := r.TokenBytes / s.BytesPerSecond
 	if s.FailureDomain != r.FailureDomain {
 		perToken *= otherDomainFactor
 	}
-	ahead := t.inFlight[s.Address] + t.cfg.Others()[s.Address]
-	wait = time.Duration(float64(ahead) * perToken * float64(time.Second))
-	return s.FirstDelay + wait + time.Duration(float64(tokens)*perToken*float64(time.Second)), wait
+	return s.FirstDelay + time.Duration(float64(tokens+ahead)*perToken*float64(time.Second))
 }
 
 // Arrived notes that the blocks of a plan have come, or will not.
@@ -238,7 +231,7 @@
 		return ""
 	}
 	best := slices.MinFunc(fit, func(x, y bluebellplan.Store) int {
-		if nearX, nearY := x.FailureDomain == r.FailureDomain, y.FailureDomain == r.FailureDomain; nearX != nearY {
+		if nearX, nearY := x.FailureDomain == r.HomeDomain, y.FailureDomain == r.HomeDomain; nearX != nearY {
 			if nearX {
 				return -1
 			}
@@ -250,9 +243,11 @@
 	return best.Address
 }
 
-// rank orders the stores for a block alike on all entries.
-func rank(block string, s bluebellplan.Store) uint64 {
-	return xxhash.Sum64String(block + "\x00" + s.Address)
+// rank orders the stores for a block alike on all entries, each first for a part of
+// the blocks that is proportional to its room.
+func rank(block string, s bluebellplan.Store) float64 {
+	draw := (float64(xxhash.Sum64String(block+"\x00"+s.Address)>>11) + 1) / (1 << 53)
+	return -math.Log(draw) / float64(max(s.Tokens, 1))
 }
 
 // pendingAt returns the tokens that this entry has had written to a store and that
