--- a/bluebell/bluebellplace/place.go
+++ b/bluebell/bluebellplace/place.go
@@ -126,6 +126,9 @@
 	Fetch time.Duration
 	// Tried endpoints are not picked again.
 	Tried []string
+	// NearOnly keeps the call at the prompt's home and second homes, for as long as it
+	// may still wait for them.
+	NearOnly bool
 }
 
 // Choice is the endpoint for a call.
@@ -319,9 +322,16 @@
 		p.cost(now, g, &candidates[i], r)
 	}
 	slices.SortFunc(candidates, compareCandidates)
+	// With all of a prompt's homes suspect there is nothing to wait for.
+	near := 0
+	for i := range candidates {
+		if c := &candidates[i]; (c.home || c.second) && !c.suspect {
+			near++
+		}
+	}
 	for i := range candidates {
 		c := &candidates[i]
-		if c.full || c.suspect && !c.belief.mayTry(now) {
+		if c.full || r.NearOnly && near > 0 && !c.home && !c.second || c.suspect && !c.belief.mayTry(now) {
 			continue
 		}
 		if c.cold && !c.belief.takeCold(now, p.coldRate(r.Target)) {
@@ -334,7 +344,7 @@
 		}, Present
 	}
 	switch {
-	case slices.ContainsFunc(candidates, func(c candidate) bool { return c.full }):
+	case r.NearOnly && near > 0, slices.ContainsFunc(candidates, func(c candidate) bool { return c.full }):
 		return Choice{}, AllFull
 	case candidates[0].suspect:
 		return Choice{}, AllSuspect
--- a/bluebell/bluebellplace/place_test.go
+++ b/bluebell/bluebellplace/place_test.go
@@ -111,6 +111,32 @@
 	require.LessOrEqual(t, len(used), 3)
 }
 
+// The load pattern: all engines are nearly full, and one that is no home of a prompt has
+// just become free. The prompt waits for its homes first.
+func TestAPromptWaitsForItsHomes(t *testing.T) {
+	f := fleet(12)
+	p := placer(config, f)
+	homes := map[string]bool{}
+	r := prompt("doc")
+	for range 3 {
+		choice, _ := p.Pick(second, r)
+		homes[choice.Endpoint.ID] = true
+		r.Tried = append(r.Tried, choice.Endpoint.ID)
+	}
+	f.Others = map[string]bluebellplace.Use{}
+	for id := range homes {
+		f.Others[id] = bluebellplace.Use{Calls: 9, Tokens: 59_000}
+	}
+	p.Update(f)
+	r = prompt("doc")
+	r.NearOnly = true
+	_, absence := p.Pick(second, r)
+	require.Equal(t, bluebellplace.AllFull, absence)
+	r.NearOnly = false
+	_, absence = p.Pick(second, r)
+	require.Equal(t, bluebellplace.Present, absence)
+}
+
 // The load pattern: other entries have filled all engines up to the part that cached
 // blocks are to have.
 func TestFullEnginesTakeNoMore(t *testing.T) {
--- a/bluebell/bluebellqueue/queue.go
+++ b/bluebell/bluebellqueue/queue.go
@@ -28,6 +28,9 @@
 	// lateShare of the time that is left is how long a call waits whose objective is
 	// over already, such as one that has come back.
 	lateShare = 0.25
+	// nearShare of its wait is how long a prompt waits for its homes alone. A prompt that
+	// goes elsewhere has its blocks moved or read again there, and pushes out others.
+	nearShare = 0.5
 )
 
 // Waiter is a call that waits.
@@ -71,3 +74,8 @@
 	}
 	return min(inTime, w.Deadline)
 }
+
+// NearUntil returns how long a prompt that has just come waits for its homes alone.
+func NearUntil(w Waiter) time.Duration {
+	return w.Arrived + time.Duration(nearShare*float64(HoldUntil(w)-w.Arrived))
+}
--- a/bluebell/bluebellqueue/queue_test.go
+++ b/bluebell/bluebellqueue/queue_test.go
@@ -28,6 +28,7 @@
 func TestACallIsToldWhileItCanStillGoElsewhere(t *testing.T) {
 	w := waiter(0, time.Second, 2*time.Second)
 	require.Equal(t, 1500*time.Millisecond, bluebellqueue.HoldUntil(w), "half of its objective")
+	require.Equal(t, 1250*time.Millisecond, bluebellqueue.NearUntil(w), "half of its wait")
 	late := waiter(0, 3*time.Second, 2*time.Second)
 	require.Equal(t, 5500*time.Millisecond, bluebellqueue.HoldUntil(late), "a quarter of what is left")
 	short := bluebellqueue.Waiter{Arrived: time.Second, InTimeUntil: 10 * time.Second, Deadline: 2 * time.Second}
--- a/bluebellcore/internal/bluebellcontrol/control_test.go
+++ b/bluebellcore/internal/bluebellcontrol/control_test.go
@@ -124,7 +124,9 @@
 	f.quorum = false
 	f.mu.Unlock()
 	for _, c := range [][3]string{
-		{http.MethodPut, "/config", declaration(2)}, {http.MethodGet, "/config", ""}, {http.MethodPost, "/evac/a", ""},
+		{http.MethodPut, "/config", declaration(2)},
+		{http.MethodGet, "/config", ""},
+		{http.MethodPost, "/evac/a", ""},
 		{http.MethodPost, "/version-put", `{"model":"m0","version":2}`},
 	} {
 		status, _ := f.do(t, c[0], c[1], c[2])
--- a/bluebellgate/internal/bluebellrelay/lobby.go
+++ b/bluebellgate/internal/bluebellrelay/lobby.go
@@ -25,6 +25,8 @@
 	request bluebellplace.Request
 	choice  bluebellplace.Choice
 	absence bluebellplace.Absence
+	// nearUntil is how long the call waits for its prompt's homes alone.
+	nearUntil time.Duration
 	// placed is closed once choice is set.
 	placed chan struct{}
 }
@@ -59,7 +61,7 @@
 	defer l.mu.Unlock()
 	g.placed = make(chan struct{})
 	if len(l.guests) == 0 {
-		if g.choice, g.absence = l.place(g.request); g.absence == bluebellplace.Present {
+		if l.try(g) {
 			return true
 		}
 	}
@@ -103,6 +105,13 @@
 	}
 }
 
+// try looks for an endpoint for one call.
+func (l *lobby) try(g *guest) bool {
+	g.request.NearOnly = l.now() < g.nearUntil
+	g.choice, g.absence = l.place(g.request)
+	return g.absence == bluebellplace.Present
+}
+
 // admit gives endpoints to those that wait, in order; the lock is held. A call that
 // finds none does not hold up smaller ones behind it, and larger ones are not tried
 // after it.
@@ -122,11 +131,11 @@
 			g.absence = bluebellplace.AllFull
 			continue
 		}
-		g.choice, g.absence = l.place(g.request)
-		switch g.absence {
-		case bluebellplace.Present:
+		if l.try(g) {
 			close(g.placed)
-		case bluebellplace.AllFull:
+			continue
+		}
+		if g.absence == bluebellplace.AllFull && !g.request.NearOnly {
 			tooLarge = g.request.Tokens()
 		}
 	}
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -30,6 +30,9 @@
 	leastLeft = 20 * time.Millisecond
 	// answerMargin is kept from the time limit for the way back to the caller.
 	answerMargin = 10 * time.Millisecond
+	// nearTokens are shared tokens that are worth waiting for: they take an engine 20 ms
+	// to read, several times as long as it takes to move a call.
+	nearTokens = 1000
 	// retryWait is how long a call that was sent before waits for another endpoint.
 	retryWait = 100 * time.Millisecond
 )
@@ -240,7 +243,11 @@
 	if len(s.tried) > 0 {
 		until = min(until, now+retryWait)
 	}
-	choice, absence := s.relay.lobby(r.Target).wait(ctx, &guest{waiter: w, request: r}, until)
+	g := &guest{waiter: w, request: r}
+	if r.SharedTokens >= nearTokens && len(s.tried) == 0 {
+		g.nearUntil = bluebellqueue.NearUntil(w)
+	}
+	choice, absence := s.relay.lobby(r.Target).wait(ctx, g, until)
 	if waited := cfg.Now() - now; waited > lobbyTick {
 		cfg.Waited(r.Target, waited)
 	}
