--- a/bluebell/bluebellplace/place.go
+++ b/bluebell/bluebellplace/place.go
@@ -1,13 +1,10 @@
 package bluebellplace
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"bluebellhaven.org/bluebell/bluebellfleet"
 )
 
@@ -60,56 +57,6 @@
 	fillShare = 0.6
 )
 
-// Config sets up a Placer.
-type Config struct {
-	// Self is this entry's name among the entries.
-	Self string
-	// FailureDomain of this entry.
-	FailureDomain string
-	// WeightsWithin is when calls no longer go to endpoints with older weights than
-	// the ones named.
-	WeightsWithin time.Duration
-	// ColdFactor and ColdSlack are how far calls to a cold endpoint may exceed what
-	// it bears.
-	ColdFactor, ColdSlack float64
-	// SilentAfter is the age of a registration from which on it is in doubt.
-	SilentAfter time.Duration
-}
-
-// Named are the weights of a model that operators have named, and when this entry
-// learnt of it.
-type Named struct {
-	Version uint64
-	Since   time.Duration
-}
-
-// Fleet is what is known of the endpoints. It must not be altered afterwards.
-type Fleet struct {
-	Endpoints  []bluebellfleet.Endpoint
-	DomainsOut []string
-	// Loading endpoints are about to load weights.
-	Loading []string
-	Named   map[string]Named
-	// Entries share the limits of cold endpoints.
-	Entries []string
-	// ColdRates are the calls a second that a cold endpoint of a target bears.
-	ColdRates map[string]float64
-	// Rooms are the tokens that an engine of a target has memory for.
-	Rooms map[string]int
-	// Others is what other entries have in flight at an endpoint.
-	Others map[string]Use
-	// Current is set while the registrations come from a live source.
-	Current bool
-}
-
-// Use is what is in flight at an endpoint.
-type Use struct {
-	Calls int
-	// Tokens of the prompts and answers, and those of prompts that are not known to
-	// have been read.
-	Tokens, Unread int
-}
-
 // Request describes a call.
 type Request struct {
 	Target string
@@ -205,36 +152,6 @@
 	return &Placer{cfg: cfg, groups: map[string]*group{}}
 }
 
-// Update takes in what is known of the endpoints.
-func (p *Placer) Update(f Fleet) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.fleet = f
-	present := map[string]map[string]bool{}
-	for _, e := range f.Endpoints {
-		if present[e.Target] == nil {
-			present[e.Target] = map[string]bool{}
-		}
-		present[e.Target][e.ID] = true
-		if p.groups[e.Target] == nil {
-			p.groups[e.Target] = &group{beliefs: map[string]*belief{}, seen: map[string]sighting{}}
-		}
-	}
-	for target, g := range p.groups {
-		g.forget(present[target])
-	}
-}
-
-func (g *group) forget(present map[string]bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for id := range g.beliefs {
-		if !present[id] {
-			delete(g.beliefs, id)
-		}
-	}
-}
-
 func (g *group) belief(id string) *belief {
 	b := g.beliefs[id]
 	if b == nil {
@@ -244,47 +161,6 @@
 	return b
 }
 
-// typical returns the mean of the times that endpoints have lately taken to answer.
-func (g *group) typical() time.Duration {
-	sum, n := time.Duration(0), 0
-	for _, b := range g.beliefs {
-		if b.mean > 0 {
-			sum += b.mean
-			n++
-		}
-	}
-	return sum / time.Duration(max(n, 1))
-}
-
-// Serving tells whether any endpoint says that it serves.
-func (p *Placer) Serving() bool {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	return slices.ContainsFunc(p.fleet.Endpoints, func(e bluebellfleet.Endpoint) bool { return e.State == bluebellfleet.Serving })
-}
-
-// Entries returns the number of entries that share limits, this one among them.
-func (p *Placer) Entries() int {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	return max(len(p.fleet.Entries), 1)
-}
-
-// Domain returns the failure domain of this entry.
-func (p *Placer) Domain() string { return p.cfg.FailureDomain }
-
-// Named returns the weights of a model that most endpoints have or are to have: the
-// version that operators named, or the highest that any endpoint has.
-func (p *Placer) Named(model string) uint64 {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	version := p.fleet.Named[model].Version
-	for _, e := range p.fleet.Endpoints {
-		version = max(version, e.Weights[model])
-	}
-	return version
-}
-
 // candidate is an endpoint in the course of one choice.
 type candidate struct {
 	endpoint bluebellfleet.Endpoint
@@ -355,31 +231,6 @@
 // Tokens is the memory that a call takes at an engine.
 func (r Request) Tokens() int { return r.SharedTokens + r.OwnTokens + r.OutputTokens }
 
-// isFull tells whether a call would take memory that cached blocks should have. An
-// idle engine takes any call.
-func (p *Placer) isFull(e bluebellfleet.Endpoint, b *belief, r Request) bool {
-	room := p.fleet.Rooms[e.Target]
-	used := b.tokens + p.fleet.Others[e.ID].Tokens
-	return room > 0 && used > 0 && float64(used+r.Tokens()) > fillShare*float64(room)
-}
-
-// Uses returns what this entry has in flight, by endpoint.
-func (p *Placer) Uses() map[string]Use {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	uses := map[string]Use{}
-	for _, g := range p.groups {
-		g.mu.Lock()
-		for id, b := range g.beliefs {
-			if b.running > 0 {
-				uses[id] = Use{Calls: b.running, Tokens: b.tokens, Unread: b.reading}
-			}
-		}
-		g.mu.Unlock()
-	}
-	return uses
-}
-
 func compareCandidates(a, b candidate) int {
 	if a.suspect != b.suspect {
 		if a.suspect {
@@ -432,163 +283,10 @@
 	if !has {
 		return 0, false
 	}
-	named := p.fleet.Named[model]
-	if version < named.Version && now-named.Since > p.cfg.WeightsWithin {
-		return 0, false
-	}
-	return version, true
-}
-
-// markHomes marks the first endpoints in rendezvous order and returns the home.
-func markHomes(candidates []candidate, shared string) *candidate {
-	if shared == "" {
-		return nil
-	}
-	var first [1 + secondHomes]*candidate
-	var scores [1 + secondHomes]uint64
-	for i := range candidates {
-		c, score := &candidates[i], rendezvous(shared, candidates[i].endpoint.ID)
-		for at := range first {
-			if first[at] == nil || score > scores[at] {
-				first[at], c = c, first[at]
-				scores[at], score = score, scores[at]
-			}
-			if c == nil {
-				break
-			}
-		}
-	}
-	for at, c := range first {
-		if c != nil {
-			c.home, c.second = at == 0, at > 0
-		}
-	}
-	return first[0]
-}
-
-// home is where a prompt belongs.
-type home struct{ address, domain string }
-
-func homeOf(c *candidate) home {
-	if c == nil {
-		return home{}
-	}
-	h := home{domain: c.endpoint.FailureDomain}
-	if !c.suspect {
-		h.address = c.endpoint.Address
-	}
-	return h
-}
-
-func rendezvous(key, name string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(name)
-	return d.Sum64()
-}
-
-// cost sets the expected time to the first event, and what there is to read.
-func (p *Placer) cost(now time.Duration, g *group, c *candidate, r Request) {
-	missing := 1.0
-	switch seen := g.seen[r.Shared]; {
-	case r.Shared != "" && seen.endpoint == c.endpoint.ID && now-seen.at < seenFor:
-		missing = seenMissing
-	case c.home:
-		missing = homeMissing
-	case c.second:
-		missing = secondMissing
-	}
-	if r.Model == "" {
-		// Plain services are compared by what runs there.
-		c.cost = c.belief.typical() * time.Duration(1+c.belief.running)
-	} else {
-		c.missing = r.OwnTokens
-		if r.Fetch > 0 {
-			c.cost = time.Duration(missing * fetchWeight * float64(r.Fetch))
-		} else {
-			again := int(math.Round(missing * float64(r.SharedTokens)))
-			c.missing += again
-			if !c.home {
-				c.cost += readTime((rereadWeight - 1) * again)
-			}
-		}
-		others := p.fleet.Others[c.endpoint.ID]
-		c.cost += readTime(c.missing+c.belief.reading+others.Unread) + time.Duration(c.belief.running+others.Calls)*stepCost
-		if named := p.fleet.Named[r.Model]; c.weights < named.Version {
-			c.cost += outdatedCost
-		}
-	}
-	if !c.home && r.Shared != "" {
-		c.cost += awayCost
-		if !c.second {
-			c.cost += farCost
+	for _, named := range p.fleet.Named[model] {
+		if version < named.Version && now-named.Since > p.cfg.WeightsWithin {
+			return 0, false
 		}
 	}
-	if c.endpoint.FailureDomain != p.cfg.FailureDomain {
-		c.cost += otherDomainCost
-	}
-}
-
-func readTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / readRate * float64(time.Second))
-}
-
-// Sent notes that a call goes to its endpoint.
-func (p *Placer) Sent(c *Choice, now time.Duration) {
-	c.sentAt = now
-	p.with(c, func(g *group, b *belief) {
-		b.running++
-		b.reading += c.missing
-		b.tokens += c.tokens
-		if c.shared == "" {
-			return
-		}
-		if len(g.seen) >= maxSeen {
-			for key, s := range g.seen {
-				if now-s.at > seenFor || len(g.seen) >= maxSeen {
-					delete(g.seen, key)
-				}
-			}
-		}
-		g.seen[c.shared] = sighting{endpoint: c.Endpoint.ID, at: now}
-	})
-}
-
-// FirstEvent notes that the answer has begun.
-func (p *Placer) FirstEvent(c Choice, now time.Duration) {
-	p.with(&c, func(_ *group, b *belief) {
-		if *c.read {
-			return
-		}
-		*c.read = true
-		b.reading -= c.missing
-		b.noteWait(now, now-c.sentAt)
-	})
-}
-
-// Done notes how a call ended.
-func (p *Placer) Done(c Choice, now time.Duration, o Outcome) {
-	p.with(&c, func(_ *group, b *belief) {
-		b.running--
-		b.tokens -= c.tokens
-		if !*c.read {
-			*c.read = true
-			b.reading -= c.missing
-		}
-		b.note(now, o)
-	})
-}
-
-func (p *Placer) with(c *Choice, f func(g *group, b *belief)) {
-	p.mu.RLock()
-	g := p.groups[c.Endpoint.Target]
-	p.mu.RUnlock()
-	if g == nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	f(g, g.belief(c.Endpoint.ID))
+	return version, true
 }
--- a/bluebell/bluebellplace/place_test.go
+++ b/bluebell/bluebellplace/place_test.go
@@ -189,7 +189,7 @@
 func TestOlderWeightsAreAvoidedAndThenLeftOut(t *testing.T) {
 	f := fleet(4)
 	f.Endpoints[3].Weights = map[string]uint64{"m0": 2}
-	f.Named = map[string]bluebellplace.Named{"m0": {Version: 2, Since: second}}
+	f.Named = map[string][]bluebellplace.Named{"m0": {{Version: 2, Since: second}}}
 	p := placer(config, f)
 	for i := range 50 {
 		choice, _ := p.Pick(2*second, prompt(fmt.Sprint(i)))
@@ -206,6 +206,22 @@
 	require.Equal(t, uint64(2), p.Named("m0"))
 }
 
+// Weights are named twice in a row: the second name gives the first no more time.
+func TestEachNamedVersionHasATimeOfItsOwn(t *testing.T) {
+	f := fleet(1)
+	f.Named = map[string][]bluebellplace.Named{"m0": {{Version: 2, Since: second}, {Version: 3, Since: 4 * second}}}
+	p := placer(config, f)
+	_, absence := p.Pick(8*second, prompt("doc"))
+	require.Equal(t, bluebellplace.Present, absence)
+	_, absence = p.Pick(10*second, prompt("doc"))
+	require.Equal(t, bluebellplace.AllUnfit, absence, "version 2 is nine seconds old")
+	f.Endpoints[0].Weights = map[string]uint64{"m0": 2}
+	p.Update(f)
+	_, absence = p.Pick(10*second, prompt("doc"))
+	require.Equal(t, bluebellplace.Present, absence, "version 3 is six")
+	require.Equal(t, uint64(3), p.Named("m0"))
+}
+
 func TestAnEndpointThatBreaksOffIsLeftAlone(t *testing.T) {
 	p := placer(config, fleet(3))
 	choice, _ := p.Pick(second, prompt("doc"))
--- a/bluebell/bluebellprocess/process.go
+++ b/bluebell/bluebellprocess/process.go
@@ -4,10 +4,9 @@
 //
 // # Usage
 //
-//	logger, closeLog, err := bluebellprocess.Logger("info")
-//	settings, err := bluebellprocess.OpenGateSettings(path)
-//	go settings.Watch(ctx, logger)
-//	seeds := settings.Current().Seeds
+//	err := bluebellprocess.Program[*pb.GateSettings]{
+//		Open: bluebellprocess.OpenGateSettings, Limits: limits, Run: run,
+//	}.Main(path, "info")
 package bluebellprocess
 
 import (
@@ -120,6 +119,43 @@
 	}
 }
 
+// Program is one of the programs behind its main function.
+type Program[T any] struct {
+	Open func(path string) (*Settings[T], error)
+	// Limits returns the memory in MB and the processors of the settings.
+	Limits func(settings T) (memoryMB, processors uint32)
+	// Run serves until ctx ends.
+	Run func(ctx context.Context, settings func() T, logger *log.Logger) error
+}
+
+// Main runs a program until SIGTERM or SIGINT, with settings that are read again when
+// they change.
+func (p Program[T]) Main(path, level string) error {
+	logger, closeLog, err := Logger(level)
+	if err != nil {
+		return err
+	}
+	defer closeLog()
+	settings, err := p.Open(path)
+	if err != nil {
+		return err
+	}
+	Limit(p.Limits(settings.Current()))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// A planned stop takes a while, in which SIGHUP must not end the process.
+	go settings.Watch(context.WithoutCancel(ctx), logger)
+	return p.Run(ctx, settings.Current, logger)
+}
+
+// Sleep waits for a time or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // Logger returns a logger on standard output, and a function that ends it.
 func Logger(level string) (*log.Logger, func(), error) {
 	parsed, err := log.ParseLevel(level)
--- a/bluebell/bluebellstate/deployment.go
+++ b/bluebell/bluebellstate/deployment.go
@@ -11,6 +11,10 @@
 // Its operators send a change again until they get an answer, to any voter, so
 // each of these commands may be applied any number of times.
 
+// maxEarlier is the number of earlier versions of a model's weights that are kept:
+// more than can be named within the time that endpoints have for one.
+const maxEarlier = 16
+
 // declareDeployment puts a document in force if its version is the highest.
 func (m *Machine) declareDeployment(d *pb.DeclareDeployment) *pb.Result {
 	if d.Version > m.view.GetDeployment().GetVersion() {
@@ -25,8 +29,15 @@
 		return m.accepted()
 	}
 	m.publishDeployment(func(next *pb.Deployment) {
+		named := &pb.ModelWeights{Model: n.Model, Version: n.Version, NamedAt: m.now}
+		for _, old := range next.Weights {
+			if old.Model == n.Model {
+				named.Earlier = append(slices.Clone(old.Earlier), &pb.NamedVersion{Version: old.Version, NamedAt: old.NamedAt})
+				named.Earlier = named.Earlier[max(len(named.Earlier)-maxEarlier, 0):]
+			}
+		}
 		next.Weights = slices.DeleteFunc(next.Weights, func(w *pb.ModelWeights) bool { return w.Model == n.Model })
-		next.Weights = append(next.Weights, &pb.ModelWeights{Model: n.Model, Version: n.Version})
+		next.Weights = append(next.Weights, named)
 		slices.SortFunc(next.Weights, func(a, b *pb.ModelWeights) int { return cmp.Compare(a.Model, b.Model) })
 	})
 	return m.accepted()
--- a/bluebell/bluebellstate/deployment_test.go
+++ b/bluebell/bluebellstate/deployment_test.go
@@ -61,6 +61,21 @@
 	require.Empty(t, m.View().Deployment.DomainsOut)
 }
 
+func TestEarlierWeightsKeepTheirTimes(t *testing.T) {
+	m := bluebellstate.New()
+	for i := range 40 {
+		c := nameWeights("m0", uint64(i+1))
+		c.UnixNanos = int64(1000 + i)
+		m.Apply(c)
+	}
+	w := m.View().Deployment.Weights[0]
+	require.Equal(t, uint64(40), w.Version)
+	require.Equal(t, int64(1039), w.NamedAt)
+	require.Len(t, w.Earlier, 16)
+	require.Equal(t, uint64(39), w.Earlier[15].Version)
+	require.Equal(t, int64(1038), w.Earlier[15].NamedAt)
+}
+
 func TestASnapshotHoldsTheDeployment(t *testing.T) {
 	m := bluebellstate.New()
 	m.Apply(declare(4, "four"))
--- a/bluebellcore/internal/bluebellkeeper/peers.go
+++ b/bluebellcore/internal/bluebellkeeper/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/bluebell/bluebellraft"
 	"bluebellhaven.org/bluebell/bluebellvoter"
 )
@@ -29,7 +30,7 @@
 			return result, k.awaitRevision(ctx, result.Revision)
 		}
 		failed = err
-		sleep(ctx, proposePause)
+		bluebellprocess.Sleep(ctx, proposePause)
 	}
 	return nil, fmt.Errorf("not agreed in time: %w", failed)
 }
@@ -61,20 +62,13 @@
 		if own >= revision || deployment == nil && revision == 0 {
 			return nil
 		}
-		sleep(ctx, proposePause/10)
+		bluebellprocess.Sleep(ctx, proposePause/10)
 		if ctx.Err() != nil {
 			return fmt.Errorf("revision %d shows here, %d is awaited", own, revision)
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // handler answers the calls of other processes.
 type handler struct {
 	*pb.DRPCPeerUnimplementedServer
--- a/bluebellcore/internal/bluebellorder/order.go
+++ b/bluebellcore/internal/bluebellorder/order.go
@@ -13,11 +13,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -29,6 +31,7 @@
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/bluebell/bluebellstate"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
@@ -49,9 +52,10 @@
 	loadTimeout = 6 * time.Second
 	// retryAfter is the pause after an order that failed.
 	retryAfter = 500 * time.Millisecond
-	// parallelShare of a model's endpoints load at once; loading takes longer when
-	// more do. One more waits for its running calls.
-	parallelShare = 0.2
+	// parallelShare of a model's endpoints are under an order at once: about half of them
+	// load, for a second or more, the others wait for their running calls, for two or
+	// three. All must be done within the time for weights (10 s on both users' sheets).
+	parallelShare = 0.4
 	minParallel   = 2
 	maxReply      = 1 << 20 // bytes
 	// silentFor is how old a registration may be for an endpoint to be ordered.
@@ -200,13 +204,15 @@
 			busy[e.Target]++
 		}
 	}
+	// Those with the oldest weights have the least time left.
+	slices.SortStableFunc(endpoints, func(a, b bluebellfleet.Endpoint) int { return cmp.Compare(oldest(a), oldest(b)) })
 	var jobs []job
 	for _, e := range endpoints {
 		model, version, outdated := wanted(e, d)
 		if !outdated || o.loading[e.ID] || now < o.retryAt[e.ID] || now-e.HeardAt > silentFor {
 			continue
 		}
-		if busy[e.Target] > max(minParallel, int(parallelShare*float64(serving[e.Target]))) {
+		if busy[e.Target] >= max(minParallel, int(math.Ceil(parallelShare*float64(serving[e.Target])))) {
 			continue
 		}
 		busy[e.Target]++
@@ -215,6 +221,15 @@
 	return jobs
 }
 
+// oldest returns the lowest version of any of an endpoint's weights.
+func oldest(e bluebellfleet.Endpoint) uint64 {
+	lowest := uint64(math.MaxUint64)
+	for _, version := range e.Weights {
+		lowest = min(lowest, version)
+	}
+	return lowest
+}
+
 func (o *Orderer) start(j job) { o.setLoading(j.endpoint.ID, true) }
 
 func (o *Orderer) end(j job) { o.setLoading(j.endpoint.ID, false) }
@@ -234,7 +249,7 @@
 func (o *Orderer) carryOut(ctx context.Context, j job) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	sleep(ctx, spreadTime)
+	bluebellprocess.Sleep(ctx, spreadTime)
 	start := o.cfg.Now()
 	status, err := o.order(ctx, j)
 	o.cfg.Count("orders")
@@ -273,7 +288,7 @@
 }
 
 func (o *Orderer) awaitLoaded(ctx context.Context, j job) error {
-	sleep(ctx, firstReport)
+	bluebellprocess.Sleep(ctx, firstReport)
 	for ctx.Err() == nil {
 		_, text, err := o.call(ctx, j, http.MethodGet, bluebellplatform.ReportPath, nil)
 		if err == nil {
@@ -286,7 +301,7 @@
 		if known, found := o.cfg.Registry.Endpoint(j.endpoint.ID); !found || known.Born != j.endpoint.Born || known.State == bluebellfleet.Gone {
 			return errors.New("the endpoint is gone")
 		}
-		sleep(ctx, reportEvery)
+		bluebellprocess.Sleep(ctx, reportEvery)
 	}
 	return ctx.Err()
 }
@@ -313,10 +328,3 @@
 	}
 	return response.StatusCode, text, nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/bluebellcore/internal/bluebellorder/order_test.go
+++ b/bluebellcore/internal/bluebellorder/order_test.go
@@ -45,7 +45,6 @@
 	agrees   atomic.Bool
 	loading  atomic.Int64
 	most     atomic.Int64
-	busy     atomic.Int64
 	fencing  atomic.Uint64
 	named    atomic.Uint64
 }
--- a/bluebellcore/internal/bluebellstock/stock.go
+++ b/bluebellcore/internal/bluebellstock/stock.go
@@ -22,6 +22,7 @@
 
 	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellplan"
+	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
@@ -95,7 +96,7 @@
 				s.cfg.Directory.Forget(address)
 			}
 		}
-		sleep(ctx, lookEvery)
+		bluebellprocess.Sleep(ctx, lookEvery)
 	}
 	for _, cancel := range followed {
 		cancel()
@@ -122,7 +123,7 @@
 				s.cfg.Logger.Warn("store lost", "Store", address, "Error", err)
 			}
 			f.setFollowing(false)
-			sleep(ctx, pause)
+			bluebellprocess.Sleep(ctx, pause)
 			pause = min(2*pause, lastPause)
 			continue
 		}
@@ -252,10 +253,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/bluebellcore/main.go
+++ b/bluebellcore/main.go
@@ -7,11 +7,11 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alexflint/go-arg"
+	"github.com/charmbracelet/log"
 
+	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/bluebellcore/internal/bluebellkeeper"
 )
@@ -29,31 +29,21 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	if err := run(args); err != nil {
+	if err := program.Main(args.Settings, args.LogLevel); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(args arguments) error {
-	logger, closeLog, err := bluebellprocess.Logger(args.LogLevel)
-	if err != nil {
-		return err
-	}
-	defer closeLog()
-	settings, err := bluebellprocess.OpenCoreSettings(args.Settings)
-	if err != nil {
-		return err
-	}
-	current := settings.Current()
-	bluebellprocess.Limit(current.MemoryMB, current.Processors)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	keeper, err := bluebellkeeper.New(bluebellkeeper.Config{Settings: settings.Current, Logger: logger})
-	if err != nil {
-		logger.Error("not started", "Error", err)
-		return err
-	}
-	go settings.Watch(ctx, logger)
-	return keeper.Run(ctx)
+var program = bluebellprocess.Program[*pb.CoreSettings]{
+	Open:   bluebellprocess.OpenCoreSettings,
+	Limits: func(s *pb.CoreSettings) (uint32, uint32) { return s.MemoryMB, s.Processors },
+	Run: func(ctx context.Context, settings func() *pb.CoreSettings, logger *log.Logger) error {
+		keeper, err := bluebellkeeper.New(bluebellkeeper.Config{Settings: settings, Logger: logger})
+		if err != nil {
+			logger.Error("not started", "Error", err)
+			return err
+		}
+		return keeper.Run(ctx)
+	},
 }
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -84,7 +85,7 @@
 
 	mu         sync.Mutex
 	deployment *pb.Deployment
-	named      map[string]bluebellplace.Named
+	named      map[string][]bluebellplace.Named
 }
 
 // New puts a gateway together.
@@ -92,7 +93,7 @@
 	s := cfg.Settings()
 	g := &Gateway{
 		cfg: cfg, address: bluebellprocess.HostPort(s.Address, s.PeerPort), started: time.Now(),
-		changed: make(chan struct{}, 1), named: map[string]bluebellplace.Named{},
+		changed: make(chan struct{}, 1), named: map[string][]bluebellplace.Named{},
 		metrics: bluebellmetrics.New(bluebellmetrics.Config{Prefix: "bluebell_gate", Logger: cfg.Logger}),
 	}
 	g.state.Store(&bluebellfront.State{})
@@ -204,8 +205,9 @@
 	g.mu.Lock()
 	g.deployment = d
 	for _, w := range d.Weights {
-		if g.named[w.Model].Version < w.Version {
-			g.named[w.Model] = bluebellplace.Named{Version: w.Version, Since: g.now()}
+		g.named[w.Model] = g.named[w.Model][:0:0]
+		for _, n := range append(slices.Clone(w.Earlier), &pb.NamedVersion{Version: w.Version, NamedAt: w.NamedAt}) {
+			g.named[w.Model] = append(g.named[w.Model], bluebellplace.Named{Version: n.Version, Since: g.since(n.NamedAt)})
 		}
 	}
 	g.mu.Unlock()
@@ -214,6 +216,12 @@
 	g.cfg.Logger.Info("deployment in force", "Revision", revision, "Version", d.Version, "DomainsOut", d.DomainsOut, "Weights", d.Weights)
 }
 
+// since returns when weights were named, on this entry's clock. The times of day of
+// VMs differ: one that seems to lie ahead counts as now.
+func (g *Gateway) since(unixNanos int64) time.Duration {
+	return g.now() - max(time.Since(time.Unix(0, unixNanos)), 0)
+}
+
 // refresh hands what is known of the endpoints to the placer.
 func (g *Gateway) refresh(ctx context.Context) {
 	ticker := time.NewTicker(refreshEvery)
@@ -236,7 +244,7 @@
 	endpoints := g.registry.Endpoints()
 	fleet := bluebellplace.Fleet{
 		Endpoints: endpoints, DomainsOut: g.deployment.GetDomainsOut(), Loading: g.follower.Loading(),
-		Named: make(map[string]bluebellplace.Named, len(g.named)), Entries: g.follower.Entries(),
+		Named: make(map[string][]bluebellplace.Named, len(g.named)), Entries: g.follower.Entries(),
 		ColdRates: map[string]float64{}, Rooms: map[string]int{}, Others: g.others(), Current: g.follower.Fresh() > 0,
 	}
 	for model, named := range g.named {
--- /dev/null
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -0,0 +1,169 @@
+package bluebellrelay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"bluebellhaven.org/bluebell/bluebellplace"
+	"bluebellhaven.org/bluebell/bluebellplan"
+	"bluebellhaven.org/bluebellgate/internal/bluebelllink"
+	"bluebellhaven.org/platform/bluebellplatform"
+)
+
+// An answer is carried back only if it is known to be the endpoint's, in whole or, for a
+// stream, event by event.
+
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// errDeclined is the cause of a call that its endpoint did not run.
+var errDeclined = errors.New("the endpoint did not run the call")
+
+// answered handles an answer that has begun.
+func (s *serving) answered(ctx context.Context, choice bluebellplace.Choice, x *bluebelllink.Exchange, mayRepeat bool) step {
+	a := bluebellplatform.DecodeAnswer(x.Status(), x.Header())
+	if a.NotRun {
+		return s.declined(choice, x, a)
+	}
+	s.runs++
+	good := x.Status() < http.StatusMultipleChoices
+	if good && (!a.Sealed || a.Encoded) {
+		s.done(choice, bluebellplace.Spoiled, errors.New("the answer is not the endpoint's"))
+		return again
+	}
+	if good && s.q.Route.Work == bluebellplan.Stream {
+		return s.stream(ctx, choice, x, mayRepeat)
+	}
+	body, err := x.ReadAll(maxAnswer, s.q.Deadline)
+	if err != nil {
+		s.done(choice, s.readOutcome(ctx, err), err)
+		return again
+	}
+	s.firstEvent(choice)
+	if !good {
+		return s.errored(choice, x, a, body)
+	}
+	s.done(choice, bluebellplace.Answered, nil)
+	s.deliver(wholeAnswer{x.Status(), x.Header(), body})
+	return finished
+}
+
+func (s *serving) readOutcome(ctx context.Context, err error) bluebellplace.Outcome {
+	var failure *bluebelllink.Error
+	switch {
+	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return bluebellplace.Abandoned
+	case errors.As(err, &failure) && failure.Timeout:
+		return bluebellplace.Silent
+	}
+	return bluebellplace.Spoiled
+}
+
+func (s *serving) declined(choice bluebellplace.Choice, x *bluebelllink.Exchange, a bluebellplatform.Answer) step {
+	// The rest of the answer is of no use, but reading it keeps the connection.
+	_, err := x.ReadAll(maxAnswer, time.Now().Add(leastLeft))
+	outcome := bluebellplace.Declined
+	if a.OtherEndpoint {
+		outcome = bluebellplace.Misdirected
+	}
+	s.done(choice, outcome, errors.Join(errDeclined, err))
+	return again
+}
+
+// errored handles a failure that an endpoint answered with. It is kept while
+// another endpoint may do better. A status that promises that the call has not run
+// is not passed on, since it does not come with that promise.
+func (s *serving) errored(choice bluebellplace.Choice, x *bluebelllink.Exchange, a bluebellplatform.Answer, body []byte) step {
+	outcome := bluebellplace.Errored
+	if x.Status() < http.StatusInternalServerError {
+		outcome = bluebellplace.Answered
+	}
+	s.done(choice, outcome, errors.New(http.StatusText(x.Status())))
+	if a.Sealed && !promises(x.Status()) {
+		s.kept = &wholeAnswer{x.Status(), x.Header(), body}
+	}
+	if outcome == bluebellplace.Answered && s.kept != nil {
+		return finished
+	}
+	return again
+}
+
+// promises tells whether a status says that a call has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+func (s *serving) firstEvent(choice bluebellplace.Choice) {
+	cfg := &s.relay.cfg
+	cfg.Placer.FirstEvent(choice, cfg.Now())
+	cfg.Tier.Arrived(s.tier)
+	cfg.FirstEvent(s.q.Target.Name, cfg.Now()-s.start)
+}
+
+// stream passes events on as they come. After a break it goes on at another
+// endpoint behind the last event that the caller has.
+func (s *serving) stream(ctx context.Context, choice bluebellplace.Choice, x *bluebelllink.Exchange, mayRepeat bool) step {
+	first := true
+	for {
+		patience := eventPatience(s.q.Route, s.left(), mayRepeat)
+		if first {
+			patience = firstPatience(s.q.Route, choice, s.left(), mayRepeat)
+		}
+		event, err := x.Next(time.Now().Add(patience))
+		if errors.Is(err, io.EOF) {
+			s.done(choice, bluebellplace.Answered, nil)
+			s.begin(x.Status(), x.Header())
+			s.end("answered", x.Status())
+			return finished
+		}
+		if err != nil {
+			s.done(choice, s.readOutcome(ctx, err), err)
+			return again
+		}
+		if first {
+			first = false
+			s.firstEvent(choice)
+			s.begin(x.Status(), x.Header())
+		}
+		if err := s.sink.Write(event.Text); err != nil {
+			s.done(choice, bluebellplace.Abandoned, err)
+			s.cause = err
+			s.abort()
+		}
+		if event.ID != "" {
+			s.lastEvent = event.ID
+		}
+	}
+}
+
+func (s *serving) begin(status int, h http.Header) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.sink.Begin(status, bluebellplatform.CopyHeader(h))
+}
+
+func (s *serving) deliver(a wholeAnswer) {
+	s.begin(a.status, a.header)
+	if err := s.sink.Write(a.body); err != nil {
+		s.cause = err
+		s.abort()
+	}
+	s.end("answered", a.status)
+}
+
+func (s *serving) abort() {
+	s.end("broken off", 0)
+	s.sink.Abort()
+}
--- /dev/null
+++ b/bluebellgate/internal/bluebellrelay/query.go
@@ -0,0 +1,48 @@
+package bluebellrelay
+
+import (
+	"net/http"
+	"time"
+
+	"bluebellhaven.org/bluebell/bluebellplan"
+	"bluebellhaven.org/platform/bluebellplatform"
+)
+
+// A query is a caller's call once it has a route, a customer and its whole body.
+
+// Query is a caller's call as the front has read it.
+type Query struct {
+	Call     bluebellplatform.Call
+	Route    *bluebellplan.Route
+	Target   *bluebellplan.Target
+	Customer *bluebellplan.Customer
+	Method   string
+	// URI is the path with the query, as it came.
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Deadline is when the caller's or the route's time is over.
+	Deadline time.Time
+	// Revision of the deployment that the call was decided by.
+	Revision uint64
+}
+
+// priority of the call: that of the customer goes before that of the route.
+func (q *Query) priority() int {
+	customer := plainCustomer
+	if q.Customer != nil && q.Customer.HasPriority {
+		customer = q.Customer.Priority
+	}
+	return customer*routeRanks + min(q.Route.Priority, routeRanks-1)
+}
+
+// Sink is where the answer goes.
+type Sink struct {
+	// Begin sends the header. It is called once at most.
+	Begin func(status int, h http.Header)
+	// Write sends a part of the body at once.
+	Write func(part []byte) error
+	// Abort breaks the answer off visibly. It does not return.
+	Abort func()
+}
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -12,7 +11,6 @@
 
 	"bluebellhaven.org/bluebell/bluebelllimit"
 	"bluebellhaven.org/bluebell/bluebellplace"
-	"bluebellhaven.org/bluebell/bluebellplan"
 	"bluebellhaven.org/bluebell/bluebellqueue"
 	"bluebellhaven.org/bluebellgate/internal/bluebelllink"
 	"bluebellhaven.org/bluebellgate/internal/bluebelltier"
@@ -37,24 +35,6 @@
 	retryWait = 100 * time.Millisecond
 )
 
-// Query is a caller's call as the front has read it.
-type Query struct {
-	Call     bluebellplatform.Call
-	Route    *bluebellplan.Route
-	Target   *bluebellplan.Target
-	Customer *bluebellplan.Customer
-	Method   string
-	// URI is the path with the query, as it came.
-	URI    string
-	Host   string
-	Header http.Header
-	Body   []byte
-	// Deadline is when the caller's or the route's time is over.
-	Deadline time.Time
-	// Revision of the deployment that the call was decided by.
-	Revision uint64
-}
-
 const (
 	// routeRanks is the number of priorities of routes that are told apart within one
 	// priority of customers: with as many of these they fit the platform's ten.
@@ -63,32 +43,6 @@
 	plainCustomer = 1
 )
 
-// priority of the call: that of the customer goes before that of the route.
-func (q *Query) priority() int {
-	customer := plainCustomer
-	if q.Customer != nil && q.Customer.HasPriority {
-		customer = q.Customer.Priority
-	}
-	return customer*routeRanks + min(q.Route.Priority, routeRanks-1)
-}
-
-// Sink is where the answer goes.
-type Sink struct {
-	// Begin sends the header. It is called once at most.
-	Begin func(status int, h http.Header)
-	// Write sends a part of the body at once.
-	Write func(part []byte) error
-	// Abort breaks the answer off visibly. It does not return.
-	Abort func()
-}
-
-// Budget is the repeats that one target allows this entry.
-type Budget struct {
-	Ratio  float64
-	Window time.Duration
-	Slack  float64
-}
-
 // budgetReserve is the part of the bound on repeats that is left unused.
 const budgetReserve = 0.2
 
@@ -125,30 +79,6 @@
 	return &Relay{cfg: cfg, budgets: map[string]*bluebelllimit.WindowBudget{}, lobbies: map[string]*lobby{}}
 }
 
-// budget returns the budget of a target; the caller holds the lock.
-func (r *Relay) budget(target string) *bluebelllimit.WindowBudget {
-	b := r.budgets[target]
-	if b == nil {
-		b = &bluebelllimit.WindowBudget{
-			Window: r.cfg.Budget.Window, Ratio: r.cfg.Budget.Ratio, Slack: r.cfg.Budget.Slack, Reserve: budgetReserve,
-		}
-		r.budgets[target] = b
-	}
-	return b
-}
-
-func (r *Relay) noteCall(target string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.budget(target).Call(r.cfg.Now())
-}
-
-func (r *Relay) mayRepeat(target string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.budget(target).Repeat(r.cfg.Now(), r.cfg.Placer.Entries())
-}
-
 // serving is the course of one call.
 type serving struct {
 	relay *Relay
@@ -174,12 +104,6 @@
 	ended bool
 }
 
-type wholeAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // step tells what follows an attempt.
 type step int
 
@@ -276,31 +200,6 @@
 	return choice, absence
 }
 
-// shared describes the shared blocks of the prompt to the tier: all but the last,
-// which belongs to the call itself.
-func (s *serving) shared(weights uint64, domain string) bluebelltier.Request {
-	r := bluebelltier.Request{
-		Scope: s.cacheScope(weights), FailureDomain: domain, TokenBytes: s.q.Target.Engine.TokenBytes,
-	}
-	for _, b := range s.q.Call.Blocks[:max(len(s.q.Call.Blocks)-1, 0)] {
-		r.Blocks = append(r.Blocks, bluebelltier.Block{ID: b.ID, Tokens: b.Tokens})
-	}
-	return r
-}
-
-// describePrompt names the last block that other prompts share.
-func describePrompt(r *bluebellplace.Request, c bluebellplatform.Call) {
-	total := 0
-	for i, b := range c.Blocks {
-		total += b.Tokens
-		if i == len(c.Blocks)-2 || len(c.Blocks) == 1 {
-			r.Shared, r.SharedTokens = b.ID, total
-		}
-	}
-	r.OwnTokens = max(c.PromptTokens-r.SharedTokens, total-r.SharedTokens, 0)
-	r.OutputTokens = c.MaxOutputTokens
-}
-
 // attempt sends the call to one endpoint and carries its answer back.
 func (s *serving) attempt(ctx context.Context) step {
 	choice, absence := s.place(ctx)
@@ -399,149 +298,3 @@
 	cfg.Logger.Warn("attempt failed", "Call", s.q.Call.ID, "Endpoint", choice.Endpoint.ID, "Outcome", o, "Error", err,
 		"Attempt", s.sends, "Took", (cfg.Now() - s.start).Round(time.Millisecond))
 }
-
-// errDeclined is the cause of a call that its endpoint did not run.
-var errDeclined = errors.New("the endpoint did not run the call")
-
-// answered handles an answer that has begun.
-func (s *serving) answered(ctx context.Context, choice bluebellplace.Choice, x *bluebelllink.Exchange, mayRepeat bool) step {
-	a := bluebellplatform.DecodeAnswer(x.Status(), x.Header())
-	if a.NotRun {
-		return s.declined(choice, x, a)
-	}
-	s.runs++
-	good := x.Status() < http.StatusMultipleChoices
-	if good && (!a.Sealed || a.Encoded) {
-		s.done(choice, bluebellplace.Spoiled, errors.New("the answer is not the endpoint's"))
-		return again
-	}
-	if good && s.q.Route.Work == bluebellplan.Stream {
-		return s.stream(ctx, choice, x, mayRepeat)
-	}
-	body, err := x.ReadAll(maxAnswer, s.q.Deadline)
-	if err != nil {
-		s.done(choice, s.readOutcome(ctx, err), err)
-		return again
-	}
-	s.firstEvent(choice)
-	if !good {
-		return s.errored(choice, x, a, body)
-	}
-	s.done(choice, bluebellplace.Answered, nil)
-	s.deliver(wholeAnswer{x.Status(), x.Header(), body})
-	return finished
-}
-
-func (s *serving) readOutcome(ctx context.Context, err error) bluebellplace.Outcome {
-	var failure *bluebelllink.Error
-	switch {
-	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return bluebellplace.Abandoned
-	case errors.As(err, &failure) && failure.Timeout:
-		return bluebellplace.Silent
-	}
-	return bluebellplace.Spoiled
-}
-
-func (s *serving) declined(choice bluebellplace.Choice, x *bluebelllink.Exchange, a bluebellplatform.Answer) step {
-	// The rest of the answer is of no use, but reading it keeps the connection.
-	_, err := x.ReadAll(maxAnswer, time.Now().Add(leastLeft))
-	outcome := bluebellplace.Declined
-	if a.OtherEndpoint {
-		outcome = bluebellplace.Misdirected
-	}
-	s.done(choice, outcome, errors.Join(errDeclined, err))
-	return again
-}
-
-// errored handles a failure that an endpoint answered with. It is kept while
-// another endpoint may do better. A status that promises that the call has not run
-// is not passed on, since it does not come with that promise.
-func (s *serving) errored(choice bluebellplace.Choice, x *bluebelllink.Exchange, a bluebellplatform.Answer, body []byte) step {
-	outcome := bluebellplace.Errored
-	if x.Status() < http.StatusInternalServerError {
-		outcome = bluebellplace.Answered
-	}
-	s.done(choice, outcome, errors.New(http.StatusText(x.Status())))
-	if a.Sealed && !promises(x.Status()) {
-		s.kept = &wholeAnswer{x.Status(), x.Header(), body}
-	}
-	if outcome == bluebellplace.Answered && s.kept != nil {
-		return finished
-	}
-	return again
-}
-
-// promises tells whether a status says that a call has not run.
-func promises(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-func (s *serving) firstEvent(choice bluebellplace.Choice) {
-	cfg := &s.relay.cfg
-	cfg.Placer.FirstEvent(choice, cfg.Now())
-	cfg.Tier.Arrived(s.tier)
-	cfg.FirstEvent(s.q.Target.Name, cfg.Now()-s.start)
-}
-
-// stream passes events on as they come. After a break it goes on at another
-// endpoint behind the last event that the caller has.
-func (s *serving) stream(ctx context.Context, choice bluebellplace.Choice, x *bluebelllink.Exchange, mayRepeat bool) step {
-	first := true
-	for {
-		patience := eventPatience(s.q.Route, s.left(), mayRepeat)
-		if first {
-			patience = firstPatience(s.q.Route, choice, s.left(), mayRepeat)
-		}
-		event, err := x.Next(time.Now().Add(patience))
-		if errors.Is(err, io.EOF) {
-			s.done(choice, bluebellplace.Answered, nil)
-			s.begin(x.Status(), x.Header())
-			s.end("answered", x.Status())
-			return finished
-		}
-		if err != nil {
-			s.done(choice, s.readOutcome(ctx, err), err)
-			return again
-		}
-		if first {
-			first = false
-			s.firstEvent(choice)
-			s.begin(x.Status(), x.Header())
-		}
-		if err := s.sink.Write(event.Text); err != nil {
-			s.done(choice, bluebellplace.Abandoned, err)
-			s.cause = err
-			s.abort()
-		}
-		if event.ID != "" {
-			s.lastEvent = event.ID
-		}
-	}
-}
-
-func (s *serving) begin(status int, h http.Header) {
-	if s.begun {
-		return
-	}
-	s.begun = true
-	s.sink.Begin(status, bluebellplatform.CopyHeader(h))
-}
-
-func (s *serving) deliver(a wholeAnswer) {
-	s.begin(a.status, a.header)
-	if err := s.sink.Write(a.body); err != nil {
-		s.cause = err
-		s.abort()
-	}
-	s.end("answered", a.status)
-}
-
-func (s *serving) abort() {
-	s.end("broken off", 0)
-	s.sink.Abort()
-}
--- a/bluebellgate/main.go
+++ b/bluebellgate/main.go
@@ -6,11 +6,11 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alexflint/go-arg"
+	"github.com/charmbracelet/log"
 
+	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/bluebellgate/internal/bluebellgateway"
 )
@@ -28,26 +28,16 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	if err := run(args); err != nil {
+	if err := program.Main(args.Settings, args.LogLevel); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(args arguments) error {
-	logger, closeLog, err := bluebellprocess.Logger(args.LogLevel)
-	if err != nil {
-		return err
-	}
-	defer closeLog()
-	settings, err := bluebellprocess.OpenGateSettings(args.Settings)
-	if err != nil {
-		return err
-	}
-	current := settings.Current()
-	bluebellprocess.Limit(current.MemoryMB, current.Processors)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go settings.Watch(context.WithoutCancel(ctx), logger)
-	return bluebellgateway.New(bluebellgateway.Config{Settings: settings.Current, Logger: logger}).Run(ctx)
+var program = bluebellprocess.Program[*pb.GateSettings]{
+	Open:   bluebellprocess.OpenGateSettings,
+	Limits: func(s *pb.GateSettings) (uint32, uint32) { return s.MemoryMB, s.Processors },
+	Run: func(ctx context.Context, settings func() *pb.GateSettings, logger *log.Logger) error {
+		return bluebellgateway.New(bluebellgateway.Config{Settings: settings, Logger: logger}).Run(ctx)
+	},
 }
--- a/bluebellsoak/bluebelldrill/proxy.go
+++ b/bluebellsoak/bluebelldrill/proxy.go
@@ -163,7 +163,7 @@
 func (p *proxy) forward(to, client net.Conn, data []byte, forward bool) bool {
 	m, stuck := p.current(client)
 	switch {
-	case m == silencing, m == deaf && !forward, stuck && !(m == deaf && forward):
+	case m == silencing, m == deaf && !forward, stuck && (m != deaf || !forward):
 		p.mu.Lock()
 		p.stuck[client] = true
 		p.mu.Unlock()
