--- a/bluebellctl/operate.go
+++ b/bluebellctl/operate.go
@@ -121,7 +121,8 @@
 	}
 	behind, err := client.WaitInForce(result.Revision, vms, c.Wait)
 	if len(behind) > 0 {
-		return exitWith(exitNotInForce, "revision %d is agreed, but not known to be in force at %s (last error: %v)", result.Revision, strings.Join(behind, ", "), err)
+		return exitWith(exitNotInForce, "revision %d is agreed, but %s did not report it to be in force within %v%s",
+			result.Revision, strings.Join(behind, ", "), c.Wait, lastError(err))
 	}
 	return c.print(result, fmt.Sprintf("revision %d agreed after %v, in force at all %d VMs after %v\n",
 		result.Revision, agreed.Round(time.Millisecond), len(vms), time.Since(startedAt).Round(time.Millisecond)))
@@ -265,6 +266,14 @@
 	return errNoCommand
 }
 
+// lastError tells what went wrong during a wait, if anything did.
+func lastError(err error) string {
+	if err == nil {
+		return "; no call failed"
+	}
+	return fmt.Sprintf("; last error: %v", err)
+}
+
 func (m *moveWaitCommand) run() error {
 	client, err := m.client()
 	if err != nil {
@@ -281,7 +290,7 @@
 			}
 		}
 		if time.Now().After(deadline) {
-			return exitWith(exitNotInForce, "the move of %s has not ended (last error: %v)", m.Target, err)
+			return exitWith(exitNotInForce, "the move of %s has not ended within %v%s", m.Target, m.Timeout, lastError(err))
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
