What an answer is expected to take holds no weights of the choice

Cause (reading): the expected time by which a call is held to be unanswered had in it what a choice costs other prompts, 0.6 s and more for endpoints that are no home, so a silent one was left four times that later.

--- a/bluebell/bluebellplace/cost.go
+++ b/bluebell/bluebellplace/cost.go
@@ -20,36 +20,15 @@
 	return sum / time.Duration(max(n, 1))
 }
 
-// cost sets the expected time to the first event, and what there is to read.
-func (p *Placer) cost(now time.Duration, g *group, c *candidate, r Request) {
-	missing := 1.0
-	switch seen := g.seen[r.Shared]; {
-	case r.Shared != "" && seen.endpoint == c.endpoint.ID && now-seen.at < seenFor:
-		missing = seenMissing
-	case c.home:
-		missing = homeMissing
-	case c.second:
-		missing = secondMissing
-	}
+// weigh sets what a choice of the candidate costs: the time until the first event, and
+// what it costs other prompts.
+func (p *Placer) weigh(now time.Duration, g *group, c *candidate, r Request) {
 	if r.Model == "" {
 		// Plain services are compared by what runs there.
-		c.cost = c.belief.typical() * time.Duration(1+c.belief.running)
+		c.expected = c.belief.typical() * time.Duration(1+c.belief.running)
+		c.cost = c.expected
 	} else {
-		c.missing = r.OwnTokens
-		if r.Fetch > 0 {
-			c.cost = time.Duration(missing * fetchWeight * float64(r.Fetch))
-		} else {
-			again := int(math.Round(missing * float64(r.SharedTokens)))
-			c.missing += again
-			if !c.home {
-				c.cost += readTime((rereadWeight - 1) * again)
-			}
-		}
-		others := p.fleet.Others[c.endpoint.ID]
-		c.cost += readTime(c.missing+c.belief.reading+others.Unread) + time.Duration(c.belief.running+others.Calls)*stepCost
-		if c.weights < p.fleet.newest(r.Model) {
-			c.cost += outdatedCost
-		}
+		p.weighPrompt(c, r, missingAt(now, g, c, r))
 	}
 	if !c.home && r.Shared != "" {
 		c.cost += awayCost
@@ -62,6 +41,42 @@
 	}
 }
 
+// missingAt returns the part of the shared blocks that an endpoint is expected to lack.
+func missingAt(now time.Duration, g *group, c *candidate, r Request) float64 {
+	seen := g.seen[r.Shared]
+	switch {
+	case r.Shared != "" && seen.endpoint == c.endpoint.ID && now-seen.at < seenFor:
+		return seenMissing
+	case c.home:
+		return homeMissing
+	case c.second:
+		return secondMissing
+	}
+	return 1
+}
+
+// weighPrompt does so for an engine, which lacks a part of the shared blocks.
+func (p *Placer) weighPrompt(c *candidate, r Request, missing float64) {
+	c.missing = r.OwnTokens
+	others := p.fleet.Others[c.endpoint.ID]
+	var fetch, again time.Duration
+	if r.Fetch > 0 {
+		fetch = time.Duration(missing * float64(r.Fetch))
+	} else {
+		tokens := int(math.Round(missing * float64(r.SharedTokens)))
+		c.missing += tokens
+		again = readTime(tokens)
+	}
+	c.expected = fetch + readTime(c.missing+c.belief.reading+others.Unread) + time.Duration(c.belief.running+others.Calls)*stepCost
+	c.cost = c.expected + (fetchWeight-1)*fetch
+	if !c.home {
+		c.cost += (rereadWeight - 1) * again
+	}
+	if c.weights < p.fleet.newest(r.Model) {
+		c.cost += outdatedCost
+	}
+}
+
 func readTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / readRate * float64(time.Second))
 }
--- a/bluebell/bluebellplace/place.go
+++ b/bluebell/bluebellplace/place.go
@@ -48,8 +48,7 @@
 	// takes the store's link from the fetches of others, and pushes blocks out.
 	fetchWeight = 4
 	// awayCost is what a call away from its home costs later prompts, whose blocks it
-	// pushes out: and it keeps calls at home while the home is not
-	// busier than others.
+	// pushes out. It keeps calls at home while the home is not busier than others.
 	awayCost = 15 * time.Millisecond
 	// fillShare of an engine's memory is given to running calls; the rest holds the
 	// blocks of the prompts that return to it. Engines that were filled with running
@@ -83,12 +82,10 @@
 	Endpoint bluebellfleet.Endpoint
 	// Weights that the endpoint is known to have; 0 for plain services.
 	Weights uint64
-	// Home tells whether the endpoint is the prompt's home, whose address is
-	// HomeAddress.
-	// HomeAddress is "" while the home is suspect.
-	Home        bool
-	HomeAddress string
-	HomeDomain  string
+	// Home tells whether the endpoint is the prompt's home.
+	Home bool
+	// HomeAddress of the prompt's home, "" while that is suspect, and its failure domain.
+	HomeAddress, HomeDomain string
 	// Expected time to the first event, and the mean time that the target's endpoints
 	// have lately taken.
 	Expected, Typical time.Duration
@@ -171,6 +168,7 @@
 	home     bool
 	second   bool
 	full     bool
+	expected time.Duration
 	cost     time.Duration
 	missing  int
 }
@@ -195,7 +193,7 @@
 	}
 	home := homeOf(markHomes(candidates, r.Shared))
 	for i := range candidates {
-		p.cost(now, g, &candidates[i], r)
+		p.weigh(now, g, &candidates[i], r)
 	}
 	slices.SortFunc(candidates, compareCandidates)
 	// With all of a prompt's homes suspect there is nothing to wait for.
@@ -214,8 +212,8 @@
 			continue
 		}
 		return Choice{
-			Endpoint: c.endpoint, Weights: c.weights, Home: c.home, HomeAddress: home.address, HomeDomain: home.domain, Expected: c.cost, Typical: g.typical(),
-			HeardAgo: now - c.endpoint.HeardAt, Candidates: len(candidates),
+			Endpoint: c.endpoint, Weights: c.weights, Home: c.home, HomeAddress: home.address, HomeDomain: home.domain,
+			Expected: c.expected, Typical: g.typical(), HeardAgo: now - c.endpoint.HeardAt, Candidates: len(candidates),
 			missing: c.missing, tokens: r.Tokens(), shared: r.Shared, read: new(bool),
 		}, Present
 	}
--- a/bluebell/bluebellplace/place_test.go
+++ b/bluebell/bluebellplace/place_test.go
@@ -111,6 +111,21 @@
 	require.LessOrEqual(t, len(used), 3)
 }
 
+// What a choice costs others says nothing of how long its answer takes, by which a call
+// is held to be unanswered.
+func TestTheExpectedTimeHoldsNoWeights(t *testing.T) {
+	f := fleet(6)
+	f.Named = map[string][]bluebellplace.Named{"m0": {{Version: 2, Since: second}}}
+	p := placer(config, f)
+	r := prompt("doc")
+	for range 6 {
+		choice, absence := p.Pick(second, r)
+		require.Equal(t, bluebellplace.Present, absence)
+		require.Less(t, choice.Expected, 300*time.Millisecond, "10,000 tokens")
+		r.Tried = append(r.Tried, choice.Endpoint.ID)
+	}
+}
+
 // The load pattern: all engines are nearly full, and one that is no home of a prompt has
 // just become free. The prompt waits for its homes first.
 func TestAPromptWaitsForItsHomes(t *testing.T) {
--- a/bluebellgate/internal/bluebellrelay/budget.go
+++ b/bluebellgate/internal/bluebellrelay/budget.go
@@ -8,6 +8,9 @@
 
 // Repeats are bounded for each target, over all entries together.
 
+// budgetReserve is the part of the bound on repeats that is left unused.
+const budgetReserve = 0.2
+
 // Budget is the repeats that one target allows this entry.
 type Budget struct {
 	Ratio  float64
--- a/bluebellgate/internal/bluebellrelay/query.go
+++ b/bluebellgate/internal/bluebellrelay/query.go
@@ -10,6 +10,14 @@
 
 // A query is a caller's call once it has a route, a customer and its whole body.
 
+const (
+	// routeRanks is the number of priorities of routes that are told apart within one
+	// priority of customers: with as many of these they fit the platform's ten.
+	routeRanks = 3
+	// plainCustomer is the priority of a customer that has none, the middle one.
+	plainCustomer = 1
+)
+
 // Query is a caller's call as the front has read it.
 type Query struct {
 	Call     bluebellplatform.Call
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -35,17 +35,6 @@
 	retryWait = 100 * time.Millisecond
 )
 
-const (
-	// routeRanks is the number of priorities of routes that are told apart within one
-	// priority of customers: with as many of these they fit the platform's ten.
-	routeRanks = 3
-	// plainCustomer is the priority of a customer that has none, the middle one.
-	plainCustomer = 1
-)
-
-// budgetReserve is the part of the bound on repeats that is left unused.
-const budgetReserve = 0.2
-
 // Config sets up a Relay.
 type Config struct {
 	Placer *bluebellplace.Placer
