--- /dev/null
+++ b/bluebellgate/internal/bluebelllink/link_test.go
@@ -0,0 +1,251 @@
+package bluebelllink_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebellgate/internal/bluebelllink"
+)
+
+const patience = 5 * time.Second
+
+// server answers connections by a script.
+type server struct {
+	address string
+	opened  atomic.Int64
+}
+
+func serve(t *testing.T, script func(conn net.Conn, r *bufio.Reader)) *server {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &server{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.opened.Add(1)
+			go func() {
+				defer func() { _ = conn.Close() }()
+				script(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return s
+}
+
+// read takes in one call and returns its ID.
+func read(r *bufio.Reader) (string, bool) {
+	call, err := http.ReadRequest(r)
+	if err != nil {
+		return "", false
+	}
+	if _, err := io.Copy(io.Discard, call.Body); err != nil {
+		return "", false
+	}
+	return call.Header.Get("Id"), true
+}
+
+func answer(w io.Writer, id, body string) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func request(s *server, id, body string) bluebelllink.Request {
+	return bluebelllink.Request{
+		Address: s.address, Method: http.MethodPost, URI: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body),
+		Answers:       func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		ConnectWithin: time.Second, AnswerBy: time.Now().Add(patience),
+	}
+}
+
+func do(t *testing.T, c *bluebelllink.Client, r bluebelllink.Request) (string, error) {
+	t.Helper()
+	x, err := c.Do(context.Background(), r)
+	if err != nil {
+		return "", err
+	}
+	defer x.Close()
+	body, err := x.ReadAll(1<<20, time.Now().Add(patience))
+	return string(body), err
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			id, ok := read(r)
+			if !ok {
+				return
+			}
+			answer(conn, id, "answer "+id)
+		}
+	})
+	c := bluebelllink.NewClient(bluebelllink.Config{})
+	for i := range 20 {
+		id := fmt.Sprint(i)
+		body, err := do(t, c, request(s, id, strings.Repeat("x", i*1000)))
+		require.NoError(t, err)
+		require.Equal(t, "answer "+id, body)
+	}
+	require.Equal(t, int64(1), s.opened.Load())
+	c.Retain(map[string]bool{})
+	_, err := do(t, c, request(s, "last", ""))
+	require.NoError(t, err)
+	require.Equal(t, int64(2), s.opened.Load(), "nothing is kept to an endpoint that is gone")
+}
+
+func TestAnAnswerToAnotherCallIsSkipped(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		id, _ := read(r)
+		answer(conn, "an earlier call", "not yours")
+		answer(conn, id, "yours")
+		read(r)
+	})
+	body, err := do(t, bluebelllink.NewClient(bluebelllink.Config{}), request(s, "1", ""))
+	require.NoError(t, err)
+	require.Equal(t, "yours", body)
+}
+
+// A connection on which something came while it was idle carries no other call.
+func TestAConnectionWithStrayBytesIsNotUsed(t *testing.T) {
+	stray := make(chan struct{}, 8)
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		id, ok := read(r)
+		if !ok {
+			return
+		}
+		answer(conn, id, "first")
+		answer(conn, id, "again")
+		stray <- struct{}{}
+		read(r)
+	})
+	c := bluebelllink.NewClient(bluebelllink.Config{})
+	for i := range 3 {
+		body, err := do(t, c, request(s, fmt.Sprint(i), ""))
+		require.NoError(t, err)
+		require.Equal(t, "first", body)
+		<-stray
+	}
+	require.Equal(t, int64(3), s.opened.Load())
+}
+
+func TestAConnectionThatWasClosedIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 8)
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		id, _ := read(r)
+		answer(conn, id, "only")
+		_ = conn.Close()
+		closed <- struct{}{}
+	})
+	c := bluebelllink.NewClient(bluebelllink.Config{})
+	for i := range 3 {
+		_, err := do(t, c, request(s, fmt.Sprint(i), ""))
+		require.NoError(t, err, "call %d", i)
+		<-closed
+	}
+}
+
+// An endpoint may answer before it has read a long body. The connection is not used
+// again: the rest of the body is due on it.
+func TestAnEarlyAnswerEndsItsConnection(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		call, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		answer(conn, call.Header.Get("Id"), "too long")
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, r)
+	})
+	c := bluebelllink.NewClient(bluebelllink.Config{})
+	for i := range 2 {
+		body, err := do(t, c, request(s, fmt.Sprint(i), strings.Repeat("x", 32<<20)))
+		require.NoError(t, err)
+		require.Equal(t, "too long", body)
+	}
+	require.Equal(t, int64(2), s.opened.Load())
+}
+
+func TestErrorsTellWhetherTheCallMayHaveRun(t *testing.T) {
+	silent := serve(t, func(_ net.Conn, r *bufio.Reader) {
+		read(r)
+		read(r)
+	})
+	r := request(silent, "1", "")
+	r.AnswerBy = time.Now().Add(50 * time.Millisecond)
+	_, err := do(t, bluebelllink.NewClient(bluebelllink.Config{}), r)
+	var failure *bluebelllink.Error
+	require.ErrorAs(t, err, &failure)
+	require.True(t, failure.Sent)
+	require.True(t, failure.Timeout)
+
+	closing := serve(t, func(conn net.Conn, r *bufio.Reader) { read(r) })
+	_, err = do(t, bluebelllink.NewClient(bluebelllink.Config{}), request(closing, "1", ""))
+	require.ErrorAs(t, err, &failure)
+	require.True(t, failure.Sent)
+	require.False(t, failure.Timeout)
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := &server{address: listener.Addr().String()}
+	require.NoError(t, listener.Close())
+	_, err = do(t, bluebelllink.NewClient(bluebelllink.Config{}), request(gone, "1", ""))
+	require.ErrorAs(t, err, &failure)
+	require.False(t, failure.Sent)
+	require.Equal(t, bluebelllink.Connecting, failure.Stage)
+}
+
+func events(conn net.Conn, id, body string, whole bool) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", id, len(body), body)
+	if whole {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+}
+
+func TestEventsAreWhole(t *testing.T) {
+	for _, c := range []struct {
+		body  string
+		whole bool
+		want  []string
+		end   error
+	}{
+		{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true, []string{"1", "2"}, io.EOF},
+		{"id: 1\r\ndata: a\r\n\r\n", true, []string{"1"}, io.EOF},
+		{"weight-versions: 2\nid: 1\ndata: a\n\n", true, []string{"1"}, io.EOF},
+		{"id: 1\ndata: a\n\nid: 2\nda", true, []string{"1"}, bluebelllink.ErrTruncated},
+		{"id: 1\ndata: a\n\nid: 2\nda", false, []string{"1"}, io.ErrUnexpectedEOF},
+	} {
+		s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+			id, _ := read(r)
+			events(conn, id, c.body, c.whole)
+		})
+		x, err := bluebelllink.NewClient(bluebelllink.Config{}).Do(context.Background(), request(s, "1", ""))
+		require.NoError(t, err)
+		var ids []string
+		var text strings.Builder
+		for err == nil {
+			var e bluebelllink.Event
+			if e, err = x.Next(time.Now().Add(patience)); err == nil {
+				ids = append(ids, e.ID)
+				text.Write(e.Text)
+			}
+		}
+		x.Close()
+		require.Equal(t, c.want, ids, c.body)
+		require.True(t, errors.Is(err, c.end), "%q: %v", c.body, err)
+		require.True(t, strings.HasPrefix(c.body, text.String()), "events are passed on as they came")
+	}
+}
