--- a/bluebellgate/internal/bluebelllink/link_test.go
+++ b/bluebellgate/internal/bluebelllink/link_test.go
@@ -192,7 +192,7 @@
 	require.True(t, failure.Sent)
 	require.True(t, failure.Timeout)
 
-	closing := serve(t, func(conn net.Conn, r *bufio.Reader) { read(r) })
+	closing := serve(t, func(_ net.Conn, r *bufio.Reader) { read(r) })
 	_, err = do(t, bluebelllink.NewClient(bluebelllink.Config{}), request(closing, "1", ""))
 	require.ErrorAs(t, err, &failure)
 	require.True(t, failure.Sent)
