A connection is kept although the writer of a long call has not had its turn yet

The answer to a call with a long body can be read before the goroutine that wrote the body is scheduled again; the connection was then taken for one with an unread body and closed. It gets 50 ms now. Ruled out: the check for stray bytes, since the connections had been closed at the end of an exchange.

--- a/bluebellgate/internal/bluebelllink/exchange.go
+++ b/bluebellgate/internal/bluebelllink/exchange.go
@@ -9,7 +9,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +21,9 @@
 	// inlineBody is the size up to which a body is sent before the answer is read: it
 	// fits the smallest window of a connection together with the header.
 	inlineBody = 4 << 10
+	// writerGrace is many times what a runnable goroutine waits for a turn on an entry
+	// with a share of a core.
+	writerGrace = 50 * time.Millisecond
 )
 
 // Request is one call to an endpoint.
@@ -47,8 +49,9 @@
 	conn       *conn
 	response   *http.Response
 	stopCancel func() bool
-	written    *atomic.Bool
-	events     *bufio.Reader
+	// written is closed once the whole call has been written.
+	written chan struct{}
+	events  *bufio.Reader
 	// whole is set once the answer has been read to its end.
 	whole  bool
 	closed bool
@@ -61,7 +64,7 @@
 	if err != nil {
 		return nil, &Error{Stage: Connecting, Timeout: isTimeout(err), Err: err}
 	}
-	x := &Exchange{client: c, conn: opened, written: &atomic.Bool{}}
+	x := &Exchange{client: c, conn: opened, written: make(chan struct{})}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = opened.Close() })
 	if err := x.send(r); err != nil {
 		return nil, err
@@ -90,7 +93,7 @@
 		if err != nil {
 			return x.fail(Sending, err)
 		}
-		x.written.Store(true)
+		close(x.written)
 		return nil
 	}
 	if n, err := x.conn.Write(head); err != nil && n == 0 {
@@ -100,7 +103,7 @@
 	go func() {
 		// A failure shows when the answer is read.
 		if _, err := opened.Write(r.Body); err == nil {
-			written.Store(true)
+			close(written)
 		}
 	}()
 	return nil
@@ -220,6 +223,17 @@
 	}
 }
 
+// isWritten tells whether the whole call has been written. An endpoint that has read
+// the call may answer before its writer is scheduled again, so that gets a moment.
+func (x *Exchange) isWritten() bool {
+	select {
+	case <-x.written:
+		return true
+	case <-time.After(writerGrace):
+		return false
+	}
+}
+
 // Close ends the exchange. The connection is kept after a whole answer; otherwise
 // closing it cancels the call.
 func (x *Exchange) Close() {
@@ -228,8 +242,8 @@
 	}
 	x.closed = true
 	cancelled := !x.stopCancel()
-	reusable := !cancelled && x.whole && x.written.Load() && !x.response.Close && x.conn.reader.Buffered() == 0 &&
-		(x.response.ContentLength >= 0 || len(x.response.TransferEncoding) > 0)
+	reusable := !cancelled && x.whole && !x.response.Close && x.conn.reader.Buffered() == 0 &&
+		(x.response.ContentLength >= 0 || len(x.response.TransferEncoding) > 0) && x.isWritten()
 	if !reusable || x.conn.SetDeadline(time.Time{}) != nil {
 		_ = x.conn.Close()
 		return
