--- a/bluebellsoak/bluebelldrill/operator.go
+++ b/bluebellsoak/bluebelldrill/operator.go
@@ -3,13 +3,15 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
+
+	"bluebellhaven.org/bluebell/bluebellplan"
+	"bluebellhaven.org/platform/bluebellplatform"
 )
 
 const (
@@ -19,26 +21,25 @@
 
 // document is a declaration of a version.
 func document(version uint64) []byte {
-	route := func(name, path, kind string, attempts int, resumable bool, service string) map[string]any {
-		return map[string]any{
-			"name": name, "host": hostName, "path_prefix": path, "kind": kind, "timeout_ms": 2000, "slo_ms": 300,
-			"itl_slo_ms": 300, "priority": 1, "service": service, "attempts": attempts, "can_resume": resumable,
+	route := func(name, path string, work bluebellplan.Work, attempts int, target string) bluebellplan.Route {
+		return bluebellplan.Route{
+			Name: name, Host: hostName, Prefix: path, Work: work, Timeout: callLeft, Objective: 300 * time.Millisecond,
+			MaxPause: 300 * time.Millisecond, Priority: 1, Attempts: attempts, Resumable: path == againPath,
+			Targets: []bluebellplan.WeightedTarget{{Name: target, Weight: 1}},
 		}
 	}
-	text, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []any{
-			route("once", oncePath, "non_idempotent", 1, false, "app"), route("read", readPath, "idempotent", 2, false, "app"),
-			route("again", againPath, "stream", 2, true, "llm"), route("stream", streamPath, "stream", 1, false, "llm"),
+	text, err := bluebellplatform.EncodeDeclaration(bluebellplan.Declaration{
+		Version: version,
+		Routes: []bluebellplan.Route{
+			route("once", oncePath, bluebellplan.NonIdempotent, 1, "app"), route("read", readPath, bluebellplan.Idempotent, 2, "app"),
+			route("again", againPath, bluebellplan.Stream, 2, "llm"), route("stream", streamPath, bluebellplan.Stream, 1, "llm"),
 		},
-		"services": []any{
-			map[string]any{"name": "app", "max_conns": 96},
-			map[string]any{"name": "llm", "max_conns": 96, "engine": map[string]any{
-				"slots": 64, "kv_tokens": 90000, "kv_token_bytes": 18432, "models": []any{map[string]any{"name": "m0"}},
-			}},
+		Targets: []bluebellplan.Target{
+			{Name: "app", MaxConnections: 96},
+			{Name: "llm", MaxConnections: 96, Engine: &bluebellplan.Engine{Slots: 64, Tokens: 90_000, TokenBytes: 18_432, Models: []string{"m0"}}},
 		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": customer, "api_keys": []string{key}}},
+		Customers: []bluebellplan.Customer{{Name: customer, Keys: []string{key}}},
+		Limits:    bluebellplan.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20},
 	})
 	if err != nil {
 		panic(err) // a fixed shape
@@ -84,7 +85,7 @@
 	}
 	version := o.sent
 	o.mu.Unlock()
-	r, err := http.NewRequest(http.MethodPut, "http://"+control+"/config", bytes.NewReader(document(version)))
+	r, err := http.NewRequest(http.MethodPut, "http://"+control+bluebellplatform.DeclarationPath, bytes.NewReader(document(version)))
 	if err != nil {
 		return false
 	}
@@ -110,7 +111,7 @@
 	o.mu.Lock()
 	acked := o.acked
 	o.mu.Unlock()
-	response, err := o.client.Get("http://" + control + "/config")
+	response, err := o.client.Get("http://" + control + bluebellplatform.DeclarationPath)
 	if err != nil {
 		return
 	}
@@ -119,17 +120,17 @@
 	if err != nil || response.StatusCode != http.StatusOK {
 		return
 	}
-	var got struct{ Version uint64 }
-	if err := json.Unmarshal(text, &got); err != nil {
-		got.Version = 0
+	version := uint64(0)
+	if plan, err := bluebellplatform.DecodeDeclaration(text); err == nil {
+		version = plan.Version()
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.reads++
-	if got.Version < acked {
-		o.findings = append(o.findings, fmt.Sprintf("%s shows version %d after version %d was acknowledged", control, got.Version, acked))
+	if version < acked {
+		o.findings = append(o.findings, fmt.Sprintf("%s shows version %d after version %d was acknowledged", control, version, acked))
 	}
-	if !bytes.Equal(text, document(got.Version)) {
-		o.findings = append(o.findings, fmt.Sprintf("%s shows other content under version %d", control, got.Version))
+	if !bytes.Equal(text, document(version)) {
+		o.findings = append(o.findings, fmt.Sprintf("%s shows other content under version %d", control, version))
 	}
 }
