A refusal that names no call is not believed on a kept connection

Cause (review of the change): an answer without an ID was taken for the call that waits. A late refusal of an earlier call on the same connection then said that this one had not run, and it was sent to another endpoint: a call that must not run twice ran twice, or was refused although it had run. TestAStrayRefusalIsNotBelieved showed two runs before. Ruled out: bytes that come while the connection is idle, which end it (bluebelllink). For calls that may not run again such a refusal now counts as an unknown end (502).

--- a/bluebellgate/internal/bluebellfront/front_test.go
+++ b/bluebellgate/internal/bluebellfront/front_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bluebellhaven.org/bluebell/bluebelldirectory"
+	"bluebellhaven.org/bluebell/bluebellfleet"
 	"bluebellhaven.org/bluebell/bluebellplace"
 	"bluebellhaven.org/bluebell/bluebellplan"
 	"bluebellhaven.org/bluebellfake/bluebellstandin"
@@ -312,6 +313,65 @@
 	require.Less(t, time.Since(left), 500*time.Millisecond)
 }
 
+// strayRefuser runs each call, and on a kept connection hands out a refusal that names no
+// call first, such as one that came late.
+func strayRefuser(t *testing.T, id string, runs *atomic.Int64) bluebellfleet.Endpoint {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					runs.Add(1)
+					in, _ := bluebellplatform.DecodeIncoming(r.Header)
+					if n > 0 {
+						_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\n")
+						_ = bluebellplatform.NotRunHeader("").Write(conn)
+						_, _ = io.WriteString(conn, "Content-Length: 0\r\n\r\n")
+						continue
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+					_ = bluebellplatform.AnswerHeader(in.CallID, "seal").Write(conn)
+					_, _ = io.WriteString(conn, "Content-Length: 2\r\n\r\nok")
+				}
+			}()
+		}
+	}()
+	return bluebellfleet.Endpoint{ID: id, Target: "app", Address: listener.Addr().String(), State: bluebellfleet.Serving, Born: 1, Sequence: 1}
+}
+
+// A refusal that names no call, on a connection that carried another one, may be the
+// late answer to that one: it does not say that this call has not run.
+func TestAStrayRefusalIsNotBelieved(t *testing.T) {
+	e := start(t, 0)
+	var runs atomic.Int64
+	e.placer.Update(bluebellplace.Fleet{Entries: []string{"e1"}, Endpoints: []bluebellfleet.Endpoint{
+		strayRefuser(t, "i-1", &runs), strayRefuser(t, "i-2", &runs),
+	}})
+	for call := range int64(8) {
+		before := runs.Load()
+		got := e.do(http.MethodPost, "/once/x", "order")
+		require.NoError(t, got.err)
+		require.Equal(t, before+1, runs.Load(), "call %d ran more than once", call)
+		require.Contains(t, []int{http.StatusOK, http.StatusBadGateway}, got.status, "never a refusal: it has run")
+	}
+}
+
 // What hides behind an ambiguous length is not read as a call.
 func TestSmuggledCallsAreNotRun(t *testing.T) {
 	e := start(t, 1)
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -25,13 +25,27 @@
 // errDeclined is the cause of a call that its endpoint did not run.
 var errDeclined = errors.New("the endpoint did not run the call")
 
+// errStrayRefusal is the cause of a call whose refusal may belong to another one.
+var errStrayRefusal = errors.New("a refusal that names no call came on a kept connection")
+
+// believes tells whether a refusal says that this call has not run. One that names no
+// call, on a connection that carried another one before, may be a late answer to that
+// one. For calls that may run again it does not matter.
+func (s *serving) believes(a bluebellplatform.Answer, x *bluebelllink.Exchange) bool {
+	return a.CallID != "" || !x.Reused() || s.q.Route.Repeatable()
+}
+
 // answered handles an answer that has begun.
 func (s *serving) answered(ctx context.Context, choice bluebellplace.Choice, x *bluebelllink.Exchange, mayRepeat bool) step {
 	a := bluebellplatform.DecodeAnswer(x.Status(), x.Header())
-	if a.NotRun {
+	if a.NotRun && s.believes(a, x) {
 		return s.declined(choice, x, a)
 	}
 	s.runs++
+	if a.NotRun {
+		s.done(choice, bluebellplace.Spoiled, errStrayRefusal)
+		return again
+	}
 	good := x.Status() < http.StatusMultipleChoices
 	if good && (!a.Sealed || a.Encoded) {
 		s.done(choice, bluebellplace.Spoiled, errors.New("the answer is not the endpoint's"))
