A call that left a silent endpoint waits for another one like any other call

Test failed first. It waits for a quarter of what is left now, since it may have run and cannot be told to come back; where no endpoint could take it even if idle it is still given up after 0.1 s.

--- a/bluebell/bluebellqueue/queue.go
+++ b/bluebell/bluebellqueue/queue.go
@@ -40,6 +40,9 @@
 	// Arrived is when the call came, InTimeUntil when its objective is over, and
 	// Deadline when its caller leaves.
 	Arrived, InTimeUntil, Deadline time.Duration
+	// Begun calls may have run at an endpoint that was left: they cannot be told to come
+	// back, so to give them up helps nobody while there is time.
+	Begun bool
 }
 
 // late tells whether a call can no longer be in time.
@@ -69,7 +72,7 @@
 func HoldUntil(w Waiter) time.Duration {
 	inTime := w.Arrived + time.Duration(holdShare*float64(w.InTimeUntil-w.Arrived))
 	late := w.Arrived + time.Duration(lateShare*float64(w.Deadline-w.Arrived))
-	if w.late(w.Arrived) {
+	if w.Begun || w.late(w.Arrived) {
 		return late
 	}
 	return min(inTime, w.Deadline)
--- a/bluebell/bluebellqueue/queue_test.go
+++ b/bluebell/bluebellqueue/queue_test.go
@@ -31,6 +31,9 @@
 	require.Equal(t, 1250*time.Millisecond, bluebellqueue.NearUntil(w), "half of its wait")
 	late := waiter(0, 3*time.Second, 2*time.Second)
 	require.Equal(t, 5500*time.Millisecond, bluebellqueue.HoldUntil(late), "a quarter of what is left")
+	begun := w
+	begun.Begun = true
+	require.Equal(t, 3500*time.Millisecond, bluebellqueue.HoldUntil(begun), "it cannot come back")
 	short := bluebellqueue.Waiter{Arrived: time.Second, InTimeUntil: 10 * time.Second, Deadline: 2 * time.Second}
 	require.Equal(t, 2*time.Second, bluebellqueue.HoldUntil(short), "never beyond the deadline")
 }
--- a/bluebellgate/internal/bluebellfront/front_test.go
+++ b/bluebellgate/internal/bluebellfront/front_test.go
@@ -313,6 +313,31 @@
 	require.Less(t, time.Since(left), 500*time.Millisecond)
 }
 
+// The load pattern: a call leaves a silent endpoint while the others have as much work as
+// is good for them. It has time left, so it waits for them like any other call.
+func TestACallThatLeftASilentEndpointWaitsForAnother(t *testing.T) {
+	e := start(t, 2)
+	e.endpoints[0].Behave(bluebellstandin.Mute)
+	fleet := bluebellplace.Fleet{Entries: []string{"e1"}, Rooms: map[string]int{"app": 100}}
+	for _, one := range e.endpoints {
+		registered := one.Registration()
+		registered.HeardAt = time.Hour
+		fleet.Endpoints = append(fleet.Endpoints, registered)
+	}
+	busy := fleet
+	busy.Others = map[string]bluebellplace.Use{"i-1": {Calls: 4, Tokens: 100}}
+	e.placer.Update(busy)
+	answered := make(chan call)
+	go func() { answered <- e.do(http.MethodPost, "/stream/again/x", "prompt") }()
+	require.Eventually(t, func() bool { return len(e.endpoints[0].Runs()) == 1 && e.endpoints[0].Active() == 0 }, patience, time.Millisecond)
+	time.Sleep(150 * time.Millisecond)
+	e.placer.Update(fleet)
+	c := <-answered
+	require.NoError(t, c.err)
+	require.Equal(t, http.StatusOK, c.status)
+	require.Equal(t, events(c.id, bluebellstandin.StreamEvents), c.body)
+}
+
 // strayRefuser runs each call, and on a kept connection hands out a refusal that names no
 // call first, such as one that came late.
 func strayRefuser(t *testing.T, id string, runs *atomic.Int64) bluebellfleet.Endpoint {
--- a/bluebellgate/internal/bluebellrelay/lobby.go
+++ b/bluebellgate/internal/bluebellrelay/lobby.go
@@ -27,6 +27,9 @@
 	absence bluebellplace.Absence
 	// nearUntil is how long the call waits for its prompt's homes alone.
 	nearUntil time.Duration
+	// unfitUntil is how long the call waits while no endpoint could take it even if it
+	// were idle.
+	unfitUntil time.Duration
 	// placed is closed once choice is set.
 	placed chan struct{}
 }
@@ -47,14 +50,28 @@
 	if l.enter(g) {
 		return g.choice, bluebellplace.Present
 	}
-	select {
-	case <-g.placed:
-	case <-time.After(until - l.now()):
-	case <-ctx.Done():
+	for _, at := range []time.Duration{min(g.unfitUntil, until), until} {
+		select {
+		case <-g.placed:
+			return l.leave(g)
+		case <-time.After(at - l.now()):
+		case <-ctx.Done():
+			return l.leave(g)
+		}
+		if l.isUnfit(g) {
+			break
+		}
 	}
 	return l.leave(g)
 }
 
+// isUnfit tells whether there is no endpoint to wait for.
+func (l *lobby) isUnfit(g *guest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return g.absence == bluebellplace.AllUnfit || g.absence == bluebellplace.NoEndpoint
+}
+
 // enter places a call at once if no other waits, and otherwise lets it wait.
 func (l *lobby) enter(g *guest) bool {
 	l.mu.Lock()
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -31,7 +31,8 @@
 	// nearTokens are shared tokens that are worth waiting for: they take an engine 20 ms
 	// to read, several times as long as it takes to move a call.
 	nearTokens = 1000
-	// retryWait is how long a call that was sent before waits for another endpoint.
+	// retryWait is how long a call that was sent before waits while there is no other
+	// endpoint that could take it: a registration may be on its way.
 	retryWait = 100 * time.Millisecond
 )
 
@@ -151,12 +152,13 @@
 	now := cfg.Now()
 	w := bluebellqueue.Waiter{
 		Priority: s.q.priority(), Arrived: now, InTimeUntil: s.start + s.q.Route.Objective, Deadline: now + s.left(),
+		Begun: s.runs > 0,
 	}
 	until := bluebellqueue.HoldUntil(w)
+	g := &guest{waiter: w, request: r, unfitUntil: until}
 	if len(s.tried) > 0 {
-		until = min(until, now+retryWait)
+		g.unfitUntil = min(until, now+retryWait)
 	}
-	g := &guest{waiter: w, request: r}
 	if r.SharedTokens >= nearTokens && len(s.tried) == 0 {
 		g.nearUntil = bluebellqueue.NearUntil(w)
 	}
