Entries that are out of sight still share limits

Cause (review): an entry divided the slack for repeats, and what a cold endpoint bears, by the entries that its sources named at the time. Cut off from the core it divided by one, and each half of a cut deployment by its own entries, so all together passed the bound. The test failed first with no entry left. An entry counts for a minute after it was last named. Ruled out: counting by the core alone, which is what the halves do not share. Conclusion: the bound holds as long as a cut is shorter than that; an entry that starts anew within a cut knows its own half only (docs/PLATFORM.md).

--- a/bluebell/bluebellnews/follower.go
+++ b/bluebell/bluebellnews/follower.go
@@ -27,6 +27,10 @@
 	// sourceRetention is how long a source that fails and is named by no other is
 	// still asked.
 	sourceRetention = 30 * time.Second
+	// entryRetention is how long an entry that no source names any more still counts as
+	// one that shares limits: longer than failure domains are cut off from each other in
+	// the users' accounts of a day. Counting one too many leaves a part of a limit unused.
+	entryRetention = time.Minute
 	// freshFor is how long the word of a source counts: a poll and its retry.
 	freshFor = 1500 * time.Millisecond
 )
@@ -58,7 +62,6 @@
 	// lastReply is 0 before the first.
 	lastReply time.Duration
 	startedAt time.Duration
-	entries   []string
 	loading   []string
 	others    []*pb.EndpointUse
 	directory *bluebelldirectory.View
@@ -74,13 +77,15 @@
 	mu      sync.Mutex
 	sources map[string]*source
 	// named tells when a source last named a core process.
-	named    map[string]time.Duration
+	named map[string]time.Duration
+	// entries tells when a source last named an entry.
+	entries  map[string]time.Duration
 	revision uint64
 }
 
 // NewFollower returns a follower that has heard nothing yet.
 func NewFollower(cfg FollowerConfig) *Follower {
-	return &Follower{cfg: cfg, sources: map[string]*source{}, named: map[string]time.Duration{}}
+	return &Follower{cfg: cfg, sources: map[string]*source{}, named: map[string]time.Duration{}, entries: map[string]time.Duration{}}
 }
 
 // Sources returns the processes that are followed.
@@ -150,9 +155,19 @@
 	return latest.others
 }
 
-// Entries returns the entries that follow any source, in order. Without sources
-// it is what was known last.
-func (f *Follower) Entries() []string { return f.union(func(s *source) []string { return s.entries }) }
+// Entries returns the entries that follow any source, or did so a while ago, in order:
+// while the deployment is cut in two, both halves count with all of them.
+func (f *Follower) Entries() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Now()
+	for name, at := range f.entries {
+		if now-at > entryRetention {
+			delete(f.entries, name)
+		}
+	}
+	return slices.Sorted(maps.Keys(f.entries))
+}
 
 // Directory returns what the first source that has answered lately knows of cache
 // stores, or nil. The views of several sources are not mixed: each is consistent
@@ -192,10 +207,8 @@
 	s.directory.Take(states, changes, anew)
 }
 
-// Loading returns the endpoints that are about to load other weights.
-func (f *Follower) Loading() []string { return f.union(func(s *source) []string { return s.loading }) }
-
-func (f *Follower) union(list func(s *source) []string) []string {
+// Loading returns the endpoints that are about to load other weights, in order.
+func (f *Follower) Loading() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	all := map[string]bool{}
@@ -203,7 +216,7 @@
 		if !f.isFresh(s) {
 			continue
 		}
-		for _, name := range list(s) {
+		for _, name := range s.loading {
 			all[name] = true
 		}
 	}
@@ -335,7 +348,10 @@
 	if s == nil || ctx.Err() != nil {
 		return false
 	}
-	s.lastReply, s.entries, s.loading, s.others = now, reply.Entries, reply.Loading, reply.Uses
+	s.lastReply, s.loading, s.others = now, reply.Loading, reply.Uses
+	for _, name := range reply.Entries {
+		f.entries[name] = now
+	}
 	for _, core := range reply.Cores {
 		f.named[core] = now
 	}
--- a/bluebell/bluebellnews/news_test.go
+++ b/bluebell/bluebellnews/news_test.go
@@ -201,3 +201,22 @@
 	d.cores["c1"].directory.Drop("s1", key)
 	eventually(t, "no block", func() bool { return holders() == 0 })
 }
+
+// The deployment is cut in two, or an entry loses all its sources. The limits that
+// entries share must hold for all of them together, so each goes on counting with the
+// entries that it knew.
+func TestEntriesThatAreOutOfSightStillShareLimits(t *testing.T) {
+	d := newDeployment("c1", "c2")
+	e1 := d.follow(t, "e1", "c1")
+	other := d.follow(t, "e2", "c1")
+	d.follow(t, "e3", "c1")
+	eventually(t, "three entries", func() bool { return len(e1.Entries()) == 3 && len(other.Entries()) == 3 })
+	d.cores["c1"].down.Store(true)
+	eventually(t, "the other half's source, which knows no other entry in time", func() bool {
+		return d.cores["c2"].asked.Load() > 0
+	})
+	d.cores["c2"].down.Store(true)
+	eventually(t, "no source", func() bool { return e1.Fresh() == 0 })
+	require.Len(t, e1.Entries(), 3)
+	require.Empty(t, e1.OtherUses(), "what they have in flight is no longer known")
+}
