An order that is carried out late does not take weights back

One that got no answer, carried out seconds later and after a newer one, loaded the older weights again; and since the weights of an incarnation only grow in the registry, the endpoint was not ordered again and refused every call. TestALateOrderDoesNotTakeWeightsBack failed first. The endpoint is asked for its count of orders before each one now (one report more for an order), and the order holds for that count only. Ruled out: the fencing number, which is the same for both orders.

--- a/bluebellcore/internal/bluebellorder/order.go
+++ b/bluebellcore/internal/bluebellorder/order.go
@@ -251,7 +251,15 @@
 	defer cancel()
 	bluebellprocess.Sleep(ctx, spreadTime)
 	start := o.cfg.Now()
-	status, err := o.order(ctx, j)
+	before, err := o.report(ctx, j)
+	if err == nil && before.Weights[j.model] >= j.version {
+		o.cfg.Registry.SetWeights(j.endpoint.ID, j.endpoint.Born, before.Weights)
+		return
+	}
+	status := 0
+	if err == nil {
+		status, err = o.order(ctx, j, before.Sequence)
+	}
 	o.cfg.Count("orders")
 	o.cfg.Logger.Info("order", "Endpoint", j.endpoint.ID, "Model", j.model, "Version", j.version,
 		"Fencing", j.fencing, "Status", status, "Error", err, "HeardAgo", start-j.endpoint.HeardAt)
@@ -267,8 +275,22 @@
 	o.retryAt[j.endpoint.ID] = o.cfg.Now() + retryAfter
 }
 
-// order sends one order after a proof that this process still leads.
-func (o *Orderer) order(ctx context.Context, j job) (int, error) {
+// report asks an endpoint for its state.
+func (o *Orderer) report(ctx context.Context, j job) (bluebellplatform.Report, error) {
+	status, text, err := o.call(ctx, j, http.MethodGet, bluebellplatform.ReportPath, nil)
+	if err != nil {
+		return bluebellplatform.Report{}, err
+	}
+	if status != http.StatusOK {
+		return bluebellplatform.Report{}, fmt.Errorf("report of %s: status %d", j.endpoint.ID, status)
+	}
+	return bluebellplatform.DecodeReport(text)
+}
+
+// order sends one order after a proof that this process still leads. The endpoint refuses
+// it once it has accepted another one: an order that got no answer may be carried out
+// seconds later, and must not undo a newer one.
+func (o *Orderer) order(ctx context.Context, j job, sequence uint64) (int, error) {
 	barrierCtx, cancel := context.WithTimeout(ctx, barrierTimeout)
 	defer cancel()
 	if _, err := o.cfg.Propose(barrierCtx, &pb.Command{Body: &pb.Command_Barrier{Barrier: &pb.Barrier{}}}); err != nil {
@@ -278,7 +300,7 @@
 		return 0, errors.New("this process may no longer lead")
 	}
 	body, err := bluebellplatform.EncodeWeightsOrder(bluebellplatform.WeightsOrder{
-		Model: j.model, Version: j.version, Holder: o.cfg.Holder, Fencing: j.fencing,
+		Model: j.model, Version: j.version, Holder: o.cfg.Holder, Fencing: j.fencing, Sequence: &sequence,
 	})
 	if err != nil {
 		return 0, err
@@ -290,13 +312,10 @@
 func (o *Orderer) awaitLoaded(ctx context.Context, j job) error {
 	bluebellprocess.Sleep(ctx, firstReport)
 	for ctx.Err() == nil {
-		_, text, err := o.call(ctx, j, http.MethodGet, bluebellplatform.ReportPath, nil)
-		if err == nil {
-			report, decodeErr := bluebellplatform.DecodeReport(text)
-			if decodeErr == nil && report.Weights[j.model] >= j.version && !report.Busy {
-				o.cfg.Registry.SetWeights(j.endpoint.ID, j.endpoint.Born, report.Weights)
-				return nil
-			}
+		report, err := o.report(ctx, j)
+		if err == nil && report.Weights[j.model] >= j.version && !report.Busy {
+			o.cfg.Registry.SetWeights(j.endpoint.ID, j.endpoint.Born, report.Weights)
+			return nil
 		}
 		if known, found := o.cfg.Registry.Endpoint(j.endpoint.ID); !found || known.Born != j.endpoint.Born || known.State == bluebellfleet.Gone {
 			return errors.New("the endpoint is gone")
--- a/bluebellcore/internal/bluebellorder/order_test.go
+++ b/bluebellcore/internal/bluebellorder/order_test.go
@@ -34,6 +34,10 @@
 	orders  []time.Time
 	fences  []uint64
 	busy    bool
+	// late holds back the next order: it gets no answer, and is carried out by carryOut.
+	late     bool
+	carryOut func()
+	accepted uint64
 }
 
 // cluster is a registry of engines with an orderer.
@@ -107,25 +111,42 @@
 	defer e.mu.Unlock()
 	if r.URL.Path == "/report" {
 		_ = json.NewEncoder(w).Encode(map[string]any{
-			"models": []any{map[string]any{"name": "m0", "version": e.version}}, "busy": e.busy, "seq": len(e.orders),
+			"models": []any{map[string]any{"name": "m0", "version": e.version}}, "busy": e.busy, "seq": e.accepted,
 		})
 		return
 	}
 	var order struct {
-		Version uint64
-		Fence   uint64
+		Version      uint64
+		Fence        uint64
+		Precondition *uint64
 	}
 	if json.NewDecoder(r.Body).Decode(&order) != nil || r.Header.Get("Expect-Instance") != e.id {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	e.orders, e.fences, e.busy = append(e.orders, time.Now()), append(e.fences, order.Fence), true
-	time.AfterFunc(50*time.Millisecond, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.version, e.busy = order.Version, false
-	})
-	w.WriteHeader(http.StatusAccepted)
+	e.orders, e.fences = append(e.orders, time.Now()), append(e.fences, order.Fence)
+	accept := func() bool {
+		if order.Precondition != nil && *order.Precondition != e.accepted {
+			return false
+		}
+		e.accepted++
+		e.busy = true
+		time.AfterFunc(50*time.Millisecond, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.version, e.busy = order.Version, false
+		})
+		return true
+	}
+	switch {
+	case e.late:
+		e.late, e.carryOut = false, func() { accept() }
+		w.WriteHeader(http.StatusGatewayTimeout)
+	case accept():
+		w.WriteHeader(http.StatusAccepted)
+	default:
+		w.WriteHeader(http.StatusConflict)
+	}
 }
 
 func (c *cluster) orders() int {
@@ -185,3 +206,25 @@
 	require.GreaterOrEqual(t, time.Since(leading), 200*time.Millisecond, "orders of the leader before may be on their way")
 	require.Equal(t, []uint64{1, 2}, c.engines[0].fences)
 }
+
+// An order gets no answer and is carried out late, after a newer one. It must not take
+// the endpoint back to older weights.
+func TestALateOrderDoesNotTakeWeightsBack(t *testing.T) {
+	c := newCluster(t, 1)
+	e := c.engines[0]
+	e.mu.Lock()
+	e.late = true
+	e.mu.Unlock()
+	c.named.Store(2)
+	require.Eventually(t, func() bool { return c.orders() == 1 }, patience, time.Millisecond)
+	c.named.Store(3)
+	require.Eventually(t, func() bool { return c.allHave(3) }, patience, 10*time.Millisecond)
+	e.mu.Lock()
+	e.carryOut()
+	e.mu.Unlock()
+	require.Never(t, func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.version < 3
+	}, 300*time.Millisecond, 10*time.Millisecond)
+}
