A stream whose events have no IDs is not resumed

Cause (review): a stream that may be resumed was sent again behind the last ID that the caller had got; where events carry none, the second run began anew and events came twice. TestAStreamWithoutIDsIsNotResumed failed first (4 events in place of 2). Comments without data do not count.

--- a/bluebellcore/internal/bluebellkeeper/keeper.go
+++ b/bluebellcore/internal/bluebellkeeper/keeper.go
@@ -301,11 +301,15 @@
 		if k.leadingSince == 0 {
 			k.leadingSince = k.now()
 		}
-		k.changeMembers(ctx)
+		// The steps of one replacement follow each other at once: between them the voters
+		// are fewer than what has to be borne takes.
+		for k.changeMembers(ctx) {
+		}
 	}
 }
 
-func (k *Keeper) changeMembers(ctx context.Context) {
+// changeMembers makes one change, and tells whether it is agreed.
+func (k *Keeper) changeMembers(ctx context.Context) bool {
 	k.mu.Lock()
 	processes := slices.Collect(maps.Values(k.processes))
 	k.mu.Unlock()
@@ -315,10 +319,11 @@
 		LeadingSince: k.leadingSince, Voters: int(2*k.cfg.Settings().TolerateLostVMs + 1), Now: k.now(),
 	})
 	if next == nil {
-		return
+		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, membersTimeout)
 	defer cancel()
 	err := k.voter.ChangeMembers(callCtx, next)
 	k.cfg.Logger.Info("members", "Reason", reason, "Voters", next.Voters, "Learners", next.Learners, "Error", err)
+	return err == nil
 }
--- a/bluebellfake/bluebellstandin/endpoint.go
+++ b/bluebellfake/bluebellstandin/endpoint.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	Misleading
 	// Unframed ends its answers by closing the connection.
 	Unframed
+	// Unnumbered cuts its streams, whose events have no IDs.
+	Unnumbered
 )
 
 const (
@@ -344,7 +347,10 @@
 			return r.Context().Err()
 		}
 		event := Event(run.Call.CallID, n)
-		if b == Cutting && n == StreamEvents/2+1 {
+		if b == Unnumbered {
+			event = event[strings.Index(event, "data:"):]
+		}
+		if (b == Cutting || b == Unnumbered) && n == StreamEvents/2+1 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
--- a/bluebellgate/internal/bluebellfront/front_test.go
+++ b/bluebellgate/internal/bluebellfront/front_test.go
@@ -292,6 +292,16 @@
 	require.Len(t, e.runs(), 1)
 }
 
+// Without the ID of the last event nobody can tell where a stream is to go on.
+func TestAStreamWithoutIDsIsNotResumed(t *testing.T) {
+	e := start(t, 2)
+	e.behave(bluebellstandin.Unnumbered)
+	c := e.do(http.MethodPost, "/stream/again/x", "prompt")
+	require.Error(t, c.err)
+	require.Equal(t, 2, strings.Count(c.body, "data:"), "no event comes twice")
+	require.Len(t, e.runs(), 1)
+}
+
 func TestAbandonedWorkIsStopped(t *testing.T) {
 	e := start(t, 1)
 	e.behave(bluebellstandin.Mute)
--- a/bluebellgate/internal/bluebelllink/exchange.go
+++ b/bluebellgate/internal/bluebelllink/exchange.go
@@ -183,6 +183,8 @@
 	Text []byte
 	// ID is "" if the event has none.
 	ID string
+	// HasData is unset for comments and the like.
+	HasData bool
 }
 
 // Next returns the next event, which must have come by a time. It returns io.EOF at
@@ -217,6 +219,7 @@
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.ID = string(bytes.TrimSpace(id))
 		}
+		e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data:"))
 		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(e.Text) > len(line) {
 			return e, nil
 		}
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -154,8 +154,11 @@
 			s.cause = err
 			s.abort()
 		}
-		if event.ID != "" {
+		switch {
+		case event.ID != "":
 			s.lastEvent = event.ID
+		case event.HasData:
+			s.unnumbered = true
 		}
 	}
 }
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -85,6 +85,9 @@
 	tier bluebelltier.Plan
 	// lastEvent is the ID of the last event that the caller got.
 	lastEvent string
+	// unnumbered is set once the caller has got an event without an ID, behind which no
+	// stream can go on.
+	unnumbered bool
 	// kept is a whole answer of an endpoint with a failure, which is delivered if no
 	// better one comes.
 	kept *wholeAnswer
@@ -127,7 +130,7 @@
 	if s.sends >= maxSends || s.runs >= s.q.Route.Attempts || s.left() < leastLeft {
 		return false
 	}
-	if s.runs > 0 && !s.q.Route.Repeatable() {
+	if s.runs > 0 && (s.unnumbered || !s.q.Route.Repeatable()) {
 		return false
 	}
 	if s.sends > 0 && !s.relay.mayRepeat(s.q.Target.Name) {
