A learner has caught up before a voter makes room for it

TestALearnerHasCaughtUpBeforeAVoterMakesRoom failed first. Ruled out: to add first, which needs the learner for a quorum of four.

--- a/bluebell/bluebellmember/member.go
+++ b/bluebell/bluebellmember/member.go
@@ -2,8 +2,8 @@
 // which of them vote. The leader asks it now and then and proposes what it says;
 // each change alters one voter at most, which the consensus core demands.
 //
-// A voter is replaced only while a learner waits to take its place, and the old
-// one goes first: with three voters of which one has lost its disk, the other two
+// A voter is replaced only while a learner that has caught up waits to take its place,
+// and the old one goes first: with three voters of which one has lost its disk, the other two
 // are the quorum before and after, and a second loss of the learner's disk costs
 // nothing. Being replaced by mistake, after a freeze or a cut, costs a voter
 // nothing either: it keeps its identity and becomes a learner again.
@@ -57,7 +57,9 @@
 	LeadingSince time.Duration
 	// Voters is the number of voters that is wanted.
 	Voters int
-	Now    time.Duration
+	// CaughtUp tells whether a learner has all that is committed.
+	CaughtUp func(id string) bool
+	Now      time.Duration
 }
 
 // Decide returns the members that shall follow the present ones, or nil, and why.
@@ -186,7 +188,7 @@
 	return slices.MaxFunc(dead, func(a, b string) int { return cmp.Compare(in.silentFor(a), in.silentFor(b)) })
 }
 
-// spare returns a living learner, from the failure domain with the fewest living
+// spare returns a living learner that has caught up, from the failure domain with the fewest living
 // voters.
 func (in Input) spare() string {
 	voters := map[string]int{}
@@ -198,7 +200,7 @@
 	best, bestVoters := "", 0
 	for _, id := range in.Members.Learners {
 		p := in.process(id)
-		if !in.alive(p) || in.superseded(id) {
+		if !in.alive(p) || in.superseded(id) || !in.CaughtUp(id) {
 			continue
 		}
 		if n := voters[p.FailureDomain]; best == "" || n < bestVoters {
--- a/bluebell/bluebellmember/member_test.go
+++ b/bluebell/bluebellmember/member_test.go
@@ -20,7 +20,7 @@
 	return bluebellmember.Input{
 		Self: "a:1", Members: &pb.Members{Voters: []string{"a:1", "b:1", "c:1"}},
 		Processes: append([]bluebellmember.Process{process("a:1", "a:1", "a", 0), process("b:1", "b:1", "b", 0)}, processes...),
-		Voters:    3, Now: now,
+		Voters:    3, Now: now, CaughtUp: func(string) bool { return true },
 	}
 }
 
@@ -111,6 +111,22 @@
 	require.Equal(t, []string{"a:1", "b:1", "c:1", "d:1/x"}, next.Voters)
 }
 
+// Nothing is given up for a learner that could not vote at once: until it does, one
+// voter fewer is left than before.
+func TestALearnerHasCaughtUpBeforeAVoterMakesRoom(t *testing.T) {
+	caughtUp := false
+	wiped := process("c:1/x", "c:1", "c", 0)
+	wiped.FirstHeard = now - 2*time.Second
+	in := input(process("c:1", "c:1", "c", 5*time.Second), wiped)
+	in.Members.Learners = []string{"c:1/x"}
+	in.CaughtUp = func(string) bool { return caughtUp }
+	next, _ := bluebellmember.Decide(in)
+	require.Nil(t, next)
+	caughtUp = true
+	next, _ = bluebellmember.Decide(in)
+	require.Equal(t, []string{"a:1", "b:1"}, next.Voters)
+}
+
 func TestSilentLearnersLeaveAfterAWhile(t *testing.T) {
 	in := input(process("c:1", "c:1", "c", 0), process("d:1/x", "d:1", "d", 40*time.Second))
 	in.Members.Learners = []string{"d:1/x"}
--- a/bluebell/bluebellraft/node.go
+++ b/bluebell/bluebellraft/node.go
@@ -205,8 +205,7 @@
 			continue
 		}
 		added++
-		p := n.peers[v]
-		if p == nil || p.match < n.log.commit {
+		if !n.CaughtUp(v) {
 			return fmt.Errorf("voter %s has not caught up as a learner", v)
 		}
 	}
@@ -226,6 +225,12 @@
 	return nil
 }
 
+// CaughtUp tells a leader whether a member has all that is committed.
+func (n *Node) CaughtUp(id string) bool {
+	p := n.peers[id]
+	return n.role == Leader && p != nil && p.match >= n.log.commit
+}
+
 // Compact takes data as the state at the last applied index, and returns the
 // snapshot and the durable entries that follow it.
 func (n *Node) Compact(data []byte) (*pb.RaftSnapshot, []*pb.LogEntry) {
--- a/bluebell/bluebellvoter/voter.go
+++ b/bluebell/bluebellvoter/voter.go
@@ -77,6 +77,8 @@
 	// LastContact is when a leader was last known, by Now.
 	LastContact time.Duration
 	LogBytes    uint64
+	// CaughtUp are the learners that have all that is committed, as the leader knows.
+	CaughtUp []string
 }
 
 type proposal struct {
@@ -369,10 +371,20 @@
 	v.status.Store(&Status{
 		Leader: v.node.LeaderID(), Term: v.node.Term(), CommitIndex: v.node.CommitIndex(),
 		Members: v.node.Members(), LeaseUntil: v.node.LeaseUntil(), LastContact: v.lastContact,
-		LogBytes: v.wal.Size(),
+		LogBytes: v.wal.Size(), CaughtUp: v.caughtUp(),
 	})
 }
 
+func (v *Voter) caughtUp() []string {
+	var ids []string
+	for _, id := range v.node.Members().GetLearners() {
+		if v.node.CaughtUp(id) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // failWaiters lets those that wait ask the new leader. Their commands may still
 // be agreed on.
 func (v *Voter) failWaiters() {
--- a/bluebellcore/internal/bluebellkeeper/keeper.go
+++ b/bluebellcore/internal/bluebellkeeper/keeper.go
@@ -48,7 +48,7 @@
 	// announceEvery is a quarter of the time for which a process counts as alive.
 	announceEvery   = bluebellmember.AliveFor / 4
 	announceTimeout = 400 * time.Millisecond
-	membersEvery    = 500 * time.Millisecond
+	membersEvery    = 200 * time.Millisecond
 	membersTimeout  = 2 * time.Second
 	// coreRetention is how long a silent core process is named to followers.
 	coreRetention = 30 * time.Second
@@ -314,8 +314,10 @@
 	processes := slices.Collect(maps.Values(k.processes))
 	k.mu.Unlock()
 	slices.SortFunc(processes, func(a, b bluebellmember.Process) int { return int(a.FirstHeard - b.FirstHeard) })
+	status := k.voter.Status()
 	next, reason := bluebellmember.Decide(bluebellmember.Input{
-		Self: k.id, Members: k.voter.Status().Members, Processes: processes,
+		Self: k.id, Members: status.Members, Processes: processes,
+		CaughtUp:     func(id string) bool { return slices.Contains(status.CaughtUp, id) },
 		LeadingSince: k.leadingSince, Voters: int(2*k.cfg.Settings().TolerateLostVMs + 1), Now: k.now(),
 	})
 	if next == nil {
