The platform's names leave the tests and the front; arguments of the two programs once

Cause (the users' list): tests of the control interface, of orders, of stores and of the front spelt names of the platform, and the front the path of the balancer's question. They go through encoders in platform/ now, which the soak and the stand-ins use as well; no check is changed but in how its message is made. Ruled out: to leave stand-ins with texts of their own, which would drift from the decoders.

--- a/bluebell/bluebellprocess/process.go
+++ b/bluebell/bluebellprocess/process.go
@@ -6,7 +6,7 @@
 //
 //	err := bluebellprocess.Program[*pb.GateSettings]{
 //		Open: bluebellprocess.OpenGateSettings, Limits: limits, Run: run,
-//	}.Main(path, "info")
+//	}.Main(args)
 package bluebellprocess
 
 import (
@@ -119,6 +119,12 @@
 	}
 }
 
+// Arguments are those of each program of a discovered deployment.
+type Arguments struct {
+	Settings string `arg:"positional,required" help:"settings of this process, JSON with comments"`
+	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
+}
+
 // Program is one of the programs behind its main function.
 type Program[T any] struct {
 	Open func(path string) (*Settings[T], error)
@@ -130,13 +136,13 @@
 
 // Main runs a program until SIGTERM or SIGINT, with settings that are read again when
 // they change.
-func (p Program[T]) Main(path, level string) error {
-	logger, closeLog, err := Logger(level)
+func (p Program[T]) Main(args Arguments) error {
+	logger, closeLog, err := Logger(args.LogLevel)
 	if err != nil {
 		return err
 	}
 	defer closeLog()
-	settings, err := p.Open(path)
+	settings, err := p.Open(args.Settings)
 	if err != nil {
 		return err
 	}
--- a/bluebellcore/internal/bluebellcontrol/control_test.go
+++ b/bluebellcore/internal/bluebellcontrol/control_test.go
@@ -1,13 +1,12 @@
 package bluebellcontrol_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +16,7 @@
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellplan"
 	"bluebellhaven.org/bluebell/bluebellstate"
 	"bluebellhaven.org/bluebellcore/internal/bluebellcontrol"
 	"bluebellhaven.org/platform/bluebellplatform"
@@ -75,9 +75,17 @@
 	return f
 }
 
-func (f *fixture) do(t *testing.T, method, path, body string) (int, string) {
+// do makes a call of the control interface.
+func (f *fixture) do(t *testing.T, verb bluebellplatform.Verb, subject string, body []byte) (int, string) {
 	t.Helper()
-	r, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	method, path, err := bluebellplatform.EncodeOperation(bluebellplatform.Operation{Verb: verb, Subject: subject})
+	require.NoError(t, err)
+	return f.call(t, method, path, body)
+}
+
+func (f *fixture) call(t *testing.T, method, path string, body []byte) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, f.url+path, bytes.NewReader(body))
 	require.NoError(t, err)
 	response, err := http.DefaultClient.Do(r)
 	require.NoError(t, err)
@@ -87,83 +95,104 @@
 	return response.StatusCode, string(text)
 }
 
-func declaration(version int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","path_prefix":"/","kind":"stream","timeout_ms":9,"service":"a"}],"services":[{"name":"a"}]}`, version)
+// declaration leads all calls under a prefix to a target.
+func declaration(t *testing.T, version uint64, prefix, target string) []byte {
+	t.Helper()
+	text, err := bluebellplatform.EncodeDeclaration(bluebellplan.Declaration{
+		Version: version, Targets: []bluebellplan.Target{{Name: "a"}},
+		Routes: []bluebellplan.Route{{
+			Name: "r", Host: "h", Prefix: prefix, Work: bluebellplan.Stream, Timeout: time.Second,
+			Targets: []bluebellplan.WeightedTarget{{Name: target, Weight: 1}},
+		}},
+	})
+	require.NoError(t, err)
+	return text
+}
+
+func weights(t *testing.T, model string, version uint64) []byte {
+	t.Helper()
+	text, err := bluebellplatform.EncodeWeights(model, version)
+	require.NoError(t, err)
+	return text
 }
 
 func TestDeclarationsAreReadBackAsTheyWereSent(t *testing.T) {
 	f := start(t)
-	status, _ := f.do(t, http.MethodGet, "/config", "")
+	status, _ := f.do(t, bluebellplatform.ReadDeclaration, "", nil)
 	require.Equal(t, http.StatusServiceUnavailable, status, "nothing is declared")
-	for _, version := range []int{3, 9, 5, 9} {
-		status, _ := f.do(t, http.MethodPut, "/config", declaration(version))
+	for _, version := range []uint64{3, 9, 5, 9} {
+		status, _ := f.do(t, bluebellplatform.Declare, "", declaration(t, version, "/", "a"))
 		require.Equal(t, http.StatusOK, status)
 	}
-	status, _ = f.do(t, http.MethodPut, "/config", strings.Replace(declaration(9), `"/"`, `"/other/"`, 1))
+	status, _ = f.do(t, bluebellplatform.Declare, "", declaration(t, 9, "/other/", "a"))
 	require.Equal(t, http.StatusOK, status)
-	status, text := f.do(t, http.MethodGet, "/config", "")
+	status, text := f.do(t, bluebellplatform.ReadDeclaration, "", nil)
 	require.Equal(t, http.StatusOK, status)
-	require.Equal(t, declaration(9), text)
+	require.Equal(t, string(declaration(t, 9, "/", "a")), text)
 }
 
 func TestInvalidDeclarationsAreRefusedAndNotInForce(t *testing.T) {
 	f := start(t)
-	f.do(t, http.MethodPut, "/config", declaration(1))
-	for _, body := range []string{declaration(2)[:40], strings.Replace(declaration(2), `"service":"a"`, `"service":"b"`, 1), ""} {
-		status, _ := f.do(t, http.MethodPut, "/config", body)
+	f.do(t, bluebellplatform.Declare, "", declaration(t, 1, "/", "a"))
+	for _, body := range [][]byte{declaration(t, 2, "/", "a")[:40], declaration(t, 2, "/", "b"), nil} {
+		status, _ := f.do(t, bluebellplatform.Declare, "", body)
 		require.Equal(t, http.StatusBadRequest, status)
 	}
-	_, text := f.do(t, http.MethodGet, "/config", "")
-	require.Equal(t, declaration(1), text)
+	_, text := f.do(t, bluebellplatform.ReadDeclaration, "", nil)
+	require.Equal(t, string(declaration(t, 1, "/", "a")), text)
 }
 
 func TestWithoutAQuorumNothingIsAcknowledgedOrRead(t *testing.T) {
 	f := start(t)
-	f.do(t, http.MethodPut, "/config", declaration(1))
+	f.do(t, bluebellplatform.Declare, "", declaration(t, 1, "/", "a"))
 	f.mu.Lock()
 	f.quorum = false
 	f.mu.Unlock()
-	for _, c := range [][3]string{
-		{http.MethodPut, "/config", declaration(2)},
-		{http.MethodGet, "/config", ""},
-		{http.MethodPost, "/evac/a", ""},
-		{http.MethodPost, "/version-put", `{"model":"m0","version":2}`},
+	for _, c := range []struct {
+		verb    bluebellplatform.Verb
+		subject string
+		body    []byte
+	}{
+		{bluebellplatform.Declare, "", declaration(t, 2, "/", "a")},
+		{bluebellplatform.ReadDeclaration, "", nil},
+		{bluebellplatform.DomainOut, "a", nil},
+		{bluebellplatform.NameWeights, "", weights(t, "m0", 2)},
 	} {
-		status, _ := f.do(t, c[0], c[1], c[2])
-		require.Equal(t, http.StatusServiceUnavailable, status, c)
+		status, _ := f.do(t, c.verb, c.subject, c.body)
+		require.Equal(t, http.StatusServiceUnavailable, status, c.verb)
 	}
-	status, _ := f.do(t, http.MethodPut, "/config", declaration(1))
+	status, _ := f.do(t, bluebellplatform.Declare, "", declaration(t, 1, "/", "a"))
 	require.Equal(t, http.StatusOK, status, "what was acknowledged before is again")
 }
 
 func TestOrdersOfOperators(t *testing.T) {
 	f := start(t)
 	for range 2 {
-		status, _ := f.do(t, http.MethodPost, "/evac/a", "")
+		status, _ := f.do(t, bluebellplatform.DomainOut, "a", nil)
 		require.Equal(t, http.StatusOK, status)
-		status, _ = f.do(t, http.MethodPost, "/version-put", `{"model":"m0","version":2}`)
+		status, _ = f.do(t, bluebellplatform.NameWeights, "", weights(t, "m0", 2))
 		require.Equal(t, http.StatusOK, status)
 	}
 	d, _ := f.deployment()
 	require.Equal(t, []string{"a"}, d.DomainsOut)
 	require.Equal(t, uint64(2), bluebellstate.WeightsOf(d, "m0"))
-	status, _ := f.do(t, http.MethodDelete, "/evac/a", "")
+	status, _ := f.do(t, bluebellplatform.DomainIn, "a", nil)
 	require.Equal(t, http.StatusOK, status)
 	d, _ = f.deployment()
 	require.Empty(t, d.DomainsOut)
-	status, _ = f.do(t, http.MethodPost, "/version-put", `{"model":"m0"}`)
+	status, _ = f.do(t, bluebellplatform.NameWeights, "", weights(t, "m0", 0))
 	require.Equal(t, http.StatusBadRequest, status)
-	status, _ = f.do(t, http.MethodPost, "/rollouts", `{}`)
+	status, _ = f.do(t, bluebellplatform.StartMove, "", []byte("{}"))
 	require.Equal(t, http.StatusNotImplemented, status)
-	status, _ = f.do(t, http.MethodGet, "/else", "")
+	status, _ = f.call(t, http.MethodGet, "/else", nil)
 	require.Equal(t, http.StatusNotFound, status)
 }
 
 func (f *fixture) register(t *testing.T, e bluebellfleet.Endpoint) int {
 	t.Helper()
-	path, body, err := bluebellplatform.EncodeRegistration(e, 0)
+	_, body, err := bluebellplatform.EncodeRegistration(e, 0)
 	require.NoError(t, err)
-	status, _ := f.do(t, http.MethodPut, path, string(body))
+	status, _ := f.do(t, bluebellplatform.Register, e.ID, body)
 	return status
 }
 
@@ -172,14 +201,16 @@
 	e := bluebellfleet.Endpoint{ID: "i-1", Target: "a", Address: "10.0.0.1:1", FailureDomain: "d", State: bluebellfleet.Serving, Born: 100, Sequence: 1}
 	require.Equal(t, http.StatusOK, f.register(t, e))
 	require.Len(t, f.registry.Endpoints(), 1)
-	status, _ := f.do(t, http.MethodPut, "/instances/i-2", `{"torn":`)
+	status, _ := f.do(t, bluebellplatform.Register, "i-2", []byte("torn"))
 	require.Equal(t, http.StatusBadRequest, status)
-	status, _ = f.do(t, http.MethodDelete, "/instances/i-1", `{"born":50}`)
+	earlier, err := bluebellplatform.EncodeLeave(50)
+	require.NoError(t, err)
+	status, _ = f.do(t, bluebellplatform.Leave, "i-1", earlier)
 	require.Equal(t, http.StatusOK, status)
 	require.Len(t, f.registry.Endpoints(), 1, "an earlier incarnation left")
-	status, _ = f.do(t, http.MethodDelete, "/instances/i-1", "")
+	status, _ = f.do(t, bluebellplatform.Leave, "i-1", nil)
 	require.Equal(t, http.StatusOK, status)
 	require.Empty(t, f.registry.Endpoints())
-	status, _ = f.do(t, http.MethodDelete, "/instances/none", "")
+	status, _ = f.do(t, bluebellplatform.Leave, "none", nil)
 	require.Equal(t, http.StatusOK, status)
 }
--- a/bluebellcore/internal/bluebellorder/order_test.go
+++ b/bluebellcore/internal/bluebellorder/order_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,6 +19,7 @@
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebellcore/internal/bluebellorder"
+	"bluebellhaven.org/platform/bluebellplatform"
 )
 
 const patience = 20 * time.Second
@@ -109,24 +109,27 @@
 func (c *cluster) serve(e *engine, w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r.URL.Path == "/report" {
-		_ = json.NewEncoder(w).Encode(map[string]any{
-			"models": []any{map[string]any{"name": "m0", "version": e.version}}, "busy": e.busy, "seq": e.accepted,
+	if r.URL.Path == bluebellplatform.ReportPath {
+		text, err := bluebellplatform.EncodeReport(bluebellplatform.Report{
+			Weights: map[string]uint64{"m0": e.version}, Busy: e.busy, Sequence: e.accepted,
 		})
+		if err == nil {
+			_, _ = w.Write(text)
+		}
 		return
 	}
-	var order struct {
-		Version      uint64
-		Fence        uint64
-		Precondition *uint64
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
 	}
-	if json.NewDecoder(r.Body).Decode(&order) != nil || r.Header.Get("Expect-Instance") != e.id {
+	order, endpoint, err := bluebellplatform.DecodeWeightsOrder(r.Header, body)
+	if err != nil || endpoint != e.id {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	e.orders, e.fences = append(e.orders, time.Now()), append(e.fences, order.Fence)
+	e.orders, e.fences = append(e.orders, time.Now()), append(e.fences, order.Fencing)
 	accept := func() bool {
-		if order.Precondition != nil && *order.Precondition != e.accepted {
+		if order.Sequence != nil && *order.Sequence != e.accepted {
 			return false
 		}
 		e.accepted++
--- a/bluebellcore/internal/bluebellstock/stock_test.go
+++ b/bluebellcore/internal/bluebellstock/stock_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +20,7 @@
 	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellplan"
 	"bluebellhaven.org/bluebellcore/internal/bluebellstock"
+	"bluebellhaven.org/platform/bluebellplatform"
 )
 
 const patience = 10 * time.Second
@@ -25,16 +28,16 @@
 // store is a stand-in of a cache store.
 type store struct {
 	mu     sync.Mutex
-	epoch  int
-	held   map[string][2]any // scope and tokens by block
-	events [][]any
+	epoch  uint64
+	held   map[string]bluebellplatform.BlockChange
+	events []bluebellplatform.BlockChange
 	lost   bool
 	freed  []string
 }
 
 func newStore(t *testing.T) (*store, string) {
 	t.Helper()
-	s := &store{epoch: 1, held: map[string][2]any{}}
+	s := &store{epoch: 1, held: map[string]bluebellplatform.BlockChange{}}
 	server := httptest.NewServer(http.HandlerFunc(s.serve))
 	t.Cleanup(server.Close)
 	return s, strings.TrimPrefix(server.URL, "http://")
@@ -44,56 +47,62 @@
 func (s *store) hold(scope, id string, tokens int, tell bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.held[id] = [2]any{scope, tokens}
+	block := bluebellplatform.BlockChange{Scope: scope, ID: id, Tokens: tokens, Held: true}
+	s.held[id] = block
 	if tell {
-		s.events = append(s.events, []any{len(s.events) + 1, "+", scope, id, tokens, "m0"})
-	} else {
-		s.lost = true
+		s.events = append(s.events, block)
+		return
 	}
+	s.lost = true
 }
 
 func (s *store) restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.epoch++
-	s.held, s.events = map[string][2]any{}, nil
+	s.held, s.events = map[string]bluebellplatform.BlockChange{}, nil
 }
 
 func (s *store) serve(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(5 * time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch r.URL.Path {
-	case "/kv-events":
-		since := 0
-		_ = json.Unmarshal([]byte(r.URL.Query().Get("since")), &since)
-		news := [][]any{}
-		if since < len(s.events) {
-			news = s.events[since:]
-		}
-		_ = json.NewEncoder(w).Encode(map[string]any{"epoch": s.epoch, "next": len(s.events), "lost": s.lost, "events": news})
-	case "/kv-list":
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	text, status := s.answer(r.URL, body)
+	w.WriteHeader(status)
+	_, _ = w.Write(text)
+}
+
+func (s *store) answer(u *url.URL, body []byte) ([]byte, int) {
+	all := bluebellplatform.StoreEvents{Incarnation: s.epoch, Next: uint64(len(s.events)), Gap: s.lost}
+	var text []byte
+	var err error
+	after, reads := bluebellplatform.DecodeEventsPath(u)
+	switch {
+	case reads:
+		all.Changes = s.events[min(after, all.Next):]
+		text, err = bluebellplatform.EncodeEvents(all)
+	case u.Path == bluebellplatform.StoredPath:
 		s.lost = false
-		held := [][]any{}
-		for id, h := range s.held {
-			held = append(held, []any{h[0], id, h[1], "m0"})
+		all.Changes = slices.Collect(maps.Values(s.held))
+		text, err = bluebellplatform.EncodeStored(all)
+	case u.Path == bluebellplatform.FreePath:
+		epoch, blocks, decodeErr := bluebellplatform.DecodeFree(body)
+		if decodeErr != nil || epoch != s.epoch {
+			return nil, http.StatusConflict
 		}
-		_ = json.NewEncoder(w).Encode(map[string]any{"epoch": s.epoch, "next": len(s.events), "held": held})
-	case "/kv-free":
-		var order struct {
-			Parts [][2]string
-			Epoch int
+		for _, b := range blocks {
+			delete(s.held, b.ID)
+			s.freed = append(s.freed, b.ID)
 		}
-		if json.NewDecoder(r.Body).Decode(&order) != nil || order.Epoch != s.epoch {
-			w.WriteHeader(http.StatusConflict)
-			return
-		}
-		for _, p := range order.Parts {
-			delete(s.held, p[1])
-			s.freed = append(s.freed, p[1])
-		}
-		_, _ = io.WriteString(w, "{}")
 	}
+	if err != nil {
+		return nil, http.StatusInternalServerError
+	}
+	return text, http.StatusOK
 }
 
 type fixture struct {
--- a/bluebellcore/main.go
+++ b/bluebellcore/main.go
@@ -16,10 +16,7 @@
 	"bluebellhaven.org/bluebellcore/internal/bluebellkeeper"
 )
 
-type arguments struct {
-	Settings string `arg:"positional,required" help:"settings of this process, JSON with comments"`
-	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error"`
-}
+type arguments struct{ bluebellprocess.Arguments }
 
 // Description explains the command in its help.
 func (arguments) Description() string {
@@ -29,7 +26,7 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	if err := program.Main(args.Settings, args.LogLevel); err != nil {
+	if err := program.Main(args.Arguments); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/bluebellgate/internal/bluebellfront/front.go
+++ b/bluebellgate/internal/bluebellfront/front.go
@@ -57,7 +57,6 @@
 	elsewhereReturn = 50 * time.Millisecond
 	// stopMargin is kept from the time that a stop may take.
 	stopMargin = 500 * time.Millisecond
-	readyPath  = "/readyz"
 	// readyTimeout bounds one health check.
 	readyTimeout = 2 * time.Second
 )
@@ -144,7 +143,7 @@
 
 func (f *Front) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
-	case r.URL.Path != readyPath:
+	case r.URL.Path != bluebellplatform.ReadyPath:
 		w.WriteHeader(http.StatusNotFound)
 	case f.stopping.Load() || !f.cfg.Ready():
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/bluebellgate/internal/bluebellfront/front_test.go
+++ b/bluebellgate/internal/bluebellfront/front_test.go
@@ -407,10 +407,19 @@
 	}
 }
 
+// head is the beginning of a call as bytes, up to its framing.
+func head(path, id string) string {
+	var b strings.Builder
+	b.WriteString("POST " + path + " HTTP/1.1\r\nHost: h.example\r\n")
+	// Writes to a builder do not fail.
+	_ = bluebellplatform.CallerHeader(bluebellplatform.Call{ID: id, Key: "k"}).Write(&b)
+	return b.String()
+}
+
 // What hides behind an ambiguous length is not read as a call.
 func TestSmuggledCallsAreNotRun(t *testing.T) {
 	e := start(t, 1)
-	hidden := "POST /once/hidden HTTP/1.1\r\nHost: h.example\r\nTry-Id: hidden\r\nAuthorization: Token k\r\nContent-Length: 0\r\n\r\n"
+	hidden := head("/once/hidden", "hidden") + "Content-Length: 0\r\n\r\n"
 	for name, text := range map[string]string{
 		"length and chunks": "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
 		"two lengths":       "Content-Length: 0\r\nContent-Length: 5\r\n\r\n" + hidden,
@@ -419,7 +428,7 @@
 	} {
 		conn, err := net.Dial("tcp", e.address)
 		require.NoError(t, err)
-		_, err = io.WriteString(conn, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nTry-Id: seen\r\nAuthorization: Token k\r\n"+text)
+		_, err = io.WriteString(conn, head("/once/x", "seen")+text)
 		require.NoError(t, err)
 		require.NoError(t, conn.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
 		_, _ = io.Copy(io.Discard, bufio.NewReader(conn))
--- a/bluebellsoak/bluebelldrill/operator.go
+++ b/bluebellsoak/bluebelldrill/operator.go
@@ -77,6 +77,19 @@
 	}
 }
 
+// do makes one call of the control interface.
+func (o *operator) do(control string, verb bluebellplatform.Verb, body []byte) (*http.Response, error) {
+	method, path, err := bluebellplatform.EncodeOperation(bluebellplatform.Operation{Verb: verb})
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequest(method, "http://"+control+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	return o.client.Do(r)
+}
+
 // declare sends the version that has no answer yet again, or the next one.
 func (o *operator) declare(control string) bool {
 	o.mu.Lock()
@@ -85,11 +98,7 @@
 	}
 	version := o.sent
 	o.mu.Unlock()
-	r, err := http.NewRequest(http.MethodPut, "http://"+control+bluebellplatform.DeclarationPath, bytes.NewReader(document(version)))
-	if err != nil {
-		return false
-	}
-	response, err := o.client.Do(r)
+	response, err := o.do(control, bluebellplatform.Declare, document(version))
 	if err != nil {
 		return false
 	}
@@ -111,7 +120,7 @@
 	o.mu.Lock()
 	acked := o.acked
 	o.mu.Unlock()
-	response, err := o.client.Get("http://" + control + bluebellplatform.DeclarationPath)
+	response, err := o.do(control, bluebellplatform.ReadDeclaration, nil)
 	if err != nil {
 		return
 	}
