A call that never arrived anywhere is no repeat

The users' bound is on arrivals, so only what may have arrived counts now. TestACallThatNeverArrivedIsNoRepeat failed first; TestACallThatWasDeclinedIsARepeat shows that the bound still holds for arrivals.

Ruled out: a larger slack, which would let real repeats through.

--- a/bluebellfake/bluebellstandin/endpoint.go
+++ b/bluebellfake/bluebellstandin/endpoint.go
@@ -98,6 +98,7 @@
 	sequence  uint64
 	state     bluebellfleet.State
 	active    int
+	arrivals  int
 }
 
 // Start listens and serves.
@@ -155,6 +156,13 @@
 	return e.active
 }
 
+// Arrivals returns the number of calls that came, those that were declined included.
+func (e *Endpoint) Arrivals() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arrivals
+}
+
 // Registration returns the endpoint's next registration.
 func (e *Endpoint) Registration() bluebellfleet.Endpoint {
 	e.mu.Lock()
@@ -238,6 +246,7 @@
 func (e *Endpoint) begin(r Run) (*Run, Behaviour) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.arrivals++
 	if e.behaviour == Declining {
 		return nil, Declining
 	}
--- a/bluebellgate/internal/bluebellfront/front_test.go
+++ b/bluebellgate/internal/bluebellfront/front_test.go
@@ -64,6 +64,11 @@
 }
 
 func start(t *testing.T, endpoints int) *entry {
+	t.Helper()
+	return startWith(t, endpoints, bluebellrelay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50})
+}
+
+func startWith(t *testing.T, endpoints int, budget bluebellrelay.Budget) *entry {
 	t.Helper()
 	started := time.Now()
 	now := func() time.Duration { return time.Since(started) + time.Second }
@@ -86,7 +91,7 @@
 			Stores: func() []bluebellplan.Store { return nil }, Directory: func() *bluebelldirectory.View { return nil },
 			Others: func() map[string]int { return nil }, Now: now,
 		}),
-		Budget: bluebellrelay.Budget{Ratio: 0.2, Window: 10 * time.Second, Slack: 50},
+		Budget: budget,
 		Now:    now, Draw: func() float64 { return 0 }, Count: func(string, string) {},
 		FirstEvent: func(string, time.Duration) {}, Waited: func(string, time.Duration) {}, Logger: log.New(io.Discard),
 	})
@@ -234,6 +239,33 @@
 	}
 }
 
+// The load pattern: many endpoints cannot be reached. What never arrived is no repeat, so
+// no budget keeps it from those that can.
+func TestACallThatNeverArrivedIsNoRepeat(t *testing.T) {
+	e := startWith(t, 4, bluebellrelay.Budget{Window: 10 * time.Second})
+	for _, one := range e.endpoints[:3] {
+		one.Stop()
+	}
+	for range 3 {
+		c := e.do(http.MethodPost, "/once/x", "order")
+		require.NoError(t, c.err)
+		require.Equal(t, http.StatusOK, c.status)
+	}
+	require.Len(t, e.endpoints[3].Runs(), 3)
+}
+
+// The same budget still bounds what has arrived.
+func TestACallThatWasDeclinedIsARepeat(t *testing.T) {
+	e := startWith(t, 4, bluebellrelay.Budget{Window: 10 * time.Second})
+	e.behave(bluebellstandin.Declining)
+	require.Equal(t, http.StatusServiceUnavailable, e.do(http.MethodPost, "/once/x", "order").status)
+	asked := 0
+	for _, one := range e.endpoints {
+		asked += one.Arrivals()
+	}
+	require.Equal(t, 1, asked)
+}
+
 func TestAnEndpointsOwnFailureIsPassedOn(t *testing.T) {
 	e := start(t, 2)
 	e.behave(bluebellstandin.Failing)
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -78,7 +78,9 @@
 
 	// sends are the endpoints that were asked, runs those that may have run the call.
 	sends, runs int
-	tried       []string
+	// arrivals are the endpoints that may have received the call.
+	arrivals int
+	tried    []string
 	// begun is set once the header has gone to the caller.
 	begun bool
 	// tier is what the present attempt fetches and writes.
@@ -133,7 +135,7 @@
 	if s.runs > 0 && (s.unnumbered || !s.q.Route.Repeatable()) {
 		return false
 	}
-	if s.sends > 0 && !s.relay.mayRepeat(s.q.Target.Name) {
+	if s.arrivals > 0 && !s.relay.mayRepeat(s.q.Target.Name) {
 		s.cause = errors.Join(s.cause, errors.New("the budget for repeats is used up"))
 		s.relay.cfg.Count("repeats_denied", s.q.Target.Name)
 		return false
@@ -226,6 +228,7 @@
 		return s.failed(ctx, choice, err)
 	}
 	defer exchange.Close()
+	s.arrivals++
 	return s.answered(ctx, choice, exchange, mayRepeat)
 }
 
@@ -274,6 +277,7 @@
 	}
 	s.done(choice, outcome, err)
 	if failure.Sent {
+		s.arrivals++
 		s.runs++
 	}
 	return again
