Entries tell each other who is dark; a cut-off domain is left as a whole; homes are filled further

Each trial took a call 400 ms. Entries now tell, with what they have in flight, where they have met failures and when they last had an answer; an endpoint with failures at two entries and no answer at any is tried 2.5 times a second by all together. Three endpoints of a failure domain that fail with no answer from there since mean that the domain is out of reach, and one call at a time tries it. A prompt's home is the first in order that is not suspect, so that entries agree where its prompts go.

Running calls took 0.6 of each engine's memory by count, and a prompt whose home was above that went to whichever engine was not, had its blocks read or moved there and pushed out others. At its home they are to be kept anyway, so homes are filled further now.

--- a/bluebell/bluebellnews/follower.go
+++ b/bluebell/bluebellnews/follower.go
@@ -138,9 +138,9 @@
 	return f.cfg.Uses()
 }
 
-// OtherUses returns what all other entries have in flight, as the source that has
-// answered last knows it; nil without a live source.
-func (f *Follower) OtherUses() []*pb.EndpointUse {
+// OtherUses returns what all other entries have in flight and have met, as the source that
+// has answered last knows it, and when it answered; nil without a live source.
+func (f *Follower) OtherUses() ([]*pb.EndpointUse, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var latest *source
@@ -150,9 +150,9 @@
 		}
 	}
 	if latest == nil {
-		return nil
+		return nil, 0
 	}
-	return latest.others
+	return latest.others, latest.lastReply
 }
 
 // Entries returns the entries that follow any source, or did so a while ago, in order:
--- a/bluebell/bluebellnews/source.go
+++ b/bluebell/bluebellnews/source.go
@@ -65,6 +65,21 @@
 	uses []*pb.EndpointUse
 }
 
+// answeredAgo returns how long ago an endpoint answered the entry; nil if not lately.
+func (e entry) answeredAgo(u *pb.EndpointUse, now time.Duration) *durationpb.Duration {
+	if u.AnsweredAgo == nil {
+		return nil
+	}
+	return durationpb.New(u.AnsweredAgo.AsDuration() + now - e.at)
+}
+
+func sooner(a, b *durationpb.Duration) *durationpb.Duration {
+	if a == nil || b != nil && b.AsDuration() < a.AsDuration() {
+		return b
+	}
+	return a
+}
+
 // Source answers followers. It is safe for concurrent use.
 type Source struct {
 	cfg SourceConfig
@@ -168,7 +183,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Entry {
-		reply.Uses = s.usesWithout(r.Process)
+		reply.Uses = s.usesWithout(r.Process, now)
 	}
 	reply.Entries = s.liveEntries(now)
 	reply.Loading = s.loading
@@ -188,8 +203,8 @@
 	s.entries[r.Process] = entry{at: s.cfg.Now(), uses: r.Uses}
 }
 
-// usesWithout adds up what all entries but one have in flight.
-func (s *Source) usesWithout(process string) []*pb.EndpointUse {
+// usesWithout adds up what all entries but one have in flight and have met.
+func (s *Source) usesWithout(process string, now time.Duration) []*pb.EndpointUse {
 	sums := map[string]*pb.EndpointUse{}
 	for address, e := range s.entries {
 		if address == process {
@@ -204,6 +219,8 @@
 			sum.Calls += u.Calls
 			sum.Tokens += u.Tokens
 			sum.Unread += u.Unread
+			sum.Failing += u.Failing
+			sum.AnsweredAgo = sooner(sum.AnsweredAgo, e.answeredAgo(u, now))
 		}
 	}
 	return slices.Collect(maps.Values(sums))
--- a/bluebell/bluebellplace/belief.go
+++ b/bluebell/bluebellplace/belief.go
@@ -74,6 +74,10 @@
 	answeredAt  time.Duration
 	brokeAt     time.Duration
 	coldAt      time.Duration
+	// failedAt is when it last broke off or stayed silent.
+	failedAt time.Duration
+	// doubtedSince and triedAfter pace this entry's trials while it is doubtful.
+	doubtedSince, triedAfter time.Duration
 }
 
 func (b *belief) typical() time.Duration {
@@ -114,9 +118,12 @@
 	if o == Answered || o == Errored {
 		b.answeredAt = now
 	}
+	if o == Silent {
+		b.failedAt = now
+	}
 	switch {
 	case o == BrokenOff:
-		b.brokeAt = now
+		b.brokeAt, b.failedAt = now, now
 		b.leave(now)
 	case b.failing() && o != Answered:
 		b.leave(now)
--- a/bluebell/bluebellplace/fleet.go
+++ b/bluebell/bluebellplace/fleet.go
@@ -61,12 +61,25 @@
 	Current bool
 }
 
-// Use is what is in flight at an endpoint.
+// Use is what entries have in flight at an endpoint and have lately met there.
 type Use struct {
 	Calls int
 	// Tokens of the prompts and answers, and those of prompts that are not known to
 	// have been read.
 	Tokens, Unread int
+	// Failing is the number of entries at which it has lately failed and not answered
+	// since.
+	Failing int
+	// AnsweredAt is when it last answered one of them; 0 if not lately.
+	AnsweredAt time.Duration
+}
+
+// Plus adds up what two entries have.
+func (u Use) Plus(other Use) Use {
+	return Use{
+		Calls: u.Calls + other.Calls, Tokens: u.Tokens + other.Tokens, Unread: u.Unread + other.Unread,
+		Failing: u.Failing + other.Failing, AnsweredAt: max(u.AnsweredAt, other.AnsweredAt),
+	}
 }
 
 // Update takes in what is known of the endpoints.
--- a/bluebell/bluebellplace/home.go
+++ b/bluebell/bluebellplace/home.go
@@ -1,19 +1,26 @@
 package bluebellplace
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 )
 
 // Entries agree on where a prompt belongs without a message: by rendezvous order.
 
-// markHomes marks the first endpoints in rendezvous order and returns the home.
+// markHomes marks the first endpoints in rendezvous order and returns the home. Suspect
+// ones are passed over, so that prompts of endpoints that are out of reach meet at others.
 func markHomes(candidates []candidate, shared string) *candidate {
 	if shared == "" {
 		return nil
 	}
+	allSuspect := !slices.ContainsFunc(candidates, func(c candidate) bool { return !c.suspect })
 	var first [1 + secondHomes]*candidate
 	var scores [1 + secondHomes]uint64
 	for i := range candidates {
+		if candidates[i].suspect && !allSuspect {
+			continue
+		}
 		c, score := &candidates[i], rendezvous(shared, candidates[i].endpoint.ID)
 		for at := range first {
 			if first[at] == nil || score > scores[at] {
--- a/bluebell/bluebellplace/place.go
+++ b/bluebell/bluebellplace/place.go
@@ -50,10 +50,14 @@
 	// awayCost is what a call away from its home costs later prompts, whose blocks it
 	// pushes out. It keeps calls at home while the home is not busier than others.
 	awayCost = 15 * time.Millisecond
-	// fillShare of an engine's memory is given to running calls; the rest holds the
-	// blocks of the prompts that return to it. Engines that were filled with running
-	// calls had to read every prompt again, and stayed full.
+	// fillShare of an engine's memory is given to running calls of prompts that have
+	// their home elsewhere; the rest holds the blocks of the prompts that return to it.
+	// Engines that were filled with running calls had to read every prompt again, and
+	// stayed full.
 	fillShare = 0.6
+	// homeFillShare is the same for prompts at their homes, whose shared blocks are there
+	// to be kept. The rest is what other entries may have sent meanwhile.
+	homeFillShare = 0.85
 )
 
 // Request describes a call.
@@ -142,11 +146,15 @@
 	mu     sync.RWMutex
 	fleet  Fleet
 	groups map[string]*group
+
+	// reachMu is taken after the lock of a group.
+	reachMu sync.Mutex
+	domains map[string]*reach
 }
 
 // New returns a placer that knows no endpoint.
 func New(cfg Config) *Placer {
-	return &Placer{cfg: cfg, groups: map[string]*group{}}
+	return &Placer{cfg: cfg, groups: map[string]*group{}, domains: map[string]*reach{}}
 }
 
 func (g *group) belief(id string) *belief {
@@ -165,6 +173,8 @@
 	weights  uint64
 	cold     bool
 	suspect  bool
+	// doubtful endpoints are suspect by what others know, and tried by all entries in turn.
+	doubtful bool
 	home     bool
 	second   bool
 	full     bool
@@ -193,6 +203,7 @@
 	}
 	home := homeOf(markHomes(candidates, r.Shared))
 	for i := range candidates {
+		candidates[i].full = p.isFull(&candidates[i], r)
 		p.weigh(now, g, &candidates[i], r)
 	}
 	slices.SortFunc(candidates, compareCandidates)
@@ -205,7 +216,7 @@
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		if c.full || r.NearOnly && near > 0 && !c.home && !c.second || c.suspect && !c.belief.mayTry(now) {
+		if c.full || r.NearOnly && near > 0 && !c.home && !c.second || !p.mayTry(now, c, candidates[0].suspect) {
 			continue
 		}
 		if c.cold && !c.belief.takeCold(now, p.coldRate(r.Target)) {
@@ -262,10 +273,10 @@
 		if cold && !p.maySendCold(e) {
 			continue
 		}
-		silent := p.fleet.Current && p.cfg.SilentAfter > 0 && now-e.HeardAt > p.cfg.SilentAfter && !b.answeredSince(now-p.cfg.SilentAfter)
+		doubtful := p.doubtful(now, e, b)
 		list = append(list, candidate{
-			endpoint: e, belief: b, weights: weights, cold: cold, suspect: silent || b.suspect(now),
-			full: p.isFull(e, b, r),
+			endpoint: e, belief: b, weights: weights, cold: cold, doubtful: doubtful,
+			suspect: doubtful || b.suspect(now) || p.outOfReach(now, e.FailureDomain),
 		})
 	}
 	return list, known
--- a/bluebell/bluebellplace/use.go
+++ b/bluebell/bluebellplace/use.go
@@ -2,30 +2,32 @@
 
 import (
 	"time"
-
-	"bluebellhaven.org/bluebell/bluebellfleet"
 )
 
 // What this entry has in flight bounds its next choices and is told to other entries.
 
 // isFull tells whether a call would take memory that cached blocks should have. An
 // idle engine takes any call.
-func (p *Placer) isFull(e bluebellfleet.Endpoint, b *belief, r Request) bool {
-	room := p.fleet.Rooms[e.Target]
-	used := b.tokens + p.fleet.Others[e.ID].Tokens
-	return room > 0 && used > 0 && float64(used+r.Tokens()) > fillShare*float64(room)
+func (p *Placer) isFull(c *candidate, r Request) bool {
+	room := p.fleet.Rooms[c.endpoint.Target]
+	used := c.belief.tokens + p.fleet.Others[c.endpoint.ID].Tokens
+	share := fillShare
+	if c.home || c.second {
+		share = homeFillShare
+	}
+	return room > 0 && used > 0 && float64(used+r.Tokens()) > share*float64(room)
 }
 
-// Uses returns what this entry has in flight, by endpoint.
-func (p *Placer) Uses() map[string]Use {
+// Uses returns what this entry has in flight and has lately met, by endpoint.
+func (p *Placer) Uses(now time.Duration) map[string]Use {
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	uses := map[string]Use{}
 	for _, g := range p.groups {
 		g.mu.Lock()
 		for id, b := range g.beliefs {
-			if b.running > 0 {
-				uses[id] = Use{Calls: b.running, Tokens: b.tokens, Unread: b.reading}
+			if u := b.use(now); u != (Use{}) {
+				uses[id] = u
 			}
 		}
 		g.mu.Unlock()
@@ -64,6 +66,7 @@
 		b.reading -= c.missing
 		b.noteWait(now, now-c.sentAt)
 	})
+	p.noteReach(now, c.Endpoint, Answered)
 }
 
 // Done notes how a call ended.
@@ -77,6 +80,7 @@
 		}
 		b.note(now, o)
 	})
+	p.noteReach(now, c.Endpoint, o)
 }
 
 func (p *Placer) with(c *Choice, f func(g *group, b *belief)) {
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc/pool"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	"bluebellhaven.org/bluebell/bluebellmetrics"
@@ -269,10 +270,16 @@
 // uses tells other entries what this one has in flight.
 func (g *Gateway) uses() []*pb.EndpointUse {
 	var list []*pb.EndpointUse
-	for id, u := range g.placer.Uses() {
-		list = append(list, &pb.EndpointUse{
+	now := g.now()
+	for id, u := range g.placer.Uses(now) {
+		m := &pb.EndpointUse{
 			Endpoint: id, Calls: uint32(u.Calls), Tokens: uint64(max(u.Tokens, 0)), Unread: uint64(max(u.Unread, 0)),
-		})
+			Failing: uint32(u.Failing),
+		}
+		if u.AnsweredAt > 0 {
+			m.AnsweredAgo = durationpb.New(now - u.AnsweredAt)
+		}
+		list = append(list, m)
 	}
 	// Fetches are told in the same way, under the address of their store.
 	for store, tokens := range g.tier.InFlight() {
@@ -287,9 +294,14 @@
 // others returns what other entries have in flight.
 func (g *Gateway) others() map[string]bluebellplace.Use {
 	uses, fetches := map[string]bluebellplace.Use{}, map[string]int{}
-	for _, u := range g.follower.OtherUses() {
+	others, heardAt := g.follower.OtherUses()
+	for _, u := range others {
 		fetches[u.Endpoint] = int(u.Unread)
-		uses[u.Endpoint] = bluebellplace.Use{Calls: int(u.Calls), Tokens: int(u.Tokens), Unread: int(u.Unread)}
+		use := bluebellplace.Use{Calls: int(u.Calls), Tokens: int(u.Tokens), Unread: int(u.Unread), Failing: int(u.Failing)}
+		if u.AnsweredAgo != nil {
+			use.AnsweredAt = heardAt - u.AnsweredAgo.AsDuration()
+		}
+		uses[u.Endpoint] = use
 	}
 	g.otherFetches.Store(&fetches)
 	return uses
