The directory comes in pages; connections between processes are opened within 0.3 s

A core process answered the first poll with its whole directory, some 6,000 blocks, which took three sources longer on the entry's 10 Mbit/s than a poll may take, so it was asked for again; and a connection that was tried while the core process was still starting lost its first packet, which is sent again after a second. Also each poll looked at all rows of the directory. Now a reply holds 500 blocks at the most, in the order of their changes, and more follow at once; a partial view is read from for a second and not written by, and a store's new incarnation is written to after 4 s (was 3 s), so that this second fits in. A connection with its handshake has 0.3 s.

Ruled out: the election of a leader, which entries do not wait for; the core processes' reading of their disks (they served revision 12 at 46.75 s).

--- a/bluebell/bluebelldirectory/directory.go
+++ b/bluebell/bluebelldirectory/directory.go
@@ -8,25 +8,32 @@
 // An entry that learns late that a store was emptied could read a block that
 // another entry has begun to write again. So nothing is written to a store until
 // its present incarnation has been followed for a while (SettleFor), and an entry
-// that has lost its sources for as long trusts no listing.
+// that has lost its sources for as long, or takes long to get all changes, trusts no
+// listing.
 //
 // # Usage
 //
 //	directory := bluebelldirectory.New()
 //	directory.Reset(store, blocks, now)
 //	directory.Hold(store, block)
-//	blocks, cursor := directory.Since(cursor)
+//	changes, cursor := directory.Since(cursor, limit)
 package bluebelldirectory
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
 
 // SettleFor is how long a store's incarnation is followed before anything is
-// written to it: within it, every core process notices the restart (1.2 s), and
-// every entry hears of it or loses its source (1.5 s).
-const SettleFor = 3 * time.Second
+// written to it: within it, every core process notices the restart (1.2 s), every entry
+// hears of it or loses its source (1.5 s), and has all of its changes (partialFor).
+const SettleFor = 4 * time.Second
+
+// partialFor is how long a view is trusted that lacks the latest changes: time enough for
+// a whole directory on the slowest link.
+const partialFor = time.Second
 
 // Key names a block. The scope keeps customers and weights apart.
 type Key struct {
@@ -44,6 +51,8 @@
 	Store string
 	Block
 	Gone bool
+
+	cursor uint64
 }
 
 // StoreState is what is known of one store.
@@ -73,11 +82,26 @@
 	rows  map[Key]row
 }
 
+// leastStale is the number of superseded places from which on they are worth removing.
+const leastStale = 1000
+
+// place is where a row changed last, unless the row has a later one.
+type place struct {
+	cursor uint64
+	store  string
+	key    Key
+}
+
 // Directory is safe for concurrent use.
 type Directory struct {
 	mu     sync.Mutex
 	stores map[string]*store
 	cursor uint64
+	// places are in the order of their cursors, so that a follower's part is found without
+	// looking at all rows.
+	places []place
+	// rows is the number of places that are not superseded.
+	rows int
 }
 
 // New returns an empty directory.
@@ -132,8 +156,7 @@
 	if known && !old.gone {
 		s.state.Used -= old.tokens
 	}
-	d.cursor++
-	s.rows[b.Key] = row{tokens: b.Tokens, cursor: d.cursor}
+	d.set(s, b.Key, row{tokens: b.Tokens})
 	s.state.Used += b.Tokens
 }
 
@@ -149,35 +172,69 @@
 
 func (d *Directory) drop(s *store, key Key) {
 	s.state.Used -= s.rows[key].tokens
+	d.set(s, key, row{gone: true})
+}
+
+// set puts a row at the end of the places.
+func (d *Directory) set(s *store, key Key, r row) {
+	if _, known := s.rows[key]; !known {
+		d.rows++
+	}
 	d.cursor++
-	s.rows[key] = row{gone: true, cursor: d.cursor}
+	r.cursor = d.cursor
+	s.rows[key] = r
+	d.places = append(d.places, place{cursor: d.cursor, store: s.state.Address, key: key})
+	if stale := len(d.places) - d.rows; stale >= leastStale && stale >= d.rows {
+		d.places = slices.DeleteFunc(d.places, func(p place) bool { return !d.isLatest(p) })
+	}
+}
+
+func (d *Directory) isLatest(p place) bool {
+	s := d.stores[p.store]
+	return s != nil && s.rows[p.key].cursor == p.cursor
 }
 
 // Forget drops a store that is no longer declared.
 func (d *Directory) Forget(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.stores, address)
+	if s := d.stores[address]; s != nil {
+		d.rows -= len(s.rows)
+		delete(d.stores, address)
+	}
 }
 
-// Since returns the changes after a place, and the new place.
-func (d *Directory) Since(cursor uint64) ([]Change, uint64) {
+// Since returns the first changes after a place, up to a limit, and the place behind them.
+func (d *Directory) Since(cursor uint64, limit int) ([]Change, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if cursor >= d.cursor {
-		return nil, d.cursor
-	}
 	var changes []Change
-	for address, s := range d.stores {
-		for key, r := range s.rows {
-			if r.cursor > cursor && (cursor > 0 || !r.gone) {
-				changes = append(changes, Change{Store: address, Block: Block{Key: key, Tokens: r.tokens}, Gone: r.gone})
-			}
+	for _, p := range d.places[d.after(cursor):] {
+		if !d.isLatest(p) {
+			continue
+		}
+		if len(changes) == limit {
+			return changes, changes[limit-1].cursor
 		}
+		r := d.stores[p.store].rows[p.key]
+		changes = append(changes, Change{Store: p.store, Block: Block{Key: p.key, Tokens: r.tokens}, Gone: r.gone, cursor: p.cursor})
 	}
 	return changes, d.cursor
 }
 
+// after returns the index of the first place after a cursor.
+func (d *Directory) after(cursor uint64) int {
+	i, _ := slices.BinarySearchFunc(d.places, cursor+1, func(p place, c uint64) int { return cmp.Compare(p.cursor, c) })
+	return i
+}
+
+// Waiting returns how many changes there are after a place, at the most.
+func (d *Directory) Waiting(cursor uint64) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.places) - d.after(cursor)
+}
+
 // States returns what is known of all stores.
 func (d *Directory) States() []StoreState {
 	d.mu.Lock()
--- a/bluebell/bluebelldirectory/directory_test.go
+++ b/bluebell/bluebelldirectory/directory_test.go
@@ -15,8 +15,8 @@
 
 func follow(d *bluebelldirectory.Directory, v *bluebelldirectory.View, cursor uint64) uint64 {
 	states := d.States()
-	changes, next := d.Since(cursor)
-	v.Take(states, changes, cursor == 0)
+	changes, next := d.Since(cursor, 1000)
+	v.Take(states, changes, cursor == 0, false, 0)
 	return next
 }
 
@@ -27,13 +27,13 @@
 	d.Reset("s2", nil, 0)
 	d.Hold("s2", block("b", 20))
 	cursor := follow(d, v, 0)
-	require.Equal(t, []string{"s1", "s2"}, v.Holders(block("b", 0).Key))
-	require.Equal(t, []string{"s1"}, v.Holders(block("a", 0).Key))
-	require.Empty(t, v.Holders(bluebelldirectory.Key{Scope: "*/m0/2", ID: "a"}), "other weights")
+	require.Equal(t, []string{"s1", "s2"}, v.Holders(block("b", 0).Key, 0))
+	require.Equal(t, []string{"s1"}, v.Holders(block("a", 0).Key, 0))
+	require.Empty(t, v.Holders(bluebelldirectory.Key{Scope: "*/m0/2", ID: "a"}, 0), "other weights")
 	d.Drop("s1", block("a", 0).Key)
 	d.Drop("s1", block("never", 0).Key)
 	follow(d, v, cursor)
-	require.Empty(t, v.Holders(block("a", 0).Key))
+	require.Empty(t, v.Holders(block("a", 0).Key, 0))
 	for _, s := range d.States() {
 		require.Equal(t, 20, s.Used, s.Address)
 	}
@@ -49,7 +49,7 @@
 	restarted := time.Minute
 	d.Reset("s1", nil, restarted)
 	follow(d, v, cursor)
-	require.Empty(t, v.Holders(block("a", 0).Key))
+	require.Empty(t, v.Holders(block("a", 0).Key, 0))
 	require.Empty(t, v.Writable(restarted+bluebelldirectory.SettleFor-1))
 	require.Contains(t, v.Writable(restarted+bluebelldirectory.SettleFor), "s1")
 }
@@ -59,11 +59,11 @@
 	d.Reset("s1", []bluebelldirectory.Block{block("a", 10)}, 0)
 	d.SetFollowing("s1", false, time.Second)
 	follow(d, v, 0)
-	require.Empty(t, v.Holders(block("a", 0).Key))
+	require.Empty(t, v.Holders(block("a", 0).Key, 0))
 	require.Empty(t, v.Writable(time.Hour))
 	d.SetFollowing("s1", true, time.Minute)
 	follow(d, v, 0)
-	require.Equal(t, []string{"s1"}, v.Holders(block("a", 0).Key))
+	require.Equal(t, []string{"s1"}, v.Holders(block("a", 0).Key, 0))
 	require.Empty(t, v.Writable(time.Minute+time.Second), "it settles anew")
 }
 
@@ -74,7 +74,7 @@
 	fresh := bluebelldirectory.New()
 	fresh.Reset("s1", nil, 0)
 	follow(fresh, v, 0)
-	require.Empty(t, v.Holders(block("a", 0).Key))
+	require.Empty(t, v.Holders(block("a", 0).Key, 0))
 }
 
 func TestScopesKeepCustomersAndWeightsApart(t *testing.T) {
--- a/bluebell/bluebelldirectory/view.go
+++ b/bluebell/bluebelldirectory/view.go
@@ -11,6 +11,9 @@
 	mu      sync.RWMutex
 	holders map[Key]map[string]int // tokens by store
 	stores  map[string]StoreState
+	// partial is set while more changes are on their way, since partialSince.
+	partial      bool
+	partialSince time.Duration
 }
 
 // NewView returns an empty view.
@@ -19,10 +22,14 @@
 }
 
 // Take replaces the states of the stores and takes in changes. With anew set, all
-// that was known before is dropped first.
-func (v *View) Take(states []StoreState, changes []Change, anew bool) {
+// that was known before is dropped first; with partial set, more follow.
+func (v *View) Take(states []StoreState, changes []Change, anew, partial bool, now time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if partial && !v.partial {
+		v.partialSince = now
+	}
+	v.partial = partial
 	if anew {
 		clear(v.holders)
 	}
@@ -43,10 +50,13 @@
 }
 
 // Holders returns the stores that hold a block and answer, in order.
-func (v *View) Holders(key Key) []string {
+func (v *View) Holders(key Key, now time.Duration) []string {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	var stores []string
+	if v.partial && now-v.partialSince > partialFor {
+		return stores
+	}
 	for address := range v.holders[key] {
 		if v.stores[address].Following {
 			stores = append(stores, address)
@@ -56,11 +66,15 @@
 	return stores
 }
 
-// Writable returns the stores that blocks may be written to, with their use.
+// Writable returns the stores that blocks may be written to, with their use. There is none
+// while the view is partial: blocks that seem to be missing may be held.
 func (v *View) Writable(now time.Duration) map[string]StoreState {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	settled := map[string]StoreState{}
+	if v.partial {
+		return settled
+	}
 	for address, s := range v.stores {
 		if s.Settled(now) {
 			settled[address] = s
--- a/bluebell/bluebellnews/follower.go
+++ b/bluebell/bluebellnews/follower.go
@@ -204,7 +204,7 @@
 		block := bluebelldirectory.Block{Key: bluebelldirectory.Key{Scope: m.Scope, ID: m.ID}, Tokens: int(m.Tokens)}
 		changes = append(changes, bluebelldirectory.Change{Store: m.Store, Block: block, Gone: m.Gone})
 	}
-	s.directory.Take(states, changes, anew)
+	s.directory.Take(states, changes, anew, reply.DirectoryMore, now)
 }
 
 // Loading returns the endpoints that are about to load other weights, in order.
--- a/bluebell/bluebellnews/news_test.go
+++ b/bluebell/bluebellnews/news_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -230,7 +231,7 @@
 	e := d.follow(t, "e1", "c1")
 	holders := func() int {
 		if v := e.Directory(); v != nil {
-			return len(v.Holders(key))
+			return len(v.Holders(key, d.now()))
 		}
 		return -1
 	}
@@ -239,6 +240,34 @@
 	eventually(t, "no block", func() bool { return holders() == 0 })
 }
 
+// The load pattern: all entries start at once on slow links, while the stores are full. Each
+// has the deployment with its first reply, and the directory in pages after it.
+func TestALargeDirectoryComesInPages(t *testing.T) {
+	const blocks, page = 2300, 500
+	d := newDeployment("c1")
+	var held []bluebelldirectory.Block
+	for i := range blocks {
+		held = append(held, bluebelldirectory.Block{Key: bluebelldirectory.Key{Scope: "*/m0/1", ID: fmt.Sprint(i)}, Tokens: 1})
+	}
+	c := d.cores["c1"]
+	c.directory.Reset("s1", held, 0)
+	c.SetDeployment(9, &pb.Deployment{Version: 9})
+	first := c.Answer(context.Background(), &pb.FollowRequest{Process: "e0", Entry: true})
+	require.Equal(t, uint64(9), first.Revision)
+	require.NotNil(t, first.Deployment)
+	require.Len(t, first.Blocks, page)
+	require.True(t, first.DirectoryMore)
+	e := d.follow(t, "e1", "c1")
+	eventually(t, "all blocks", func() bool {
+		v := e.Directory()
+		return v != nil && len(v.Holders(held[blocks-1].Key, d.now())) == 1
+	})
+	for _, b := range held {
+		require.Len(t, e.Directory().Holders(b.Key, d.now()), 1)
+	}
+	require.Contains(t, e.Directory().Writable(time.Hour), "s1", "the view is whole")
+}
+
 // The deployment is cut in two, or an entry loses all its sources. The limits that
 // entries share must hold for all of them together, so each goes on counting with the
 // entries that it knew.
--- a/bluebell/bluebellnews/source.go
+++ b/bluebell/bluebellnews/source.go
@@ -44,6 +44,10 @@
 	// entryTimeout is how long an entry that no longer polls counts as one that
 	// shares limits: two polls and a retry.
 	entryTimeout = 2 * time.Second
+	// directoryPage is the number of blocks in one reply, about 30 KB: 25 ms on the slowest
+	// link of the users' sheets (10 Mbit/s). A whole directory took longer there than a
+	// poll may, and was asked for again and again.
+	directoryPage = 500
 )
 
 // SourceConfig sets up a Source.
@@ -145,6 +149,9 @@
 	if r.Revision < s.currentRevision() || r.Cursor < changedAt {
 		return s.reply(r)
 	}
+	if r.Entry && s.cfg.Directory.Waiting(r.DirectoryCursor) >= directoryPage {
+		return s.reply(r)
+	}
 	select {
 	case <-own:
 	case <-fleet:
@@ -236,8 +243,9 @@
 		}
 		reply.Stores = append(reply.Stores, m)
 	}
-	changes, next := s.cfg.Directory.Since(cursor)
+	changes, next := s.cfg.Directory.Since(cursor, directoryPage)
 	reply.DirectoryCursor = next
+	reply.DirectoryMore = len(changes) == directoryPage
 	for _, c := range changes {
 		reply.Blocks = append(reply.Blocks, &pb.StoredBlock{
 			Store: c.Store, Scope: c.Scope, ID: c.ID, Tokens: uint32(c.Tokens), Gone: c.Gone,
--- a/bluebell/bluebellpeer/client.go
+++ b/bluebell/bluebellpeer/client.go
@@ -12,8 +12,14 @@
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
-// maxIdle is the number of idle connections that a client keeps.
-const maxIdle = 4
+const (
+	// maxIdle is the number of idle connections that a client keeps.
+	maxIdle = 4
+	// connectTimeout bounds the opening of a connection with its handshake. The first packet
+	// to a VM that is just starting is lost and sent again after a second: another attempt
+	// comes sooner.
+	connectTimeout = 300 * time.Millisecond
+)
 
 // ClientConfig sets up a Client.
 type ClientConfig struct {
@@ -123,11 +129,13 @@
 		return conn, nil
 	}
 	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
 	raw, err := c.cfg.Dial(ctx, "tcp", c.cfg.Address)
 	if err != nil {
 		return nil, err
 	}
-	name, err := handshake(raw, c.cfg.Secret, c.cfg.Name, clientSide)
+	name, err := handshake(ctx, raw, c.cfg.Secret, c.cfg.Name, clientSide)
 	if err == nil && name != c.cfg.Peer {
 		err = fmt.Errorf("%w: it is %s", ErrUnauthenticated, name)
 	}
--- a/bluebell/bluebellpeer/handshake.go
+++ b/bluebell/bluebellpeer/handshake.go
@@ -1,6 +1,7 @@
 package bluebellpeer
 
 import (
+	"context"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
@@ -33,9 +34,14 @@
 	nonce [nonceSize]byte
 }
 
-// handshake authenticates both ends and returns the name of the other one.
-func handshake(conn net.Conn, secret []byte, name string, own side) (string, error) {
-	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+// handshake authenticates both ends by the deadline of ctx and returns the name of the
+// other one.
+func handshake(ctx context.Context, conn net.Conn, secret []byte, name string, own side) (string, error) {
+	deadline, ok := ctx.Deadline()
+	if latest := time.Now().Add(handshakeTimeout); !ok || deadline.After(latest) {
+		deadline = latest
+	}
+	if err := conn.SetDeadline(deadline); err != nil {
 		return "", fmt.Errorf("handshake: %w", err)
 	}
 	mine := hello{name: name}
--- a/bluebell/bluebellpeer/server.go
+++ b/bluebell/bluebellpeer/server.go
@@ -51,7 +51,7 @@
 			defer func() { _ = conn.Close() }()
 			closeOnEnd := context.AfterFunc(ctx, func() { _ = conn.Close() })
 			defer closeOnEnd()
-			if _, err := handshake(conn, secret, name, serverSide); err != nil {
+			if _, err := handshake(ctx, conn, secret, name, serverSide); err != nil {
 				return
 			}
 			_ = server.ServeOne(ctx, conn)
--- a/bluebellgate/internal/bluebelltier/tier.go
+++ b/bluebellgate/internal/bluebelltier/tier.go
@@ -173,7 +173,7 @@
 	var best bluebellplan.Store
 	found, bestTook := false, time.Duration(0)
 	others := t.cfg.Others()
-	for _, address := range view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}) {
+	for _, address := range view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}, t.cfg.Now()) {
 		s, declared := stores[address]
 		if !declared || s.BytesPerSecond <= 0 {
 			continue
--- a/bluebellgate/internal/bluebelltier/tier_test.go
+++ b/bluebellgate/internal/bluebelltier/tier_test.go
@@ -39,8 +39,8 @@
 			if !f.live {
 				return nil
 			}
-			changes, _ := f.directory.Since(0)
-			f.view.Take(f.directory.States(), changes, true)
+			changes, _ := f.directory.Since(0, 1000)
+			f.view.Take(f.directory.States(), changes, true, false, 0)
 			return f.view
 		},
 		Others: func() map[string]int { return f.others },
