A call stays at a busy endpoint that goes on answering others

Entries know by now when an endpoint last answered any of them: as long as it does, a call stays for up to three times as long. Beyond that the call itself is taken to be stuck (endpoints that hang with a part of their calls).

TestACallStaysAtABusyEndpointThatAnswersOthers failed first; TestAnAnswerIsAwaitedForAsLongAsItsCallGoesOn.

--- a/bluebell/bluebellplace/doubt.go
+++ b/bluebell/bluebellplace/doubt.go
@@ -61,6 +61,16 @@
 	return true
 }
 
+// AnsweredSince tells whether any entry is known to have had an answer from a choice's
+// endpoint after a time.
+func (p *Placer) AnsweredSince(c Choice, at time.Duration) bool {
+	p.mu.RLock()
+	answeredAt := p.fleet.Others[c.Endpoint.ID].AnsweredAt
+	p.mu.RUnlock()
+	p.with(&c, func(_ *group, b *belief) { answeredAt = max(answeredAt, b.answeredAt) })
+	return answeredAt > at
+}
+
 // trialPause is the time between two trials of a doubtful endpoint by one entry.
 func (p *Placer) trialPause() time.Duration {
 	return time.Duration(max(len(p.fleet.Entries), 1)) * trialEvery
--- a/bluebellgate/internal/bluebellfront/front_test.go
+++ b/bluebellgate/internal/bluebellfront/front_test.go
@@ -380,6 +380,28 @@
 	require.Equal(t, events(c.id, bluebellstandin.StreamEvents), c.body)
 }
 
+// The load pattern: all endpoints are busy, and first events take longer than a call is
+// ready to wait. One that goes on answering others is not left: what it has read for the
+// call would be read again elsewhere, which made all of them busier still.
+func TestACallStaysAtABusyEndpointThatAnswersOthers(t *testing.T) {
+	e := start(t, 2)
+	e.behave(bluebellstandin.Mute)
+	fleet := bluebellplace.Fleet{Entries: []string{"e1"}, Others: map[string]bluebellplace.Use{}}
+	for _, one := range e.endpoints {
+		registered := one.Registration()
+		fleet.Endpoints = append(fleet.Endpoints, registered)
+		fleet.Others[registered.ID] = bluebellplace.Use{AnsweredAt: time.Hour}
+	}
+	e.placer.Update(fleet)
+	answered := make(chan call)
+	go func() { answered <- e.do(http.MethodGet, "/read/x", "") }()
+	require.Eventually(t, func() bool { return len(e.runs()) == 1 }, patience, time.Millisecond)
+	time.Sleep(1200 * time.Millisecond) // twice as long as a call waits for a read
+	require.Len(t, e.runs(), 1)
+	<-answered
+	require.Len(t, e.runs(), 2, "a call that is stuck alone goes elsewhere in the end")
+}
+
 // strayRefuser runs each call, and on a kept connection hands out a refusal that names no
 // call first, such as one that came late.
 func strayRefuser(t *testing.T, id string, runs *atomic.Int64) bluebellfleet.Endpoint {
--- a/bluebellgate/internal/bluebelllink/exchange.go
+++ b/bluebellgate/internal/bluebelllink/exchange.go
@@ -41,6 +41,10 @@
 	ConnectWithin time.Duration
 	// AnswerBy is when the header of the answer must have come.
 	AnswerBy time.Time
+	// GoOn is asked whenever nothing came by a time while the answer or its first event is
+	// awaited, and returns until when to go on waiting, or a time that has passed. It may be
+	// nil.
+	GoOn func() time.Time
 }
 
 // Exchange is a call whose answer has begun.
@@ -64,6 +68,7 @@
 	if err != nil {
 		return nil, &Error{Stage: Connecting, Timeout: isTimeout(err), Err: err}
 	}
+	opened.goOn = r.GoOn
 	x := &Exchange{client: c, conn: opened, written: make(chan struct{})}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = opened.Close() })
 	if err := x.send(r); err != nil {
@@ -221,6 +226,7 @@
 		}
 		e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data:"))
 		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(e.Text) > len(line) {
+			x.conn.goOn = nil
 			return e, nil
 		}
 	}
@@ -244,6 +250,7 @@
 		return
 	}
 	x.closed = true
+	x.conn.goOn = nil
 	cancelled := !x.stopCancel()
 	reusable := !cancelled && x.whole && !x.response.Close && x.conn.reader.Buffered() == 0 &&
 		(x.response.ContentLength >= 0 || len(x.response.TransferEncoding) > 0) && x.isWritten()
--- a/bluebellgate/internal/bluebelllink/link_test.go
+++ b/bluebellgate/internal/bluebelllink/link_test.go
@@ -215,6 +215,44 @@
 	}
 }
 
+func TestAnAnswerIsAwaitedForAsLongAsItsCallGoesOn(t *testing.T) {
+	release := make(chan struct{})
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		id, _ := read(r)
+		<-release
+		answer(conn, id, "late")
+		_, _ = read(r)
+	})
+	c := bluebelllink.NewClient(bluebelllink.Config{})
+	r := request(s, "a", "")
+	r.AnswerBy = time.Now().Add(10 * time.Millisecond)
+	asked := 0
+	r.GoOn = func() time.Time {
+		if asked++; asked == 3 {
+			close(release)
+			return time.Now().Add(patience)
+		}
+		return time.Now().Add(10 * time.Millisecond)
+	}
+	body, err := do(t, c, r)
+	require.NoError(t, err)
+	require.Equal(t, "late", body)
+	require.Equal(t, 3, asked)
+
+	s = serve(t, func(_ net.Conn, r *bufio.Reader) {
+		_, _ = read(r)
+		_, _ = read(r)
+	})
+	r = request(s, "b", "")
+	r.AnswerBy = time.Now().Add(10 * time.Millisecond)
+	r.GoOn = func() time.Time { return time.Time{} }
+	_, err = do(t, c, r)
+	var failure *bluebelllink.Error
+	require.ErrorAs(t, err, &failure)
+	require.True(t, failure.Timeout)
+	require.True(t, failure.Sent)
+}
+
 func TestEventsAreWhole(t *testing.T) {
 	for _, c := range []struct {
 		body  string
--- a/bluebellgate/internal/bluebelllink/pool.go
+++ b/bluebellgate/internal/bluebelllink/pool.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,6 +54,8 @@
 	reader  *bufio.Reader
 	address string
 	reused  bool
+	// goOn is that of the present call's Request.
+	goOn func() time.Time
 	// usableUntil is when the endpoint may close it.
 	usableUntil time.Time
 }
@@ -101,7 +104,26 @@
 	if c.cfg.Opened != nil {
 		c.cfg.Opened(address)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), address: address}, nil
+	opened := &conn{Conn: raw, address: address}
+	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
+	return opened, nil
+}
+
+// Read reads on after a deadline for as long as the present call has the patience.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.goOn == nil {
+			return n, err
+		}
+		until := c.goOn()
+		if !time.Now().Before(until) {
+			return n, err
+		}
+		if err := c.SetReadDeadline(until); err != nil {
+			return 0, err
+		}
+	}
 }
 
 // take returns the connection that was used last, so that others fall idle.
--- a/bluebellgate/internal/bluebellrelay/patience.go
+++ b/bluebellgate/internal/bluebellrelay/patience.go
@@ -22,6 +22,10 @@
 	// typicalPatience is how far it may exceed what all endpoints take at the time: when
 	// all are busy, leaving early only makes the load worse.
 	typicalPatience = 3
+	// alivePatience is how many times as long a call stays at an endpoint that goes on
+	// answering others: it is busy, and what it has read already would be read again
+	// elsewhere. Beyond that the call itself is taken to be stuck.
+	alivePatience = 3
 	// leastPatience is a slow first answer of a healthy endpoint.
 	leastPatience = 150 * time.Millisecond
 	// connectShare of the objective is spent on a new connection at the most, within
@@ -52,6 +56,19 @@
 	return patience
 }
 
+// goOn returns how a call waits beyond its patience, as bluebelllink.Request has it.
+func (s *serving) goOn(choice bluebellplace.Choice, patience time.Duration) func() time.Time {
+	placer, now := s.relay.cfg.Placer, s.relay.cfg.Now
+	last := min(now()+alivePatience*patience, now()+s.left())
+	return func() time.Time {
+		at := now()
+		if at >= last || !placer.AnsweredSince(choice, at-patience) {
+			return time.Time{}
+		}
+		return time.Now().Add(min(patience, last-at))
+	}
+}
+
 // eventPatience returns how long a stream may be silent between two events.
 func eventPatience(r *bluebellplan.Route, left time.Duration, mayRepeat bool) time.Duration {
 	if !mayRepeat {
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -215,6 +215,7 @@
 		"Home", choice.Home, "Expected", choice.Expected.Round(time.Millisecond), "Candidates", choice.Candidates,
 		"HeardAgo", choice.HeardAgo.Round(time.Millisecond), "Weights", choice.Weights, "Attempt", s.sends, "Revision", s.q.Revision)
 	mayRepeat := s.q.Route.Repeatable() && s.runs+1 < s.q.Route.Attempts
+	patience := firstPatience(s.q.Route, choice, left, mayRepeat)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	exchange, err := cfg.Link.Do(attemptCtx, bluebelllink.Request{
@@ -222,7 +223,8 @@
 		Header:        s.header(choice, left),
 		Answers:       s.answers,
 		ConnectWithin: connectPatience(s.q.Route),
-		AnswerBy:      time.Now().Add(firstPatience(s.q.Route, choice, left, mayRepeat)),
+		AnswerBy:      time.Now().Add(patience),
+		GoOn:          s.goOn(choice, patience),
 	})
 	if err != nil {
 		return s.failed(ctx, choice, err)
