Prompts are not sent to engines that would begin them too late; homes are filled to their memory

Now an engine that is expected to begin after the objective counts as full for that call: it waits at the entry for one that does, and is told early when to come back if there is none. What is expected is corrected by how much longer first events have lately taken than expected. Idle engines take any call, and calls that may have run already are sent in any case.

--- a/bluebell/bluebellplace/cost.go
+++ b/bluebell/bluebellplace/cost.go
@@ -20,6 +20,31 @@
 	return sum / time.Duration(max(n, 1))
 }
 
+const (
+	// slowdownWeight of the latest answer in the running mean: an entry has some ten answers
+	// a second.
+	slowdownWeight = 0.05
+	// mostSlowdown bounds what one answer adds, such as one of an endpoint that was frozen.
+	mostSlowdown = 10.0
+)
+
+// noteSlowdown takes in how long a first event took that was expected after a while.
+func (g *group) noteSlowdown(expected, took time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	latest := min(float64(took)/float64(expected), mostSlowdown)
+	if g.slowdown == 0 {
+		g.slowdown = latest
+	}
+	g.slowdown += slowdownWeight * (latest - g.slowdown)
+}
+
+// slowed returns an expected time as it has lately turned out.
+func (g *group) slowed(expected time.Duration) time.Duration {
+	return time.Duration(max(g.slowdown, 1) * float64(expected))
+}
+
 // weigh sets what a choice of the candidate costs: the time until the first event, and
 // what it costs other prompts.
 func (p *Placer) weigh(now time.Duration, g *group, c *candidate, r Request) {
@@ -68,6 +93,7 @@
 		again = readTime(tokens)
 	}
 	c.expected = fetch + readTime(c.missing+c.belief.reading+others.Unread) + time.Duration(c.belief.running+others.Calls)*stepCost
+	c.busy = c.belief.running+others.Calls > 0
 	c.cost = c.expected + (fetchWeight-1)*fetch
 	if !c.home {
 		c.cost += (rereadWeight - 1) * again
--- a/bluebell/bluebellplace/place.go
+++ b/bluebell/bluebellplace/place.go
@@ -56,8 +56,9 @@
 	// stayed full.
 	fillShare = 0.6
 	// homeFillShare is the same for prompts at their homes, whose shared blocks are there
-	// to be kept. The rest is what other entries may have sent meanwhile.
-	homeFillShare = 0.85
+	// to be kept. Prompts with the same blocks share them, so the sum of their tokens is more
+	// than what they take.
+	homeFillShare = 1.0
 )
 
 // Request describes a call.
@@ -74,6 +75,9 @@
 	// Fetch is the time in which an endpoint gets the shared tokens from a cache
 	// store; 0 if none holds them.
 	Fetch time.Duration
+	// BeginBy is when its answer should have begun: an engine that is expected to take longer
+	// counts as full. 0 for no such time.
+	BeginBy time.Duration
 	// Tried endpoints are not picked again.
 	Tried []string
 	// NearOnly keeps the call at the prompt's home and second homes, for as long as it
@@ -132,6 +136,9 @@
 	mu      sync.Mutex
 	beliefs map[string]*belief // by endpoint
 	seen    map[string]sighting
+	// slowdown is the running mean of how many times as long as expected the first events of
+	// answers have lately taken.
+	slowdown float64
 }
 
 type sighting struct {
@@ -178,6 +185,8 @@
 	home     bool
 	second   bool
 	full     bool
+	// busy engines have calls in flight.
+	busy     bool
 	expected time.Duration
 	cost     time.Duration
 	missing  int
@@ -203,8 +212,9 @@
 	}
 	home := homeOf(markHomes(candidates, r.Shared))
 	for i := range candidates {
-		candidates[i].full = p.isFull(&candidates[i], r)
-		p.weigh(now, g, &candidates[i], r)
+		c := &candidates[i]
+		p.weigh(now, g, c, r)
+		c.full = p.isFull(c, r) || r.BeginBy > 0 && c.busy && now+g.slowed(c.expected) > r.BeginBy
 	}
 	slices.SortFunc(candidates, compareCandidates)
 	// With all of a prompt's homes suspect there is nothing to wait for.
--- a/bluebell/bluebellplace/use.go
+++ b/bluebell/bluebellplace/use.go
@@ -58,11 +58,12 @@
 
 // FirstEvent notes that the answer has begun.
 func (p *Placer) FirstEvent(c Choice, now time.Duration) {
-	p.with(&c, func(_ *group, b *belief) {
+	p.with(&c, func(g *group, b *belief) {
 		if *c.read {
 			return
 		}
 		*c.read = true
+		g.noteSlowdown(c.Expected, now-c.sentAt)
 		b.reading -= c.missing
 		b.noteWait(now, now-c.sentAt)
 	})
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -164,6 +164,9 @@
 	if len(s.tried) > 0 {
 		g.unfitUntil = min(until, now+retryWait)
 	}
+	if r.Model != "" && !w.Begun {
+		g.request.BeginBy = w.InTimeUntil
+	}
 	if r.SharedTokens >= nearTokens && len(s.tried) == 0 {
 		g.nearUntil = bluebellqueue.NearUntil(w)
 	}
