Stores that are slower than others are passed over; connections are kept as long as endpoints say

Entries tell how long their fetches of large blocks have been in flight by now; a store at which that is three times as long as at the median one, with four fetches or more, is passed over: the block comes from another store, from the prompt's home, or is read. When all engines are slow, all stores look alike and none is passed over. Ruled out: a bound on what is named for a store, which failed earlier (calls wait for their engines, and reading made these wait longer).

TestASlowStoreIsPassedOver failed first.

--- a/bluebell/bluebellnews/news_test.go
+++ b/bluebell/bluebellnews/news_test.go
@@ -72,6 +72,7 @@
 			return []*pb.EndpointUse{
 				{Endpoint: "i-1", Calls: 1, Tokens: 100, Unread: 10},
 				{Endpoint: "i-2", Failing: 1, AnsweredAgo: durationpb.New(time.Minute)},
+				{Endpoint: "s-1", Calls: 2, Waited: durationpb.New(time.Minute)},
 			}
 		},
 		Ask: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
@@ -219,7 +220,11 @@
 			uses[u.Endpoint] = u
 		}
 		busy, failing := uses["i-1"], uses["i-2"]
-		return len(uses) == 2 && busy.Calls == 2 && busy.Tokens == 200 && busy.Unread == 20 && busy.AnsweredAgo == nil &&
+		store := uses["s-1"]
+		if store == nil || store.Calls != 4 || store.Waited.AsDuration() < 2*time.Minute || store.Waited.AsDuration() > 2*time.Minute+4*patience {
+			return false
+		}
+		return len(uses) == 3 && busy.Calls == 2 && busy.Tokens == 200 && busy.Unread == 20 && busy.AnsweredAgo == nil &&
 			failing.Failing == 2 && failing.AnsweredAgo.AsDuration() >= time.Minute && failing.AnsweredAgo.AsDuration() < time.Minute+patience
 	})
 }
--- a/bluebell/bluebellnews/source.go
+++ b/bluebell/bluebellnews/source.go
@@ -77,6 +77,14 @@
 	return durationpb.New(u.AnsweredAgo.AsDuration() + now - e.at)
 }
 
+// waited returns how long the calls of a use have waited by now.
+func (e entry) waited(u *pb.EndpointUse, now time.Duration) time.Duration {
+	if u.Waited == nil {
+		return 0
+	}
+	return u.Waited.AsDuration() + time.Duration(u.Calls)*(now-e.at)
+}
+
 func sooner(a, b *durationpb.Duration) *durationpb.Duration {
 	if a == nil || b != nil && b.AsDuration() < a.AsDuration() {
 		return b
@@ -227,6 +235,9 @@
 			sum.Tokens += u.Tokens
 			sum.Unread += u.Unread
 			sum.Failing += u.Failing
+			if waited := e.waited(u, now); waited > 0 {
+				sum.Waited = durationpb.New(sum.Waited.AsDuration() + waited)
+			}
 			sum.AnsweredAgo = sooner(sum.AnsweredAgo, e.answeredAgo(u, now))
 		}
 	}
--- a/bluebellgate/internal/bluebellfront/front_test.go
+++ b/bluebellgate/internal/bluebellfront/front_test.go
@@ -89,7 +89,7 @@
 		Placer: e.placer, Link: bluebelllink.NewClient(bluebelllink.Config{}),
 		Tier: bluebelltier.New(bluebelltier.Config{
 			Stores: func() []bluebellplan.Store { return nil }, Directory: func() *bluebelldirectory.View { return nil },
-			Others: func() map[string]int { return nil }, Now: now,
+			Others: func() map[string]bluebelltier.Load { return nil }, Now: now,
 		}),
 		Budget: budget,
 		Now:    now, Draw: func() float64 { return 0 }, Count: func(string, string) {},
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -81,7 +81,7 @@
 	metrics  *bluebellmetrics.Metrics
 
 	state        atomic.Pointer[bluebellfront.State]
-	otherFetches atomic.Pointer[map[string]int]
+	otherFetches atomic.Pointer[map[string]bluebelltier.Load]
 	changed      chan struct{}
 
 	mu         sync.Mutex
@@ -98,7 +98,7 @@
 		metrics: bluebellmetrics.New(bluebellmetrics.Config{Prefix: "bluebell_gate", Logger: cfg.Logger}),
 	}
 	g.state.Store(&bluebellfront.State{})
-	g.otherFetches.Store(&map[string]int{})
+	g.otherFetches.Store(&map[string]bluebelltier.Load{})
 	g.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: g.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
 	g.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: g.now})
 	g.follower = bluebellnews.NewFollower(bluebellnews.FollowerConfig{
@@ -282,21 +282,23 @@
 		list = append(list, m)
 	}
 	// Fetches are told in the same way, under the address of their store.
-	for store, tokens := range g.tier.InFlight() {
-		list = append(list, &pb.EndpointUse{Endpoint: store, Unread: uint64(max(tokens, 0))})
+	for store, l := range g.tier.InFlight() {
+		list = append(list, &pb.EndpointUse{
+			Endpoint: store, Unread: uint64(max(l.Tokens, 0)), Calls: uint32(max(l.Calls, 0)), Waited: durationpb.New(l.Waited),
+		})
 	}
 	return list
 }
 
-// fetches returns the tokens that other entries have named for a fetch, by store.
-func (g *Gateway) fetches() map[string]int { return *g.otherFetches.Load() }
+// fetches returns what other entries have in flight, by store.
+func (g *Gateway) fetches() map[string]bluebelltier.Load { return *g.otherFetches.Load() }
 
 // others returns what other entries have in flight.
 func (g *Gateway) others() map[string]bluebellplace.Use {
-	uses, fetches := map[string]bluebellplace.Use{}, map[string]int{}
+	uses, fetches := map[string]bluebellplace.Use{}, map[string]bluebelltier.Load{}
 	others, heardAt := g.follower.OtherUses()
 	for _, u := range others {
-		fetches[u.Endpoint] = int(u.Unread)
+		fetches[u.Endpoint] = bluebelltier.Load{Tokens: int(u.Unread), Calls: int(u.Calls), Waited: u.Waited.AsDuration()}
 		use := bluebellplace.Use{Calls: int(u.Calls), Tokens: int(u.Tokens), Unread: int(u.Unread), Failing: int(u.Failing)}
 		if u.AnsweredAgo != nil {
 			use.AnsweredAt = heardAt - u.AnsweredAgo.AsDuration()
--- a/bluebellgate/internal/bluebelllink/pool.go
+++ b/bluebellgate/internal/bluebelllink/pool.go
@@ -156,7 +156,7 @@
 	for field := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		value, ok := strings.CutPrefix(strings.TrimSpace(field), "timeout=")
 		if seconds, err := strconv.Atoi(value); ok && err == nil {
-			return min(time.Duration(seconds)*time.Second-idleMargin, idleFor)
+			return time.Duration(seconds)*time.Second - idleMargin
 		}
 	}
 	return idleFor
--- a/bluebellgate/internal/bluebelltier/tier.go
+++ b/bluebellgate/internal/bluebelltier/tier.go
@@ -72,8 +72,8 @@
 	Fetch, Save []string
 	// Tokens that some store holds.
 	Held int
-	// fetched are the tokens to fetch from each store.
-	fetched map[string]int
+	// fetched is what is to be fetched from each store, begun at a time.
+	fetched map[string]flight
 }
 
 // Config sets up a Tier.
@@ -82,9 +82,8 @@
 	Stores func() []bluebellplan.Store
 	// Directory returns what is known of them, or nil without a live source.
 	Directory func() *bluebelldirectory.View
-	// Others returns the tokens that other entries have named for a fetch and that have
-	// not arrived, by store.
-	Others func() map[string]int
+	// Others returns what other entries have in flight, by store.
+	Others func() map[string]Load
 	// Now is monotonic, and the clock of the directory.
 	Now func() time.Duration
 }
@@ -100,15 +99,14 @@
 type Tier struct {
 	cfg Config
 
-	mu      sync.Mutex
-	pending map[bluebelldirectory.Key]write
-	// inFlight are the tokens that this entry has named for a fetch, by store.
-	inFlight map[string]int
+	mu       sync.Mutex
+	pending  map[bluebelldirectory.Key]write
+	inFlight map[string]flight // by store
 }
 
 // New returns a tier that has planned nothing yet.
 func New(cfg Config) *Tier {
-	return &Tier{cfg: cfg, pending: map[bluebelldirectory.Key]write{}, inFlight: map[string]int{}}
+	return &Tier{cfg: cfg, pending: map[bluebelldirectory.Key]write{}, inFlight: map[string]flight{}}
 }
 
 // FetchTime estimates how long an endpoint in a failure domain needs to fetch the
@@ -118,12 +116,13 @@
 	if view == nil || len(r.Blocks) == 0 {
 		return 0
 	}
+	now := t.cfg.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	stores := t.declared()
 	total := time.Duration(0)
 	for _, b := range r.Blocks {
-		s, held := t.nearest(view, stores, r, b)
+		s, held := t.nearest(view, stores, r, b, now)
 		if !held {
 			return 0
 		}
@@ -134,7 +133,7 @@
 
 // Plan decides for a call that goes to an endpoint.
 func (t *Tier) Plan(r Request) Plan {
-	p := Plan{Fetch: make([]string, len(r.Blocks)+1), Save: make([]string, len(r.Blocks)+1), fetched: map[string]int{}}
+	p := Plan{Fetch: make([]string, len(r.Blocks)+1), Save: make([]string, len(r.Blocks)+1), fetched: map[string]flight{}}
 	view := t.cfg.Directory()
 	now := t.cfg.Now()
 	t.mu.Lock()
@@ -143,15 +142,17 @@
 	stores := t.declared()
 	for i, b := range r.Blocks {
 		if view != nil {
-			if s, held := t.nearest(view, stores, r, b); held {
+			if s, held := t.nearest(view, stores, r, b, now); held {
 				address := s.Address
 				p.Fetch[i] = address
 				p.Held += b.Tokens
-				p.fetched[address] += b.Tokens
-				t.inFlight[address] += b.Tokens
+				p.fetched[address] = p.fetched[address].with(b.Tokens, now)
+				t.inFlight[address] = t.inFlight[address].with(b.Tokens, now)
 				continue
 			}
-			p.Save[i] = t.choose(view, stores, r, b, now)
+			if !t.isHeld(view, stores, r, b, now) {
+				p.Save[i] = t.choose(view, stores, r, b, now)
+			}
 		}
 		p.Fetch[i] = r.Home
 	}
@@ -169,16 +170,21 @@
 // nearest returns the store from which a block comes soonest. What all entries have
 // named for a fetch counts in the choice, but keeps no block from being fetched: most
 // of it waits for its engine, not for the link, and reading instead made engines wait.
-func (t *Tier) nearest(view *bluebelldirectory.View, stores map[string]bluebellplan.Store, r Request, b Block) (bluebellplan.Store, bool) {
+// Only stores that are slower than others are passed over.
+func (t *Tier) nearest(view *bluebelldirectory.View, stores map[string]bluebellplan.Store, r Request, b Block, now time.Duration) (bluebellplan.Store, bool) {
 	var best bluebellplan.Store
 	found, bestTook := false, time.Duration(0)
-	others := t.cfg.Others()
-	for _, address := range view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}, t.cfg.Now()) {
+	loads := t.loads(now)
+	var slow map[string]bool
+	if b.Tokens >= largeBlock {
+		slow = slowStores(loads)
+	}
+	for _, address := range view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}, now) {
 		s, declared := stores[address]
-		if !declared || s.BytesPerSecond <= 0 {
+		if !declared || s.BytesPerSecond <= 0 || slow[address] {
 			continue
 		}
-		took := transfer(s, r, b.Tokens, t.inFlight[address]+others[address])
+		took := transfer(s, r, b.Tokens, loads[address].Tokens)
 		if !found || took < bestTook {
 			best, bestTook, found = s, took, true
 		}
@@ -186,6 +192,14 @@
 	return best, found
 }
 
+// isHeld tells whether a declared store holds a block, be it slow or not.
+func (t *Tier) isHeld(view *bluebelldirectory.View, stores map[string]bluebellplan.Store, r Request, b Block, now time.Duration) bool {
+	return slices.ContainsFunc(view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}, now), func(address string) bool {
+		_, declared := stores[address]
+		return declared
+	})
+}
+
 // transfer estimates how long a block takes from a store, behind a number of tokens.
 func transfer(s bluebellplan.Store, r Request, tokens, ahead int) time.Duration {
 	perToken := r.TokenBytes / s.BytesPerSecond
@@ -199,19 +213,39 @@
 func (t *Tier) Arrived(p Plan) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for address, tokens := range p.fetched {
-		if t.inFlight[address] -= tokens; t.inFlight[address] <= 0 {
+	for address, f := range p.fetched {
+		left := t.inFlight[address].without(f)
+		if left.tokens <= 0 {
 			delete(t.inFlight, address)
+			continue
 		}
+		t.inFlight[address] = left
 	}
 	clear(p.fetched)
 }
 
-// InFlight returns the tokens that this entry has named for a fetch, by store.
-func (t *Tier) InFlight() map[string]int {
+// InFlight returns what this entry has in flight, by store.
+func (t *Tier) InFlight() map[string]Load {
+	now := t.cfg.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return maps.Clone(t.inFlight)
+	loads := map[string]Load{}
+	for address, f := range t.inFlight {
+		loads[address] = f.load(now)
+	}
+	return loads
+}
+
+// loads adds up what all entries have in flight; the lock is held.
+func (t *Tier) loads(now time.Duration) map[string]Load {
+	loads := maps.Clone(t.cfg.Others())
+	if loads == nil {
+		loads = map[string]Load{}
+	}
+	for address, f := range t.inFlight {
+		loads[address] = loads[address].Plus(f.load(now))
+	}
+	return loads
 }
 
 // choose returns the store that a block is written to, or "" for none.
--- a/bluebellgate/internal/bluebelltier/tier_test.go
+++ b/bluebellgate/internal/bluebelltier/tier_test.go
@@ -16,7 +16,7 @@
 	view      *bluebelldirectory.View
 	now       time.Duration
 	live      bool
-	others    map[string]int
+	others    map[string]bluebelltier.Load
 }
 
 func newFixture() *fixture {
@@ -43,7 +43,7 @@
 			f.view.Take(f.directory.States(), changes, true, false, 0)
 			return f.view
 		},
-		Others: func() map[string]int { return f.others },
+		Others: func() map[string]bluebelltier.Load { return f.others },
 		Now:    func() time.Duration { return f.now },
 	})
 }
@@ -136,7 +136,11 @@
 	}
 	require.Greater(t, used["near"], used["far"])
 	require.NotZero(t, used["far"])
-	require.Equal(t, map[string]int{"near": used["near"] * 8000, "far": used["far"] * 8000}, tier.InFlight())
+	f.now += time.Second
+	for _, store := range []string{"near", "far"} {
+		n := used[store]
+		require.Equal(t, bluebelltier.Load{Tokens: n * 8000, Calls: n, Waited: time.Duration(n) * time.Second}, tier.InFlight()[store])
+	}
 	for _, p := range plans {
 		tier.Arrived(p)
 		tier.Arrived(p)
@@ -150,13 +154,47 @@
 	f := newFixture()
 	f.hold("near", "doc", 8000)
 	tier := f.tier()
-	f.others = map[string]int{"near": 5_000_000}
+	f.others = map[string]bluebelltier.Load{"near": {Tokens: 5_000_000}}
 	require.Equal(t, "near", tier.Plan(request()).Fetch[1], "reading it again would take the engine")
 	f.hold("far", "doc", 8000)
 	require.Equal(t, "far", tier.Plan(request()).Fetch[1])
 	require.Less(t, tier.FetchTime(request()), time.Second, "what waits at other engines says little of this one")
 }
 
+// The load pattern: the link of a store turns slow for some seconds. Its fetches have been in
+// flight for much longer than those of others, and calls go without it meanwhile: the block
+// is taken from the prompt's home or read, and written nowhere else.
+func TestASlowStoreIsPassedOver(t *testing.T) {
+	f := newFixture()
+	f.hold("near", "doc", 8000)
+	tier := f.tier()
+	r := request()
+	r.Home = "home"
+	f.others = map[string]bluebelltier.Load{
+		"near": {Calls: 5, Tokens: 40_000, Waited: 10 * time.Second}, "far": {Calls: 4, Tokens: 40_000, Waited: time.Second},
+		"third": {Calls: 3, Tokens: 9_000, Waited: time.Second},
+	}
+	plan := tier.Plan(r)
+	require.Equal(t, "home", plan.Fetch[1])
+	require.Empty(t, plan.Save[1])
+	require.Zero(t, tier.FetchTime(r))
+	f.hold("near", "system", 500)
+	require.Equal(t, "near", tier.Plan(r).Fetch[0], "a small block takes no time anywhere")
+	f.hold("far", "doc", 8000)
+	require.Equal(t, "far", tier.Plan(r).Fetch[1], "another holder")
+
+	// All engines are slow alike, or too little is known: nothing is said of the store.
+	for _, others := range []map[string]bluebelltier.Load{
+		{"near": {Calls: 5, Waited: 10 * time.Second}, "far": {Calls: 6, Waited: 9 * time.Second}},
+		{"near": {Calls: 1, Waited: 2 * time.Second}, "far": {Calls: 6, Waited: time.Second}},
+	} {
+		f := newFixture()
+		f.hold("near", "doc", 8000)
+		f.others = others
+		require.Equal(t, "near", f.tier().Plan(r).Fetch[1])
+	}
+}
+
 // The load pattern: many entries meet the same new prompt, each at another endpoint. It
 // is to take room in one store only.
 func TestEntriesWriteABlockToTheSameStore(t *testing.T) {
