A begun stream waits for an endpoint that fits

The limit is meant for calls that can be told to come back; what a caller has of a begun stream is lost with it, and there were 6 s left. TestABegunStreamWaitsForAnEndpointThatFits failed first (unexpected EOF after 0.2 s).

--- a/bluebellgate/internal/bluebellfront/front_test.go
+++ b/bluebellgate/internal/bluebellfront/front_test.go
@@ -380,6 +380,29 @@
 	require.Equal(t, events(c.id, bluebellstandin.StreamEvents), c.body)
 }
 
+// The load pattern: a stream's endpoint breaks off, and all others are leaving, loading or
+// bear nothing yet. What the caller has of the answer is lost with it, so it waits.
+func TestABegunStreamWaitsForAnEndpointThatFits(t *testing.T) {
+	e := start(t, 2)
+	e.endpoints[0].Behave(bluebellstandin.Cutting)
+	fleet := bluebellplace.Fleet{Entries: []string{"e1"}}
+	for _, one := range e.endpoints {
+		fleet.Endpoints = append(fleet.Endpoints, one.Registration())
+	}
+	busy := fleet
+	busy.Loading = []string{"i-1"}
+	e.placer.Update(busy)
+	answered := make(chan call)
+	go func() { answered <- e.do(http.MethodPost, "/stream/again/x", "prompt") }()
+	require.Eventually(t, func() bool { return len(e.endpoints[0].Runs()) == 1 && e.endpoints[0].Active() == 0 }, patience, time.Millisecond)
+	time.Sleep(200 * time.Millisecond) // twice as long as a call that has not run waits
+	e.placer.Update(fleet)
+	c := <-answered
+	require.NoError(t, c.err)
+	require.Equal(t, http.StatusOK, c.status)
+	require.Equal(t, events(c.id, bluebellstandin.StreamEvents), c.body)
+}
+
 // The load pattern: all endpoints are busy, and first events take longer than a call is
 // ready to wait. One that goes on answering others is not left: what it has read for the
 // call would be read again elsewhere, which made all of them busier still.
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -31,8 +31,8 @@
 	// nearTokens are shared tokens that are worth waiting for: they take an engine 20 ms
 	// to read, several times as long as it takes to move a call.
 	nearTokens = 1000
-	// retryWait is how long a call that was sent before waits while there is no other
-	// endpoint that could take it: a registration may be on its way.
+	// retryWait is how long a call that was sent before, but has not run, waits while there is
+	// no other endpoint that could take it: a registration may be on its way.
 	retryWait = 100 * time.Millisecond
 )
 
@@ -161,7 +161,7 @@
 	}
 	until := bluebellqueue.HoldUntil(w)
 	g := &guest{waiter: w, request: r, unfitUntil: until}
-	if len(s.tried) > 0 {
+	if len(s.tried) > 0 && !w.Begun {
 		g.unfitUntil = min(until, now+retryWait)
 	}
 	if r.Model != "" && !w.Begun {
@@ -228,6 +228,7 @@
 		ConnectWithin: connectPatience(s.q.Route),
 		AnswerBy:      time.Now().Add(patience),
 		GoOn:          s.goOn(choice, patience),
+		Silence:       silencePatience(left, mayRepeat),
 	})
 	if err != nil {
 		return s.failed(ctx, choice, err)
