A call that cannot be repeated outlasts a cut of its connection

The cut heals within the time that they have. Their connections are given up only when their time is over now; calls that may be repeated leave as before, and idle connections keep their probes.

TestAConnectionIsAsPatientAsItsCall failed first (options were the same for all calls). Ruled out: the same for calls that may be repeated, which find another endpoint sooner.

--- a/bluebellgate/internal/bluebelllink/exchange.go
+++ b/bluebellgate/internal/bluebelllink/exchange.go
@@ -39,6 +39,9 @@
 	Answers func(status int, h http.Header) bool
 	// ConnectWithin bounds the time until a new connection is open.
 	ConnectWithin time.Duration
+	// Silence is how long the endpoint may acknowledge nothing before its connection counts
+	// as lost; 2 s if 0.
+	Silence time.Duration
 	// AnswerBy is when the header of the answer must have come.
 	AnswerBy time.Time
 	// GoOn is asked whenever nothing came by a time while the answer or its first event is
@@ -86,7 +89,8 @@
 // send writes the call. A long body goes out while the answer is awaited, since an
 // endpoint may answer before it has read it.
 func (x *Exchange) send(r Request) error {
-	if err := x.conn.SetDeadline(r.AnswerBy); err != nil {
+	silence := max(r.Silence, silentConnection)
+	if err := errors.Join(x.conn.SetDeadline(r.AnswerBy), x.conn.tolerate(silence)); err != nil {
 		return x.unsent(err)
 	}
 	head := encodeHead(r)
--- a/bluebellgate/internal/bluebelllink/link_test.go
+++ b/bluebellgate/internal/bluebelllink/link_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -253,6 +254,49 @@
 	require.True(t, failure.Sent)
 }
 
+// The load pattern: an endpoint cannot be reached for some seconds within an answer that
+// cannot be had again. Its connection lives as long as the call; the next call on it has its
+// own time.
+func TestAConnectionIsAsPatientAsItsCall(t *testing.T) {
+	const tcpUserTimeout = 0x12
+	var dialed net.Conn
+	c := bluebelllink.NewClient(bluebelllink.Config{
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			dialed = conn
+			return conn, err
+		},
+	})
+	option := func(level, name int) time.Duration {
+		raw, err := dialed.(*net.TCPConn).SyscallConn()
+		require.NoError(t, err)
+		value := 0
+		require.NoError(t, raw.Control(func(fd uintptr) { value, err = syscall.GetsockoptInt(int(fd), level, name) }))
+		require.NoError(t, err)
+		return time.Duration(value)
+	}
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			id, ok := read(r)
+			if !ok {
+				return
+			}
+			answer(conn, id, "ok")
+		}
+	})
+	for _, one := range []struct{ silence, want time.Duration }{{9 * time.Second, 9 * time.Second}, {0, 2 * time.Second}, {time.Second, 2 * time.Second}} {
+		r := request(s, "a", "")
+		r.Silence = one.silence
+		_, err := do(t, c, r)
+		require.NoError(t, err)
+		require.Equal(t, one.want, option(syscall.IPPROTO_TCP, tcpUserTimeout)*time.Millisecond)
+		probes := option(syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT) * option(syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL) * time.Second
+		require.GreaterOrEqual(t, probes, one.want)
+		require.Less(t, probes, one.want+2*time.Second)
+	}
+	require.Equal(t, int64(1), s.opened.Load())
+}
+
 func TestEventsAreWhole(t *testing.T) {
 	for _, c := range []struct {
 		body  string
--- a/bluebellgate/internal/bluebelllink/pool.go
+++ b/bluebellgate/internal/bluebelllink/pool.go
@@ -17,10 +17,9 @@
 
 const (
 	// silentConnection is how long a connection may go without an acknowledgement
-	// before the kernel gives it up.
+	// before the kernel gives it up, unless its call is to have longer.
 	silentConnection = 2 * time.Second
 	keepAliveEvery   = time.Second
-	keepAliveCount   = 2
 	// maxIdlePerAddress bounds the kept connections to one endpoint.
 	maxIdlePerAddress = 32
 	// idleFor is how long a connection is kept when the endpoint does not say.
@@ -54,6 +53,8 @@
 	reader  *bufio.Reader
 	address string
 	reused  bool
+	// silence is how long it may go without an acknowledgement.
+	silence time.Duration
 	// goOn is that of the present call's Request.
 	goOn func() time.Time
 	// usableUntil is when the endpoint may close it.
@@ -71,17 +72,42 @@
 // dialer notices connections that have gone silent.
 func dialer() *net.Dialer {
 	return &net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: keepAliveCount},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var setErr error
-			err := raw.Control(func(fd uintptr) {
-				setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silentConnection.Milliseconds()))
-			})
-			return errors.Join(err, setErr)
-		},
+		KeepAliveConfig: keepAlive(silentConnection),
+		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, silentConnection) },
 	}
 }
 
+func keepAlive(silence time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveEvery, Interval: keepAliveEvery, Count: max(int(silence/keepAliveEvery), 1),
+	}
+}
+
+func setUserTimeout(raw syscall.RawConn, silence time.Duration) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silence.Milliseconds()))
+	})
+	return errors.Join(err, setErr)
+}
+
+// tolerate sets how long the connection may go without an acknowledgement.
+func (c *conn) tolerate(silence time.Duration) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || silence == c.silence {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(tcp.SetKeepAliveConfig(keepAlive(silence)), setUserTimeout(raw, silence)); err != nil {
+		return err
+	}
+	c.silence = silence
+	return nil
+}
+
 // open returns a kept connection that is quiet, or a new one.
 func (c *Client) open(ctx context.Context, address string, within time.Duration) (*conn, error) {
 	for {
@@ -104,7 +130,7 @@
 	if c.cfg.Opened != nil {
 		c.cfg.Opened(address)
 	}
-	opened := &conn{Conn: raw, address: address}
+	opened := &conn{Conn: raw, address: address, silence: silentConnection}
 	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
 	return opened, nil
 }
--- a/bluebellgate/internal/bluebellrelay/patience.go
+++ b/bluebellgate/internal/bluebellrelay/patience.go
@@ -81,6 +81,16 @@
 	return min(pausePatience*pause, left)
 }
 
+// silencePatience returns how long a connection may go without an acknowledgement; 0 for
+// the usual time. A call that cannot be repeated is lost with its connection, while a cut
+// may heal within the time that it has.
+func silencePatience(left time.Duration, mayRepeat bool) time.Duration {
+	if mayRepeat {
+		return 0
+	}
+	return left
+}
+
 // connectPatience returns how long a new connection may take. Nothing has been sent
 // until then, so any call may go elsewhere.
 func connectPatience(r *bluebellplan.Route) time.Duration {
