The order of admission and the tier of stores leave the gate for the shared packages

Cause: the model of the load that the product answers has to drive the same decisions as the processes do, and these two stood inside bluebellgate. Admit is the loop of the lobby without its lock and channels; its test is new. bluebelltier is moved as it is.

--- a/bluebell/bluebellqueue/queue.go
+++ b/bluebell/bluebellqueue/queue.go
@@ -11,7 +11,7 @@
 //
 // # Usage
 //
-//	order := bluebellqueue.Order(waiters, now)
+//	bluebellqueue.Admit(waiters, now, func(i int) bluebellqueue.Verdict { ... })
 //	until := bluebellqueue.HoldUntil(waiter, returned)
 package bluebellqueue
 
@@ -43,6 +43,37 @@
 	// Begun calls may have run at an endpoint that was left: they cannot be told to come
 	// back, so to give them up helps nobody while there is time.
 	Begun bool
+	// Tokens that the call takes of an engine's memory; 0 for plain services.
+	Tokens int
+}
+
+// Verdict is what came of trying a waiter.
+type Verdict int
+
+// The verdicts on a waiter.
+const (
+	// Placed waiters have an endpoint.
+	Placed Verdict = iota
+	// Full means that no endpoint has room for so many tokens.
+	Full
+	// NoneYet says nothing of others.
+	NoneYet
+)
+
+// Admit tries those that wait, in order. One that finds no room does not hold up smaller
+// ones behind it, and larger ones are not tried after it: each try looks at all endpoints,
+// and a crowd that was tried in whole used up an entry's processor.
+func Admit(waiters []Waiter, now time.Duration, try func(i int) Verdict) {
+	tooLarge := 0
+	for _, i := range Order(waiters, now) {
+		tokens := waiters[i].Tokens
+		if tooLarge > 0 && tokens >= tooLarge {
+			continue
+		}
+		if try(i) == Full {
+			tooLarge = tokens
+		}
+	}
 }
 
 // late tells whether a call can no longer be in time.
--- a/bluebell/bluebellqueue/queue_test.go
+++ b/bluebell/bluebellqueue/queue_test.go
@@ -37,3 +37,30 @@
 	short := bluebellqueue.Waiter{Arrived: time.Second, InTimeUntil: 10 * time.Second, Deadline: 2 * time.Second}
 	require.Equal(t, 2*time.Second, bluebellqueue.HoldUntil(short), "never beyond the deadline")
 }
+
+// The load pattern: a crowd waits while engines are nearly full. Larger prompts than one that
+// found no room are not tried, smaller ones are.
+func TestLargerOnesAreNotTriedInVain(t *testing.T) {
+	var waiters []bluebellqueue.Waiter
+	for _, tokens := range []int{9000, 12000, 500, 9000, 3000, 0} {
+		w := waiter(1, time.Second, 9*time.Second)
+		w.Tokens = tokens
+		waiters = append(waiters, w)
+	}
+	var tried []int
+	room := 1000
+	bluebellqueue.Admit(waiters, 2*time.Second, func(i int) bluebellqueue.Verdict {
+		tried = append(tried, i)
+		if waiters[i].Tokens > room {
+			return bluebellqueue.Full
+		}
+		return bluebellqueue.Placed
+	})
+	require.Equal(t, []int{0, 2, 4, 5}, tried)
+	tried = nil
+	bluebellqueue.Admit(waiters, 2*time.Second, func(i int) bluebellqueue.Verdict {
+		tried = append(tried, i)
+		return bluebellqueue.NoneYet
+	})
+	require.Len(t, tried, len(waiters), "each waits for something of its own")
+}
--- a/bluebellgate/internal/bluebelltier/tier_test.go
+++ b/bluebell/bluebelltier/tier_test.go
@@ -8,7 +8,7 @@
 
 	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellplan"
-	"bluebellhaven.org/bluebellgate/internal/bluebelltier"
+	"bluebellhaven.org/bluebell/bluebelltier"
 )
 
 type fixture struct {
--- a/bluebellgate/internal/bluebellfront/front_test.go
+++ b/bluebellgate/internal/bluebellfront/front_test.go
@@ -19,11 +19,11 @@
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	"bluebellhaven.org/bluebell/bluebellplace"
 	"bluebellhaven.org/bluebell/bluebellplan"
+	"bluebellhaven.org/bluebell/bluebelltier"
 	"bluebellhaven.org/bluebellfake/bluebellstandin"
 	"bluebellhaven.org/bluebellgate/internal/bluebellfront"
 	"bluebellhaven.org/bluebellgate/internal/bluebelllink"
 	"bluebellhaven.org/bluebellgate/internal/bluebellrelay"
-	"bluebellhaven.org/bluebellgate/internal/bluebelltier"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -33,10 +33,10 @@
 	"bluebellhaven.org/bluebell/bluebellplace"
 	"bluebellhaven.org/bluebell/bluebellplan"
 	"bluebellhaven.org/bluebell/bluebellprocess"
+	"bluebellhaven.org/bluebell/bluebelltier"
 	"bluebellhaven.org/bluebellgate/internal/bluebellfront"
 	"bluebellhaven.org/bluebellgate/internal/bluebelllink"
 	"bluebellhaven.org/bluebellgate/internal/bluebellrelay"
-	"bluebellhaven.org/bluebellgate/internal/bluebelltier"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
--- a/bluebellgate/internal/bluebellrelay/lobby.go
+++ b/bluebellgate/internal/bluebellrelay/lobby.go
@@ -129,9 +129,7 @@
 	return g.absence == bluebellplace.Present
 }
 
-// admit gives endpoints to those that wait, in order; the lock is held. A call that
-// finds none does not hold up smaller ones behind it, and larger ones are not tried
-// after it.
+// admit gives endpoints to those that wait, in order; the lock is held.
 func (l *lobby) admit() {
 	if len(l.guests) == 0 {
 		return
@@ -140,21 +138,19 @@
 	waiters := make([]bluebellqueue.Waiter, len(l.guests))
 	for i, g := range l.guests {
 		waiters[i] = g.waiter
+		// Those that are not tried are too large for the room that there is.
+		g.absence = bluebellplace.AllFull
 	}
-	tooLarge := 0
-	for _, i := range bluebellqueue.Order(waiters, l.triedAt) {
+	bluebellqueue.Admit(waiters, l.triedAt, func(i int) bluebellqueue.Verdict {
 		g := l.guests[i]
-		if tooLarge > 0 && g.request.Tokens() >= tooLarge {
-			g.absence = bluebellplace.AllFull
-			continue
-		}
-		if l.try(g) {
+		switch {
+		case l.try(g):
 			close(g.placed)
-			continue
+			return bluebellqueue.Placed
+		case g.absence == bluebellplace.AllFull && !g.request.NearOnly:
+			return bluebellqueue.Full
 		}
-		if g.absence == bluebellplace.AllFull && !g.request.NearOnly {
-			tooLarge = g.request.Tokens()
-		}
-	}
+		return bluebellqueue.NoneYet
+	})
 	l.guests = slices.DeleteFunc(l.guests, func(g *guest) bool { return g.absence == bluebellplace.Present })
 }
--- a/bluebellgate/internal/bluebellrelay/prompt.go
+++ b/bluebellgate/internal/bluebellrelay/prompt.go
@@ -2,7 +2,7 @@
 
 import (
 	"bluebellhaven.org/bluebell/bluebellplace"
-	"bluebellhaven.org/bluebellgate/internal/bluebelltier"
+	"bluebellhaven.org/bluebell/bluebelltier"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -12,8 +12,8 @@
 	"bluebellhaven.org/bluebell/bluebelllimit"
 	"bluebellhaven.org/bluebell/bluebellplace"
 	"bluebellhaven.org/bluebell/bluebellqueue"
+	"bluebellhaven.org/bluebell/bluebelltier"
 	"bluebellhaven.org/bluebellgate/internal/bluebelllink"
-	"bluebellhaven.org/bluebellgate/internal/bluebelltier"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
@@ -157,7 +157,7 @@
 	now := cfg.Now()
 	w := bluebellqueue.Waiter{
 		Priority: s.q.priority(), Arrived: now, InTimeUntil: s.start + s.q.Route.Objective, Deadline: now + s.left(),
-		Begun: s.runs > 0,
+		Begun: s.runs > 0, Tokens: r.Tokens(),
 	}
 	until := bluebellqueue.HoldUntil(w)
 	g := &guest{waiter: w, request: r, unfitUntil: until}
