--- a/bluebell/bluebellplace/belief.go
+++ b/bluebell/bluebellplace/belief.go
@@ -156,5 +156,3 @@
 	b.tryingUntil = now + firstPause
 	return true
 }
-
-func (b *belief) answeredSince(t time.Duration) bool { return b.answeredAt > 0 && b.answeredAt >= t }
--- /dev/null
+++ b/bluebellsim/bluebellcrowd/entry.go
@@ -0,0 +1,249 @@
+package bluebellcrowd
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bluebellhaven.org/bluebell/bluebelldirectory"
+	"bluebellhaven.org/bluebell/bluebellfleet"
+	"bluebellhaven.org/bluebell/bluebellplace"
+	"bluebellhaven.org/bluebell/bluebellplan"
+	"bluebellhaven.org/bluebell/bluebellqueue"
+	"bluebellhaven.org/bluebell/bluebelltier"
+)
+
+const (
+	target = "llm"
+	model  = "m0"
+	// wayThere is the time from an entry to an engine with a kept connection.
+	wayThere = time.Millisecond
+	// connectWithin is how long an entry tries to reach an endpoint, and lostAfter when it
+	// gives up one that has gone silent in the middle of an answer.
+	connectWithin = 400 * time.Millisecond
+	lostAfter     = 3 * time.Second
+	// lobbyTick is how often waiting calls are tried; see bluebellrelay.
+	lobbyTick = 20 * time.Millisecond
+	// nearTokens as in bluebellrelay.
+	nearTokens = 1000
+	// maxAttempts of one call of a caller.
+	maxAttempts = 4
+)
+
+// guest is a call that waits at its entry.
+type guest struct {
+	call      *call
+	waiter    bluebellqueue.Waiter
+	request   bluebellplace.Request
+	until     time.Duration
+	nearUntil time.Duration
+}
+
+// entry is one entry with the product's decisions.
+type entry struct {
+	w      *world
+	name   string
+	domain int
+	placer *bluebellplace.Placer
+	tier   *bluebelltier.Tier
+	lobby  []*guest
+	// told is what it has told the core processes last.
+	told    map[string]bluebellplace.Use
+	fetches map[string]bluebelltier.Load
+	ticking bool
+}
+
+func (w *world) newEntry(i int) *entry {
+	e := &entry{w: w, name: fmt.Sprintf("e%03d", i), domain: i % w.load.Domains}
+	e.placer = bluebellplace.New(bluebellplace.Config{
+		Self: e.name, FailureDomain: domainName(e.domain), WeightsWithin: time.Hour, ColdFactor: 1, SilentAfter: 4500 * time.Millisecond,
+	})
+	e.tier = bluebelltier.New(bluebelltier.Config{
+		Stores:    func() []bluebellplan.Store { return w.declared },
+		Directory: func() *bluebelldirectory.View { return w.views[w.side(e.domain)] },
+		Others:    func() map[string]bluebelltier.Load { return w.otherFetches(e) },
+		Now:       func() time.Duration { return w.now },
+	})
+	return e
+}
+
+func domainName(i int) string { return fmt.Sprintf("d%d", i) }
+
+// tell is what the entry tells the core processes with a poll.
+func (e *entry) tell() {
+	e.told, e.fetches = e.placer.Uses(e.w.now), e.tier.InFlight()
+}
+
+// hear takes in what the core processes know of the endpoints and of other entries.
+func (e *entry) hear(endpoints []bluebellfleet.Endpoint, sums map[string]bluebellplace.Use) {
+	others := make(map[string]bluebellplace.Use, len(sums))
+	for id, sum := range sums {
+		own := e.told[id]
+		others[id] = bluebellplace.Use{
+			Calls: sum.Calls - own.Calls, Tokens: sum.Tokens - own.Tokens, Unread: sum.Unread - own.Unread,
+			Failing: sum.Failing - own.Failing, AnsweredAt: sum.AnsweredAt,
+		}
+	}
+	e.placer.Update(bluebellplace.Fleet{
+		Endpoints: endpoints, Entries: e.w.entryNames, Rooms: map[string]int{target: e.w.load.EngineRoom}, Others: others, Current: true,
+	})
+}
+
+// take places a call or lets it wait.
+func (e *entry) take(c *call) {
+	k, now := c.kind, e.w.now
+	r := bluebellplace.Request{
+		Target: target, Model: model, Shared: c.subject, SharedTokens: k.SharedTokens, OwnTokens: k.OwnTokens, OutputTokens: k.OutputTokens,
+		Tried: c.tried, Fetch: e.tier.FetchTime(e.blocks(c, e.domain)),
+	}
+	g := &guest{call: c, request: r, waiter: bluebellqueue.Waiter{
+		Priority: k.Priority, Arrived: now, InTimeUntil: c.arrivedAt + k.Objective.Duration(), Deadline: c.deadline,
+		Begun: c.ran, Tokens: r.Tokens(),
+	}}
+	g.until = bluebellqueue.HoldUntil(g.waiter)
+	if !c.ran {
+		g.request.BeginBy = g.waiter.InTimeUntil
+	}
+	if k.SharedTokens >= nearTokens && len(c.tried) == 0 {
+		g.nearUntil = bluebellqueue.NearUntil(g.waiter)
+	}
+	if len(e.lobby) == 0 && e.try(g) == bluebellqueue.Placed {
+		return
+	}
+	e.lobby = append(e.lobby, g)
+	if !e.ticking {
+		e.ticking = true
+		e.w.after(lobbyTick, e.tick)
+	}
+}
+
+func (e *entry) tick() {
+	e.admit()
+	var left []*guest
+	for _, g := range e.lobby {
+		if e.w.now >= g.until && !g.call.over {
+			e.w.refuse(g.call)
+			continue
+		}
+		left = append(left, g)
+	}
+	e.lobby = left
+	e.ticking = len(e.lobby) > 0
+	if e.ticking {
+		e.w.after(lobbyTick, e.tick)
+	}
+}
+
+func (e *entry) admit() {
+	waiters := make([]bluebellqueue.Waiter, len(e.lobby))
+	for i, g := range e.lobby {
+		waiters[i] = g.waiter
+	}
+	placed := map[*guest]bool{}
+	bluebellqueue.Admit(waiters, e.w.now, func(i int) bluebellqueue.Verdict {
+		v := e.try(e.lobby[i])
+		placed[e.lobby[i]] = v == bluebellqueue.Placed
+		return v
+	})
+	e.lobby = slices.DeleteFunc(e.lobby, func(g *guest) bool { return placed[g] || g.call.over })
+}
+
+func (e *entry) try(g *guest) bluebellqueue.Verdict {
+	g.request.NearOnly = e.w.now < g.nearUntil
+	choice, absence := e.placer.Pick(e.w.now, g.request)
+	switch {
+	case absence == bluebellplace.Present:
+		e.send(g.call, choice)
+		return bluebellqueue.Placed
+	case absence == bluebellplace.AllFull && !g.request.NearOnly:
+		return bluebellqueue.Full
+	}
+	return bluebellqueue.NoneYet
+}
+
+// send sends a call to the engine of a choice.
+func (e *entry) send(c *call, choice bluebellplace.Choice) {
+	w := e.w
+	e.placer.Sent(&choice, w.now)
+	c.choice, c.attempts, c.inFlight = choice, c.attempts+1, true
+	c.tried = append(c.tried, choice.Endpoint.ID)
+	engine := w.engines[choice.Endpoint.ID]
+	if engine.dark || w.isCut(e.domain, engine.domain) {
+		w.after(connectWithin, func() { e.failed(c, bluebellplace.BrokenOff) })
+		return
+	}
+	c.plan = e.tier.Plan(e.blocks(c, engine.domain))
+	w.carry(c, engine)
+}
+
+// failed goes on after an attempt without an answer.
+func (e *entry) failed(c *call, o bluebellplace.Outcome) {
+	if c.over {
+		return
+	}
+	e.done(c, o)
+	if c.attempts >= maxAttempts || c.ran && !c.kind.Resumable {
+		e.w.end(c, failed)
+		return
+	}
+	e.take(c)
+}
+
+// done notes how the present attempt of a call ended, if there is one.
+func (e *entry) done(c *call, o bluebellplace.Outcome) {
+	if c.inFlight {
+		c.inFlight = false
+		e.placer.Done(c.choice, e.w.now, o)
+	}
+	e.tier.Arrived(c.plan)
+}
+
+// blocks describes the shared blocks of a call to the tier.
+func (e *entry) blocks(c *call, domain int) bluebelltier.Request {
+	return bluebelltier.Request{
+		Scope: bluebelldirectory.Scope("", model, 1), FailureDomain: domainName(domain), HomeDomain: c.choice.HomeDomain, TokenBytes: tokenBytes,
+		Blocks: []bluebelltier.Block{{ID: c.subject, Tokens: c.kind.SharedTokens}},
+	}
+}
+
+// baseline sends a call by a simple policy, without waiting.
+func (w *world) baseline(c *call) {
+	var id string
+	switch w.cfg.Policy {
+	case RoundRobin:
+		w.turn++
+		id = w.names[w.turn%len(w.names)]
+	case LeastLoaded:
+		id = slices.MinFunc(w.names, func(a, b string) int { return w.engines[a].load() - w.engines[b].load() })
+	default:
+		id = w.names[hash(c.subject)%uint64(len(w.names))]
+		if c.attempts > 0 {
+			id = w.names[rand.New(rand.NewPCG(hash(c.subject), uint64(c.attempts))).IntN(len(w.names))]
+		}
+	}
+	c.attempts++
+	engine := w.engines[id]
+	if engine.dark || w.isCut(c.entry.domain, engine.domain) {
+		w.after(connectWithin, func() {
+			switch {
+			case c.over:
+			case c.attempts < maxAttempts:
+				w.baseline(c)
+			default:
+				w.end(c, failed)
+			}
+		})
+		return
+	}
+	c.plan = c.entry.tier.Plan(c.entry.blocks(c, engine.domain))
+	w.carry(c, engine)
+}
+
+// load is what a perfectly informed balancer would compare.
+func (e *engine) load() int {
+	if e.dark {
+		return 1 << 30
+	}
+	return len(e.running) + len(e.waiting)
+}
--- a/bluebellsim/main.go
+++ b/bluebellsim/main.go
@@ -13,6 +13,7 @@
 
 	"bluebellhaven.org/bluebell/bluebellconfig"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebellsim/bluebellcrowd"
 	"bluebellhaven.org/bluebellsim/bluebellmoves"
 	"bluebellhaven.org/bluebellsim/bluebellquorum"
 	"bluebellhaven.org/bluebellsim/bluebellrouting"
@@ -31,6 +32,8 @@
 	Callers  int           `default:"120" help:"callers at the same time, for --routing"`
 	Cache    int           `default:"4000" help:"blocks that an engine holds, for --routing"`
 	Out      string        `help:"failure domain to take out for a third of the run, for --routing"`
+	Crowd    string        `help:"play this load pattern with all policies instead"`
+	Times    float64       `default:"1" help:"multiplies the calls, for --crowd"`
 	For      time.Duration `default:"1h" help:"longest time"`
 	Workers  int           `default:"4" help:"runs at the same time"`
 }
@@ -47,6 +50,9 @@
 	case args.Moves != "":
 		exitOn(runMoves(args))
 		return
+	case args.Crowd != "":
+		exitOn(runCrowd(args))
+		return
 	case args.Routing != "":
 		exitOn(runRouting(args))
 		return
@@ -110,6 +116,18 @@
 	return ""
 }
 
+// runCrowd plays a load pattern with all policies.
+func runCrowd(args arguments) error {
+	load, err := bluebellcrowd.ReadLoad(args.Crowd)
+	if err != nil {
+		return err
+	}
+	for _, p := range bluebellcrowd.Policies() {
+		fmt.Println(bluebellcrowd.Run(bluebellcrowd.Config{Load: load.Times(args.Times), Policy: p, Seed: args.Seed}))
+	}
+	return nil
+}
+
 // runMoves shows how moves of each kind end.
 func runMoves(args arguments) error {
 	c, err := generate(args.Moves)
