A kept connection has the usual patience until its answer has begun

Now that time holds for new connections and for answers that have begun; a connection that is kept has the usual 2 s again. Times are whole seconds, so that options are set seldom. TestAConnectionIsAsPatientAsItsCall sees both (9 s in place of 2 s after the call, before).

--- a/bluebellgate/internal/bluebelllink/exchange.go
+++ b/bluebellgate/internal/bluebelllink/exchange.go
@@ -40,7 +40,8 @@
 	// ConnectWithin bounds the time until a new connection is open.
 	ConnectWithin time.Duration
 	// Silence is how long the endpoint may acknowledge nothing before its connection counts
-	// as lost; 2 s if 0.
+	// as lost, 2 s at the least. A kept connection that has not shown to live since has 2 s:
+	// it may have gone silent for good.
 	Silence time.Duration
 	// AnswerBy is when the header of the answer must have come.
 	AnswerBy time.Time
@@ -89,7 +90,10 @@
 // send writes the call. A long body goes out while the answer is awaited, since an
 // endpoint may answer before it has read it.
 func (x *Exchange) send(r Request) error {
-	silence := max(r.Silence, silentConnection)
+	silence := silentConnection
+	if !x.conn.reused {
+		silence = r.Silence
+	}
 	if err := errors.Join(x.conn.SetDeadline(r.AnswerBy), x.conn.tolerate(silence)); err != nil {
 		return x.unsent(err)
 	}
@@ -142,7 +146,7 @@
 			continue
 		case r.Answers(response.StatusCode, response.Header):
 			x.response = response
-			return nil
+			return x.conn.tolerate(r.Silence)
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkipped)); err != nil {
 			return err
@@ -258,7 +262,7 @@
 	cancelled := !x.stopCancel()
 	reusable := !cancelled && x.whole && !x.response.Close && x.conn.reader.Buffered() == 0 &&
 		(x.response.ContentLength >= 0 || len(x.response.TransferEncoding) > 0) && x.isWritten()
-	if !reusable || x.conn.SetDeadline(time.Time{}) != nil {
+	if !reusable || errors.Join(x.conn.SetDeadline(time.Time{}), x.conn.tolerate(silentConnection)) != nil {
 		_ = x.conn.Close()
 		return
 	}
--- a/bluebellgate/internal/bluebelllink/link_test.go
+++ b/bluebellgate/internal/bluebelllink/link_test.go
@@ -255,8 +255,8 @@
 }
 
 // The load pattern: an endpoint cannot be reached for some seconds within an answer that
-// cannot be had again. Its connection lives as long as the call; the next call on it has its
-// own time.
+// cannot be had again. Its connection lives as long as the call; kept, it has the usual time
+// again, so that one that goes silent for good is not used.
 func TestAConnectionIsAsPatientAsItsCall(t *testing.T) {
 	const tcpUserTimeout = 0x12
 	var dialed net.Conn
@@ -284,15 +284,25 @@
 			answer(conn, id, "ok")
 		}
 	})
-	for _, one := range []struct{ silence, want time.Duration }{{9 * time.Second, 9 * time.Second}, {0, 2 * time.Second}, {time.Second, 2 * time.Second}} {
+	holds := func(want time.Duration) {
+		t.Helper()
+		require.Equal(t, want, option(syscall.IPPROTO_TCP, tcpUserTimeout)*time.Millisecond)
+		probes := option(syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT) * option(syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL) * time.Second
+		require.GreaterOrEqual(t, probes, want)
+		require.Less(t, probes, want+2*time.Second)
+	}
+	for _, one := range []struct{ silence, want time.Duration }{
+		{9500 * time.Millisecond, 9 * time.Second}, {0, 2 * time.Second}, {7 * time.Second, 7 * time.Second}, {time.Second, 2 * time.Second},
+	} {
 		r := request(s, "a", "")
 		r.Silence = one.silence
-		_, err := do(t, c, r)
+		x, err := c.Do(context.Background(), r)
 		require.NoError(t, err)
-		require.Equal(t, one.want, option(syscall.IPPROTO_TCP, tcpUserTimeout)*time.Millisecond)
-		probes := option(syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT) * option(syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL) * time.Second
-		require.GreaterOrEqual(t, probes, one.want)
-		require.Less(t, probes, one.want+2*time.Second)
+		holds(one.want)
+		_, err = x.ReadAll(1<<20, time.Now().Add(patience))
+		require.NoError(t, err)
+		x.Close()
+		holds(2 * time.Second)
 	}
 	require.Equal(t, int64(1), s.opened.Load())
 }
--- a/bluebellgate/internal/bluebelllink/pool.go
+++ b/bluebellgate/internal/bluebelllink/pool.go
@@ -91,8 +91,9 @@
 	return errors.Join(err, setErr)
 }
 
-// tolerate sets how long the connection may go without an acknowledgement.
+// tolerate sets how long the connection may go without an acknowledgement, in whole seconds.
 func (c *conn) tolerate(silence time.Duration) error {
+	silence = max(silence.Truncate(time.Second), silentConnection)
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok || silence == c.silence {
 		return nil
