In a crowd, calls are sent only where they are expected to begin much sooner than late

Engines were filled up to where answers begin just in time, and what is expected there turns out late. With two or more calls waiting at an entry, an answer must be expected within 0.35 of the objective now: those that take long themselves make way. A call that is late already has its objective once more, in place of none.

Tried: the share for all calls, also alone.

--- a/bluebell/bluebellqueue/queue.go
+++ b/bluebell/bluebellqueue/queue.go
@@ -28,6 +28,11 @@
 	// lateShare of the time that is left is how long a call waits whose objective is
 	// over already, such as one that has come back.
 	lateShare = 0.25
+	// crowd is the number of calls that wait at one entry from which on more arrive than
+	// engines read; single ones wait for their homes at any load.
+	crowd = 2
+	// crowdShare of its objective is how soon an answer must be expected to begin then.
+	crowdShare = 0.35
 	// nearShare of its wait is how long a prompt waits for its homes alone. A prompt that
 	// goes elsewhere has its blocks moved or read again there, and pushes out others.
 	nearShare = 0.5
@@ -40,6 +45,8 @@
 	// Arrived is when the call came, InTimeUntil when its objective is over, and
 	// Deadline when its caller leaves.
 	Arrived, InTimeUntil, Deadline time.Duration
+	// Objective is the time from a call to the beginning of its answer that is aimed at.
+	Objective time.Duration
 	// Begun calls may have run at an endpoint that was left: they cannot be told to come
 	// back, so to give them up helps nobody while there is time.
 	Begun bool
@@ -109,6 +116,23 @@
 	return min(inTime, w.Deadline)
 }
 
+// BeginBy returns when the answer of a waiter should begin, for which engines that would
+// begin later count as full; 0 for one that may have run, which goes wherever there is room.
+// One that is late already has its objective once more: where late calls went wherever there
+// was room, they made others late. In a crowd only engines that begin much sooner will do:
+// what is expected there turns out late, and the large ones make way for the many.
+func BeginBy(w Waiter, now time.Duration, waiting int) time.Duration {
+	switch {
+	case w.Begun:
+		return 0
+	case w.late(now):
+		return now + w.Objective
+	case waiting >= crowd:
+		return min(w.InTimeUntil, now+time.Duration(crowdShare*float64(w.Objective)))
+	}
+	return w.InTimeUntil
+}
+
 // NearUntil returns how long a prompt that has just come waits for its homes alone.
 func NearUntil(w Waiter) time.Duration {
 	return w.Arrived + time.Duration(nearShare*float64(HoldUntil(w)-w.Arrived))
--- a/bluebell/bluebellqueue/queue_test.go
+++ b/bluebell/bluebellqueue/queue_test.go
@@ -38,6 +38,16 @@
 	require.Equal(t, 2*time.Second, bluebellqueue.HoldUntil(short), "never beyond the deadline")
 }
 
+func TestAnswersAreToBeginWithinTheObjective(t *testing.T) {
+	w := waiter(0, time.Second, 2*time.Second)
+	w.Objective = time.Second
+	require.Equal(t, 2*time.Second, bluebellqueue.BeginBy(w, time.Second, 1))
+	require.Equal(t, 4*time.Second, bluebellqueue.BeginBy(w, 3*time.Second, 9), "late already")
+	require.Equal(t, 1350*time.Millisecond, bluebellqueue.BeginBy(w, time.Second, 2), "in a crowd")
+	w.Begun = true
+	require.Zero(t, bluebellqueue.BeginBy(w, time.Second, 9), "it may have run")
+}
+
 // The load pattern: a crowd waits while engines are nearly full. Larger prompts than one that
 // found no room are not tried, smaller ones are.
 func TestLargerOnesAreNotTriedInVain(t *testing.T) {
--- a/bluebellgate/internal/bluebellrelay/lobby.go
+++ b/bluebellgate/internal/bluebellrelay/lobby.go
@@ -124,7 +124,8 @@
 
 // try looks for an endpoint for one call.
 func (l *lobby) try(g *guest) bool {
-	g.request.NearOnly = l.now() < g.nearUntil
+	now := l.now()
+	g.request.NearOnly, g.request.BeginBy = now < g.nearUntil, bluebellqueue.BeginBy(g.waiter, now, len(l.guests))
 	g.choice, g.absence = l.place(g.request)
 	return g.absence == bluebellplace.Present
 }
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -157,16 +157,13 @@
 	now := cfg.Now()
 	w := bluebellqueue.Waiter{
 		Priority: s.q.priority(), Arrived: now, InTimeUntil: s.start + s.q.Route.Objective, Deadline: now + s.left(),
-		Begun: s.runs > 0, Tokens: r.Tokens(),
+		Objective: s.q.Route.Objective, Begun: s.runs > 0, Tokens: r.Tokens(),
 	}
 	until := bluebellqueue.HoldUntil(w)
 	g := &guest{waiter: w, request: r, unfitUntil: until}
 	if len(s.tried) > 0 && !w.Begun {
 		g.unfitUntil = min(until, now+retryWait)
 	}
-	if r.Model != "" && !w.Begun {
-		g.request.BeginBy = w.InTimeUntil
-	}
 	if r.SharedTokens >= nearTokens && len(s.tried) == 0 {
 		g.nearUntil = bluebellqueue.NearUntil(w)
 	}
--- a/bluebellsim/bluebellcrowd/entry.go
+++ b/bluebellsim/bluebellcrowd/entry.go
@@ -98,13 +98,10 @@
 		Tried: c.tried, Fetch: e.tier.FetchTime(e.blocks(c, e.domain)),
 	}
 	g := &guest{call: c, request: r, waiter: bluebellqueue.Waiter{
-		Priority: k.Priority, Arrived: now, InTimeUntil: c.arrivedAt + k.Objective.Duration(), Deadline: c.deadline,
-		Begun: c.ran, Tokens: r.Tokens(),
+		Priority: k.Priority, Arrived: now, InTimeUntil: c.takenAt + k.Objective.Duration(), Deadline: c.deadline,
+		Objective: k.Objective.Duration(), Begun: c.ran, Tokens: r.Tokens(),
 	}}
 	g.until = bluebellqueue.HoldUntil(g.waiter)
-	if !c.ran {
-		g.request.BeginBy = g.waiter.InTimeUntil
-	}
 	if k.SharedTokens >= nearTokens && len(c.tried) == 0 {
 		g.nearUntil = bluebellqueue.NearUntil(g.waiter)
 	}
@@ -150,7 +147,7 @@
 }
 
 func (e *entry) try(g *guest) bluebellqueue.Verdict {
-	g.request.NearOnly = e.w.now < g.nearUntil
+	g.request.NearOnly, g.request.BeginBy = e.w.now < g.nearUntil, bluebellqueue.BeginBy(g.waiter, e.w.now, len(e.lobby))
 	choice, absence := e.placer.Pick(e.w.now, g.request)
 	switch {
 	case absence == bluebellplace.Present:
--- a/bluebellsim/bluebellcrowd/world.go
+++ b/bluebellsim/bluebellcrowd/world.go
@@ -61,12 +61,15 @@
 	subject   string
 	entry     *entry
 	arrivedAt time.Duration
-	deadline  time.Duration
-	returned  bool
-	attempts  int
-	tried     []string
-	choice    bluebellplace.Choice
-	plan      bluebelltier.Plan
+	// takenAt is when its present entry got it: entries do not know that it was refused by
+	// another one.
+	takenAt  time.Duration
+	deadline time.Duration
+	returned bool
+	attempts int
+	tried    []string
+	choice   bluebellplace.Choice
+	plan     bluebelltier.Plan
 	// fetched is set if the engine got the shared blocks from a store.
 	fetched bool
 	// inFlight is set while its entry counts it as sent.
@@ -211,7 +214,7 @@
 	n := int(math.Pow(w.rand.Float64(), 1.3) * float64(k.Subjects))
 	c := &call{
 		kind: k, subject: fmt.Sprintf("%s-%d", k.Name, n), entry: w.entries[w.rand.IntN(len(w.entries))],
-		arrivedAt: w.now, deadline: w.now + k.Deadline.Duration(),
+		arrivedAt: w.now, takenAt: w.now, deadline: w.now + k.Deadline.Duration(),
 	}
 	w.report.asked(w.now, k)
 	w.after(k.Deadline.Duration(), func() {
@@ -307,7 +310,7 @@
 	c.returned, c.tried = true, nil
 	w.after(firstReturn+time.Duration(w.rand.Float64()*float64(returnSpread)), func() {
 		if !c.over {
-			c.entry = w.entries[w.rand.IntN(len(w.entries))]
+			c.entry, c.takenAt = w.entries[w.rand.IntN(len(w.entries))], w.now
 			w.place(c)
 		}
 	})
