--- a/bluebellsim/bluebellcrowd/engine.go
+++ b/bluebellsim/bluebellcrowd/engine.go
@@ -70,7 +70,7 @@
 	took := stepTime + time.Duration(len(e.running))*stepForCall
 	reader, piece := e.nextPiece()
 	took += time.Duration(float64(piece) / readPerSecond * float64(time.Second))
-	e.w.after(took, func() {
+	e.w.agenda.After(took, func() {
 		e.stepped = false
 		e.finishStep(reader, piece)
 		e.step()
@@ -123,7 +123,7 @@
 		}
 	}
 	b.users++
-	b.usedAt = e.w.now
+	b.usedAt = e.w.agenda.Now()
 	return true
 }
 
@@ -177,7 +177,7 @@
 	e.used -= r.call.kind.OwnTokens + r.call.kind.OutputTokens
 	if b := e.blocks[r.call.subject]; b != nil {
 		b.users--
-		b.usedAt = e.w.now
+		b.usedAt = e.w.agenda.Now()
 	}
 }
 
--- a/bluebellsim/bluebellcrowd/entry.go
+++ b/bluebellsim/bluebellcrowd/entry.go
@@ -63,7 +63,7 @@
 		Stores:    func() []bluebellplan.Store { return w.declared },
 		Directory: func() *bluebelldirectory.View { return w.views[w.side(e.domain)] },
 		Others:    func() map[string]bluebelltier.Load { return w.otherFetches(e) },
-		Now:       func() time.Duration { return w.now },
+		Now:       func() time.Duration { return w.agenda.Now() },
 	})
 	return e
 }
@@ -72,7 +72,7 @@
 
 // tell is what the entry tells the core processes with a poll.
 func (e *entry) tell() {
-	e.told, e.fetches = e.placer.Uses(e.w.now), e.tier.InFlight()
+	e.told, e.fetches = e.placer.Uses(e.w.agenda.Now()), e.tier.InFlight()
 }
 
 // hear takes in what the core processes know of the endpoints and of other entries.
@@ -92,7 +92,7 @@
 
 // take places a call or lets it wait.
 func (e *entry) take(c *call) {
-	k, now := c.kind, e.w.now
+	k, now := c.kind, e.w.agenda.Now()
 	r := bluebellplace.Request{
 		Target: target, Model: model, Shared: c.subject, SharedTokens: k.SharedTokens, OwnTokens: k.OwnTokens, OutputTokens: k.OutputTokens,
 		Tried: c.tried, Fetch: e.tier.FetchTime(e.blocks(c, e.domain)),
@@ -111,7 +111,7 @@
 	e.lobby = append(e.lobby, g)
 	if !e.ticking {
 		e.ticking = true
-		e.w.after(lobbyTick, e.tick)
+		e.w.agenda.After(lobbyTick, e.tick)
 	}
 }
 
@@ -119,7 +119,7 @@
 	e.admit()
 	var left []*guest
 	for _, g := range e.lobby {
-		if e.w.now >= g.until && !g.call.over {
+		if e.w.agenda.Now() >= g.until && !g.call.over {
 			e.w.refuse(g.call)
 			continue
 		}
@@ -128,7 +128,7 @@
 	e.lobby = left
 	e.ticking = len(e.lobby) > 0
 	if e.ticking {
-		e.w.after(lobbyTick, e.tick)
+		e.w.agenda.After(lobbyTick, e.tick)
 	}
 }
 
@@ -138,7 +138,7 @@
 		waiters[i] = g.waiter
 	}
 	placed := map[*guest]bool{}
-	bluebellqueue.Admit(waiters, e.w.now, func(i int) bluebellqueue.Verdict {
+	bluebellqueue.Admit(waiters, e.w.agenda.Now(), func(i int) bluebellqueue.Verdict {
 		v := e.try(e.lobby[i])
 		placed[e.lobby[i]] = v == bluebellqueue.Placed
 		return v
@@ -147,8 +147,8 @@
 }
 
 func (e *entry) try(g *guest) bluebellqueue.Verdict {
-	g.request.NearOnly, g.request.BeginBy = e.w.now < g.nearUntil, bluebellqueue.BeginBy(g.waiter, e.w.now, len(e.lobby))
-	choice, absence := e.placer.Pick(e.w.now, g.request)
+	g.request.NearOnly, g.request.BeginBy = e.w.agenda.Now() < g.nearUntil, bluebellqueue.BeginBy(g.waiter, e.w.agenda.Now(), len(e.lobby))
+	choice, absence := e.placer.Pick(e.w.agenda.Now(), g.request)
 	switch {
 	case absence == bluebellplace.Present:
 		e.send(g.call, choice)
@@ -162,12 +162,12 @@
 // send sends a call to the engine of a choice.
 func (e *entry) send(c *call, choice bluebellplace.Choice) {
 	w := e.w
-	e.placer.Sent(&choice, w.now)
+	e.placer.Sent(&choice, w.agenda.Now())
 	c.choice, c.attempts, c.inFlight = choice, c.attempts+1, true
 	c.tried = append(c.tried, choice.Endpoint.ID)
 	engine := w.engines[choice.Endpoint.ID]
 	if engine.dark || w.isCut(e.domain, engine.domain) {
-		w.after(connectWithin, func() { e.failed(c, bluebellplace.BrokenOff) })
+		w.agenda.After(connectWithin, func() { e.failed(c, bluebellplace.BrokenOff) })
 		return
 	}
 	c.plan = e.tier.Plan(e.blocks(c, engine.domain))
@@ -191,7 +191,7 @@
 func (e *entry) done(c *call, o bluebellplace.Outcome) {
 	if c.inFlight {
 		c.inFlight = false
-		e.placer.Done(c.choice, e.w.now, o)
+		e.placer.Done(c.choice, e.w.agenda.Now(), o)
 	}
 	e.tier.Arrived(c.plan)
 }
@@ -222,7 +222,7 @@
 	c.attempts++
 	engine := w.engines[id]
 	if engine.dark || w.isCut(c.entry.domain, engine.domain) {
-		w.after(connectWithin, func() {
+		w.agenda.After(connectWithin, func() {
 			switch {
 			case c.over:
 			case c.attempts < maxAttempts:
--- a/bluebellsim/bluebellcrowd/trouble.go
+++ b/bluebellsim/bluebellcrowd/trouble.go
@@ -10,9 +10,9 @@
 // plan schedules a trouble and its end.
 func (w *world) plan(t Trouble) {
 	at := warmUp + t.At.Duration()
-	w.after(at, func() { w.strike(t) })
+	w.agenda.After(at, func() { w.strike(t) })
 	if t.For > 0 {
-		w.after(at+t.For.Duration(), func() { w.heal(t) })
+		w.agenda.After(at+t.For.Duration(), func() { w.heal(t) })
 	}
 }
 
@@ -30,10 +30,10 @@
 		for _, name := range share(w.storeNames, t.Share) {
 			s := w.stores[name]
 			s.held, s.used = map[string]int{}, 0
-			w.after(eventDelay, func() { w.directory.Reset(s.address, nil, w.now) })
+			w.agenda.After(eventDelay, func() { w.directory.Reset(s.address, nil, w.agenda.Now()) })
 		}
 	case Cut:
-		w.cut, w.cutAt = true, w.now
+		w.cut, w.cutAt = true, w.agenda.Now()
 	case Burst:
 		w.rate = t.Factor
 	}
@@ -67,7 +67,7 @@
 	e.goDark()
 	for _, r := range lost {
 		c := r.call
-		w.after(lostAfter, func() {
+		w.agenda.After(lostAfter, func() {
 			switch {
 			case c.over:
 			case w.cfg.Policy == Product && c.choice.Endpoint.ID == e.id:
@@ -81,17 +81,17 @@
 
 // heartbeat notes which engines have registered.
 func (w *world) heartbeat() {
-	w.after(heartbeatEvery, w.heartbeat)
+	w.agenda.After(heartbeatEvery, w.heartbeat)
 	for _, id := range w.names {
 		if e := w.engines[id]; !e.dark {
-			e.heardAt = w.now
+			e.heardAt = w.agenda.Now()
 		}
 	}
 }
 
 // news spreads what entries know, by way of the core processes of their side.
 func (w *world) news() {
-	w.after(newsEvery, w.news)
+	w.agenda.After(newsEvery, w.news)
 	var sums [2]map[string]bluebellplace.Use
 	for side := range sums {
 		sums[side] = map[string]bluebellplace.Use{}
@@ -121,7 +121,7 @@
 		})
 	}
 	// Entries hear of it half a poll later, on average.
-	w.after(newsEvery/2, func() {
+	w.agenda.After(newsEvery/2, func() {
 		for _, e := range w.entries {
 			e.hear(endpoints, sums[w.side(e.domain)])
 		}
@@ -144,12 +144,12 @@
 		changes, next := w.directory.Since(w.cursors[side], 1<<20)
 		var states []bluebelldirectory.StoreState
 		for _, s := range w.directory.States() {
-			if w.cut && w.now-w.cutAt > cutNoticedAfter && w.side(w.stores[s.Address].domain) != side {
+			if w.cut && w.agenda.Now()-w.cutAt > cutNoticedAfter && w.side(w.stores[s.Address].domain) != side {
 				s.Following = false
 			}
 			states = append(states, s)
 		}
-		view.Take(states, changes, w.cursors[side] == 0, false, w.now)
+		view.Take(states, changes, w.cursors[side] == 0, false, w.agenda.Now())
 		w.cursors[side] = next
 	}
 }
--- a/bluebellsim/bluebellcrowd/world.go
+++ b/bluebellsim/bluebellcrowd/world.go
@@ -1,7 +1,6 @@
 package bluebellcrowd
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -13,6 +12,7 @@
 	"bluebellhaven.org/bluebell/bluebellplace"
 	"bluebellhaven.org/bluebell/bluebellplan"
 	"bluebellhaven.org/bluebell/bluebelltier"
+	"bluebellhaven.org/bluebellsim/bluebellagenda"
 )
 
 // Policy is a way to place prompts.
@@ -79,37 +79,11 @@
 	over       bool
 }
 
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push is part of heap.Interface.
-func (h *events) Push(x any) { *h = append(*h, x.(event)) }
-
-// Pop is part of heap.Interface.
-func (h *events) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 type world struct {
 	cfg        Config
 	load       Load
 	rand       *rand.Rand
-	now        time.Duration
-	events     events
-	seq        int
+	agenda     bluebellagenda.Agenda
 	report     *Report
 	engines    map[string]*engine
 	names      []string
@@ -138,7 +112,6 @@
 		readAt: map[string]time.Duration{}, views: [2]*bluebelldirectory.View{bluebelldirectory.NewView(), bluebelldirectory.NewView()},
 	}
 	w.build()
-	w.now = 1
 	w.heartbeat()
 	w.news()
 	end := warmUp + cfg.Load.Duration.Duration()
@@ -148,11 +121,7 @@
 	for _, t := range cfg.Load.Troubles {
 		w.plan(t)
 	}
-	for len(w.events) > 0 && w.now < end+time.Minute {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
-		next.run()
-	}
+	w.agenda.Run(end + time.Minute)
 	return w.report
 }
 
@@ -177,11 +146,6 @@
 	}
 }
 
-func (w *world) after(d time.Duration, run func()) {
-	w.seq++
-	heap.Push(&w.events, event{at: w.now + d, seq: w.seq, run: run})
-}
-
 func hash(s string) uint64 { return xxhash.Sum64String(s) }
 
 // side tells on which side of the cut a failure domain is.
@@ -198,15 +162,15 @@
 func (w *world) arrivals(k *Kind, end time.Duration) {
 	var next func()
 	next = func() {
-		if w.now >= end {
+		if w.agenda.Now() >= end {
 			return
 		}
-		if w.now >= warmUp {
+		if w.agenda.Now() >= warmUp {
 			w.arrive(k)
 		}
-		w.after(time.Duration(w.rand.ExpFloat64()/(k.PerSecond*w.rate)*float64(time.Second)), next)
+		w.agenda.After(time.Duration(w.rand.ExpFloat64()/(k.PerSecond*w.rate)*float64(time.Second)), next)
 	}
-	w.after(warmUp, next)
+	w.agenda.After(warmUp, next)
 }
 
 func (w *world) arrive(k *Kind) {
@@ -214,10 +178,10 @@
 	n := int(math.Pow(w.rand.Float64(), 1.3) * float64(k.Subjects))
 	c := &call{
 		kind: k, subject: fmt.Sprintf("%s-%d", k.Name, n), entry: w.entries[w.rand.IntN(len(w.entries))],
-		arrivedAt: w.now, takenAt: w.now, deadline: w.now + k.Deadline.Duration(),
+		arrivedAt: w.agenda.Now(), takenAt: w.agenda.Now(), deadline: w.agenda.Now() + k.Deadline.Duration(),
 	}
-	w.report.asked(w.now, k)
-	w.after(k.Deadline.Duration(), func() {
+	w.report.asked(w.agenda.Now(), k)
+	w.agenda.After(k.Deadline.Duration(), func() {
 		if !c.over {
 			w.end(c, failed)
 		}
@@ -241,10 +205,10 @@
 		s := w.stores[c.plan.Fetch[0]]
 		if s != nil && s.held[c.subject] > 0 && !w.isCut(e.domain, s.domain) {
 			c.fetched = true
-			delay += s.fetch(w.now, c.kind.SharedTokens, w.load.StoreBytesPerSecond) - w.now
+			delay += s.fetch(w.agenda.Now(), c.kind.SharedTokens, w.load.StoreBytesPerSecond) - w.agenda.Now()
 		}
 	}
-	w.after(delay, func() {
+	w.agenda.After(delay, func() {
 		if !c.over {
 			c.ran = true
 			e.arrive(c)
@@ -256,10 +220,10 @@
 func (w *world) noteRead(c *call) {
 	last, read := w.readAt[c.subject]
 	w.report.Read += c.kind.SharedTokens
-	if read && w.now-last < againWithin {
+	if read && w.agenda.Now()-last < againWithin {
 		w.report.Again += c.kind.SharedTokens
 	}
-	w.readAt[c.subject] = w.now
+	w.readAt[c.subject] = w.agenda.Now()
 }
 
 // saved writes the shared block of a call that was read to its store.
@@ -273,7 +237,7 @@
 	}
 	s.held[c.subject] = c.kind.SharedTokens
 	s.used += c.kind.SharedTokens
-	w.after(eventDelay, func() {
+	w.agenda.After(eventDelay, func() {
 		if s.held[c.subject] > 0 {
 			w.directory.Hold(s.address, bluebelldirectory.Block{
 				Key: bluebelldirectory.Key{Scope: bluebelldirectory.Scope("", model, 1), ID: c.subject}, Tokens: c.kind.SharedTokens,
@@ -283,14 +247,14 @@
 }
 
 func (w *world) firstEvent(c *call, e *engine) {
-	w.readAt[c.subject] = w.now
+	w.readAt[c.subject] = w.agenda.Now()
 	if w.cfg.Policy == Product && c.choice.Endpoint.ID == e.id {
-		c.entry.placer.FirstEvent(c.choice, w.now)
+		c.entry.placer.FirstEvent(c.choice, w.agenda.Now())
 		c.entry.tier.Arrived(c.plan)
 	}
 	if !c.begun {
 		c.begun = true
-		w.report.begun(c, w.now)
+		w.report.begun(c, w.agenda.Now())
 	}
 }
 
@@ -308,9 +272,9 @@
 		return
 	}
 	c.returned, c.tried = true, nil
-	w.after(firstReturn+time.Duration(w.rand.Float64()*float64(returnSpread)), func() {
+	w.agenda.After(firstReturn+time.Duration(w.rand.Float64()*float64(returnSpread)), func() {
 		if !c.over {
-			c.entry, c.takenAt = w.entries[w.rand.IntN(len(w.entries))], w.now
+			c.entry, c.takenAt = w.entries[w.rand.IntN(len(w.entries))], w.agenda.Now()
 			w.place(c)
 		}
 	})
--- a/bluebellsim/bluebellrouting/routing.go
+++ b/bluebellsim/bluebellrouting/routing.go
@@ -14,7 +14,6 @@
 package bluebellrouting
 
 import (
-	"container/heap"
 	"container/list"
 	"fmt"
 	"math/rand/v2"
@@ -23,6 +22,7 @@
 
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellroute"
+	"bluebellhaven.org/bluebellsim/bluebellagenda"
 )
 
 // Policy is a way to choose endpoints.
@@ -138,37 +138,10 @@
 	return e.freeAt + tokenTime, computed
 }
 
-// event happens at a time.
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push is part of heap.Interface.
-func (h *events) Push(x any) { *h = append(*h, x.(event)) }
-
-// Pop is part of heap.Interface.
-func (h *events) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 type world struct {
 	cfg     Config
 	rand    *rand.Rand
-	now     time.Duration
-	events  events
-	seq     int
+	agenda  bluebellagenda.Agenda
 	report  Report
 	engines map[string]*engine
 	domains map[string]string
@@ -201,31 +174,19 @@
 	}
 	w.setOut(false)
 	for i := range cfg.Callers {
-		w.after(time.Duration(w.rand.Float64()*float64(meanPause)), func() { w.conversation(i) })
+		w.agenda.After(time.Duration(w.rand.Float64()*float64(meanPause)), func() { w.conversation(i) })
 	}
 	if cfg.OutDomain != "" {
-		w.after(cfg.Duration/3, func() { w.setOut(true) })
-		w.after(2*cfg.Duration/3, func() { w.setOut(false) })
-	}
-	for len(w.events) > 0 {
-		e := heap.Pop(&w.events).(event)
-		if e.at > cfg.Duration {
-			break
-		}
-		w.now = e.at
-		e.run()
+		w.agenda.After(cfg.Duration/3, func() { w.setOut(true) })
+		w.agenda.After(2*cfg.Duration/3, func() { w.setOut(false) })
 	}
+	w.agenda.Run(cfg.Duration)
 	return w.report
 }
 
-func (w *world) after(d time.Duration, run func()) {
-	w.seq++
-	heap.Push(&w.events, event{w.now + d, w.seq, run})
-}
-
 // setOut takes the failure domain out or in at all entries, a little later.
 func (w *world) setOut(out bool) {
-	w.out, w.outAt = out, w.now
+	w.out, w.outAt = out, w.agenda.Now()
 	apply := func() {
 		view := &pb.View{Revision: 1, Configuration: w.cfg.Configuration}
 		if out {
@@ -248,11 +209,11 @@
 			r.SetTable(bluebellroute.BuildTable(bluebellroute.TableInput{View: view, Health: health}))
 		}
 	}
-	if w.now == 0 {
+	if w.agenda.Now() == 0 {
 		apply()
 		return
 	}
-	w.after(healthDelay, apply)
+	w.agenda.After(healthDelay, apply)
 }
 
 // conversation sends one prompt again and again, longer each time.
@@ -281,12 +242,12 @@
 	vm := w.vms[w.rand.IntN(len(w.vms))]
 	name, learn := w.choose(vm, prompt)
 	if w.out && w.domains[name] == w.cfg.OutDomain {
-		w.report.WorstOut = max(w.report.WorstOut, w.now-w.outAt)
+		w.report.WorstOut = max(w.report.WorstOut, w.agenda.Now()-w.outAt)
 	}
 	e := w.engines[name]
-	at, computed := e.run(w.now, prompt)
+	at, computed := e.run(w.agenda.Now(), prompt)
 	e.running++
-	firstToken := at - w.now
+	firstToken := at - w.agenda.Now()
 	w.report.Blocks += size
 	w.report.Computed += computed
 	w.report.Bound += size - seen
@@ -301,14 +262,14 @@
 			w.report.Before = append(w.report.Before, firstToken)
 		}
 	}
-	w.after(firstToken, func() { learn(size-computed, firstToken) })
-	w.after(firstToken+50*tokenTime, func() {
+	w.agenda.After(firstToken, func() { learn(size-computed, firstToken) })
+	w.agenda.After(firstToken+50*tokenTime, func() {
 		e.running--
 		if size >= maxBlocks {
 			w.conversation(caller)
 			return
 		}
-		w.after(w.pause(), func() { w.visit(caller, customer, id, size+1+w.rand.IntN(3), size) })
+		w.agenda.After(w.pause(), func() { w.visit(caller, customer, id, size+1+w.rand.IntN(3), size) })
 	})
 }
 
@@ -354,7 +315,7 @@
 		q.Blocks = append(q.Blocks, bluebellroute.Block(b*0x9e3779b97f4a7c15^b>>7))
 	}
 	r := w.routers[vm]
-	d, err := r.Pick(w.now, &q)
+	d, err := r.Pick(w.agenda.Now(), &q)
 	if err != nil {
 		panic(err)
 	}
@@ -368,9 +329,9 @@
 		r.Finish(&d)
 		if d.Owner != vm {
 			owner.Finish(&d)
-			r.Told(w.now, d.Endpoint.Name, owner.Pending(d.Endpoint.Name))
-			r.Learn(w.now, &d, cached, 0, 0)
+			r.Told(w.agenda.Now(), d.Endpoint.Name, owner.Pending(d.Endpoint.Name))
+			r.Learn(w.agenda.Now(), &d, cached, 0, 0)
 		}
-		owner.Learn(w.now, &d, cached, ahead, firstToken)
+		owner.Learn(w.agenda.Now(), &d, cached, ahead, firstToken)
 	}
 }
