What entries believe of endpoints, domains and stores is written down; no bound without an objective

Each change has one line now with what decided it. And a route without an objective would have had all of its calls held as late; it has no such bound. Tests see both.

--- a/bluebell/bluebellplace/doubt.go
+++ b/bluebell/bluebellplace/doubt.go
@@ -50,17 +50,32 @@
 	silent := p.fleet.Current && p.cfg.SilentAfter > 0 && now-e.HeardAt > p.cfg.SilentAfter &&
 		(answeredAt == 0 || now-answeredAt > p.cfg.SilentAfter)
 	failing := others.Failing >= doubtCount && (answeredAt == 0 || now-answeredAt > quietFor)
+	change := Belief{Endpoint: e.ID, FailureDomain: e.FailureDomain, Failing: others.Failing, HeardAgo: now - e.HeardAt}
+	if answeredAt > 0 {
+		change.AnsweredAgo = now - answeredAt
+	}
 	if !silent && !failing {
-		b.doubtedSince = 0
+		if b.doubtedSince > 0 {
+			b.doubtedSince = 0
+			p.believed(change)
+		}
 		return false
 	}
 	if b.doubtedSince == 0 {
+		change.Doubtful = true
+		p.believed(change)
 		b.doubtedSince = now
 		b.triedAfter = now + time.Duration(part(rendezvous(e.ID, p.cfg.Self))*float64(p.trialPause()))
 	}
 	return true
 }
 
+func (p *Placer) believed(b Belief) {
+	if p.cfg.Believed != nil {
+		p.cfg.Believed(b)
+	}
+}
+
 // AnsweredSince tells whether any entry is known to have had an answer from a choice's
 // endpoint after a time.
 func (p *Placer) AnsweredSince(c Choice, at time.Duration) bool {
@@ -116,6 +131,7 @@
 		r = &reach{failed: map[string]bool{}}
 		p.domains[e.FailureDomain] = r
 	}
+	before := r.out()
 	switch o {
 	case Silent, BrokenOff:
 		r.failed[e.ID], r.failedAt = true, now
@@ -123,6 +139,9 @@
 	default:
 		clear(r.failed)
 	}
+	if r.out() != before {
+		p.believed(Belief{FailureDomain: e.FailureDomain, Doubtful: r.out(), Failing: len(r.failed)})
+	}
 }
 
 // outOfReach tells whether a failure domain is left alone, but for a trial now and then.
--- a/bluebell/bluebellplace/doubt_test.go
+++ b/bluebell/bluebellplace/doubt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -106,7 +107,10 @@
 	for i := range 12 {
 		f.Endpoints[i].FailureDomain = "b"
 	}
-	p := placer(config, f)
+	var beliefs []bluebellplace.Belief
+	watched := config
+	watched.Believed = func(b bluebellplace.Belief) { beliefs = append(beliefs, b) }
+	p := placer(watched, f)
 	toCut := func(now time.Duration, n int) int {
 		wasted := 0
 		for i := range n {
@@ -134,6 +138,12 @@
 		found = found || choice.Endpoint.FailureDomain == "b"
 	}
 	require.True(t, found, "the domain has answered")
+	require.Equal(t, []bluebellplace.Belief{{FailureDomain: "b", Doubtful: true, Failing: 3}, {FailureDomain: "b"}}, domainsOf(beliefs))
+}
+
+// domainsOf returns the beliefs on whole failure domains.
+func domainsOf(beliefs []bluebellplace.Belief) []bluebellplace.Belief {
+	return slices.DeleteFunc(beliefs, func(b bluebellplace.Belief) bool { return b.Endpoint != "" })
 }
 
 // onlyIn returns a prompt that has tried all endpoints outside a failure domain.
--- a/bluebell/bluebellplace/fleet.go
+++ b/bluebell/bluebellplace/fleet.go
@@ -23,6 +23,21 @@
 	ColdFactor, ColdSlack float64
 	// SilentAfter is the age of a registration from which on it is in doubt.
 	SilentAfter time.Duration
+	// Believed is told of each change of a belief that moves calls, if not nil.
+	Believed func(Belief)
+}
+
+// Belief is what an entry has begun or ceased to believe, with what decided it.
+type Belief struct {
+	// Endpoint is "" for a belief on a whole failure domain.
+	Endpoint, FailureDomain string
+	// Doubtful endpoints and domains get a trial now and then.
+	Doubtful bool
+	// Failing is the number of other entries, or of endpoints of the domain, with failures.
+	Failing int
+	// HeardAgo is the age of the endpoint's registration, AnsweredAgo that of the last answer
+	// that any entry is known to have had, 0 for none.
+	HeardAgo, AnsweredAgo time.Duration
 }
 
 // Named is a version of a model's weights that operators have named, and since when.
--- a/bluebell/bluebellqueue/queue.go
+++ b/bluebell/bluebellqueue/queue.go
@@ -117,13 +117,14 @@
 }
 
 // BeginBy returns when the answer of a waiter should begin, for which engines that would
-// begin later count as full; 0 for one that may have run, which goes wherever there is room.
+// begin later count as full; 0 for one that may have run, which goes wherever there is room, or
+// has no objective.
 // One that is late already has its objective once more: where late calls went wherever there
 // was room, they made others late. In a crowd only engines that begin much sooner will do:
 // what is expected there turns out late, and the large ones make way for the many.
 func BeginBy(w Waiter, now time.Duration, waiting int) time.Duration {
 	switch {
-	case w.Begun:
+	case w.Begun, w.Objective <= 0:
 		return 0
 	case w.late(now):
 		return now + w.Objective
--- a/bluebell/bluebellqueue/queue_test.go
+++ b/bluebell/bluebellqueue/queue_test.go
@@ -44,6 +44,9 @@
 	require.Equal(t, 2*time.Second, bluebellqueue.BeginBy(w, time.Second, 1))
 	require.Equal(t, 4*time.Second, bluebellqueue.BeginBy(w, 3*time.Second, 9), "late already")
 	require.Equal(t, 1350*time.Millisecond, bluebellqueue.BeginBy(w, time.Second, 2), "in a crowd")
+	without := w
+	without.Objective = 0
+	require.Zero(t, bluebellqueue.BeginBy(without, time.Second, 9), "no objective")
 	w.Begun = true
 	require.Zero(t, bluebellqueue.BeginBy(w, time.Second, 9), "it may have run")
 }
--- a/bluebell/bluebelltier/tier.go
+++ b/bluebell/bluebelltier/tier.go
@@ -84,6 +84,9 @@
 	Directory func() *bluebelldirectory.View
 	// Others returns what other entries have in flight, by store.
 	Others func() map[string]Load
+	// Slow is told when a store has become slower than others, and when it no longer is, if
+	// not nil.
+	Slow func(store string, slow bool, l Load)
 	// Now is monotonic, and the clock of the directory.
 	Now func() time.Duration
 }
@@ -102,6 +105,8 @@
 	mu       sync.Mutex
 	pending  map[bluebelldirectory.Key]write
 	inFlight map[string]flight // by store
+	// slow are the stores that were passed over last.
+	slow map[string]bool
 }
 
 // New returns a tier that has planned nothing yet.
@@ -178,6 +183,7 @@
 	var slow map[string]bool
 	if b.Tokens >= largeBlock {
 		slow = slowStores(loads)
+		t.noteSlow(slow, loads)
 	}
 	for _, address := range view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}, now) {
 		s, declared := stores[address]
@@ -192,6 +198,23 @@
 	return best, found
 }
 
+// noteSlow tells of the stores that have become slow, or no longer are.
+func (t *Tier) noteSlow(slow map[string]bool, loads map[string]Load) {
+	if t.cfg.Slow != nil {
+		for address := range slow {
+			if !t.slow[address] {
+				t.cfg.Slow(address, true, loads[address])
+			}
+		}
+		for address := range t.slow {
+			if !slow[address] {
+				t.cfg.Slow(address, false, loads[address])
+			}
+		}
+	}
+	t.slow = slow
+}
+
 // isHeld tells whether a declared store holds a block, be it slow or not.
 func (t *Tier) isHeld(view *bluebelldirectory.View, stores map[string]bluebellplan.Store, r Request, b Block, now time.Duration) bool {
 	return slices.ContainsFunc(view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}, now), func(address string) bool {
--- a/bluebell/bluebelltier/tier_test.go
+++ b/bluebell/bluebelltier/tier_test.go
@@ -1,6 +1,7 @@
 package bluebelltier_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	view      *bluebelldirectory.View
 	now       time.Duration
 	live      bool
+	slow      []string
 	others    map[string]bluebelltier.Load
 }
 
@@ -45,6 +47,9 @@
 		},
 		Others: func() map[string]bluebelltier.Load { return f.others },
 		Now:    func() time.Duration { return f.now },
+		Slow: func(store string, slow bool, _ bluebelltier.Load) {
+			f.slow = append(f.slow, fmt.Sprint(store, " ", slow))
+		},
 	})
 }
 
@@ -182,6 +187,9 @@
 	require.Equal(t, "near", tier.Plan(r).Fetch[0], "a small block takes no time anywhere")
 	f.hold("far", "doc", 8000)
 	require.Equal(t, "far", tier.Plan(r).Fetch[1], "another holder")
+	f.others = nil
+	tier.Plan(r)
+	require.Equal(t, []string{"near true", "near false"}, f.slow, "each change is told once")
 
 	// All engines are slow alike, or too little is known: nothing is said of the store.
 	for _, others := range []map[string]bluebelltier.Load{
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -119,10 +119,14 @@
 		Self: g.address, FailureDomain: s.FailureDomain, SilentAfter: silentAfter,
 		WeightsWithin: millis(bounds.GetWeightsMillis()) - weightsMargin,
 		ColdFactor:    bounds.GetColdFactor(), ColdSlack: float64(bounds.GetColdSlack()),
+		Believed: g.believed,
 	})
 	g.tier = bluebelltier.New(bluebelltier.Config{
 		Stores:    func() []bluebellplan.Store { return g.state.Load().Plan.Stores() },
 		Directory: g.follower.Directory, Others: g.fetches, Now: g.now,
+		Slow: func(store string, slow bool, l bluebelltier.Load) {
+			cfg.Logger.Info("store", "Store", store, "Slow", slow, "InFlight", l.Calls, "Waited", l.Waited.Round(time.Millisecond))
+		},
 	})
 	g.link = bluebelllink.NewClient(bluebelllink.Config{
 		Dial: cfg.Dial, Opened: func(string) { g.metrics.Scope.Counter("connections_opened").Inc(1) },
@@ -267,6 +271,12 @@
 	g.link.Retain(addresses)
 }
 
+// believed writes down what the placer has begun or ceased to believe.
+func (g *Gateway) believed(b bluebellplace.Belief) {
+	g.cfg.Logger.Info("belief", "Endpoint", b.Endpoint, "FailureDomain", b.FailureDomain, "Doubtful", b.Doubtful, "Failing", b.Failing,
+		"HeardAgo", b.HeardAgo.Round(time.Millisecond), "AnsweredAgo", b.AnsweredAgo.Round(time.Millisecond))
+}
+
 // uses tells other entries what this one has in flight.
 func (g *Gateway) uses() []*pb.EndpointUse {
 	var list []*pb.EndpointUse
