--- a/bluebellsim/bluebellcrowd/doc.go
+++ b/bluebellsim/bluebellcrowd/doc.go
@@ -17,8 +17,8 @@
 // # What is left out
 //
 // Processor time and links of entries, preemption in the middle of an answer, lost packets,
-// and the core processes, which pass news on without fail. Times to the first event come out
-// shorter than the users' bench shows them under load; docs/MEASUREMENTS.md compares both.
+// and the core processes, which pass news on without fail. The model is lighter than the
+// users' bench by that; docs/MEASUREMENTS.md compares both.
 //
 // # Usage
 //
