A store that was forgotten comes back with what it holds

Cause (review): when a declaration dropped a store, its rows were deleted without a word, and followers kept them. Declared again, emptied meanwhile, it was named for blocks that it does not hold, or that another entry was writing to it. The rows stay as gone ones now, and the store is left out of the states. TestAStoreThatWasForgottenComesBackWithWhatItHolds failed first. Ruled out: a new epoch of the source, which would send all directories anew.

--- a/bluebell/bluebelldirectory/directory.go
+++ b/bluebell/bluebelldirectory/directory.go
@@ -80,6 +80,8 @@
 type store struct {
 	state StoreState
 	rows  map[Key]row
+	// forgotten stores are not declared any more.
+	forgotten bool
 }
 
 // leastStale is the number of superseded places from which on they are worth removing.
@@ -127,7 +129,7 @@
 			d.drop(s, key)
 		}
 	}
-	s.state.FollowedSince, s.state.Following = now, true
+	s.state.FollowedSince, s.state.Following, s.forgotten = now, true, false
 	for _, b := range blocks {
 		d.hold(s, b)
 	}
@@ -194,14 +196,21 @@
 	return s != nil && s.rows[p.key].cursor == p.cursor
 }
 
-// Forget drops a store that is no longer declared.
+// Forget drops a store that is no longer declared. Its rows stay as gone ones: followers
+// that have them must not take them for what it holds when it is declared again.
 func (d *Directory) Forget(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s := d.stores[address]; s != nil {
-		d.rows -= len(s.rows)
-		delete(d.stores, address)
+	s := d.stores[address]
+	if s == nil {
+		return
+	}
+	for key, r := range s.rows {
+		if !r.gone {
+			d.drop(s, key)
+		}
 	}
+	s.forgotten = true
 }
 
 // Since returns the first changes after a place, up to a limit, and the place behind them.
@@ -241,7 +250,9 @@
 	defer d.mu.Unlock()
 	states := make([]StoreState, 0, len(d.stores))
 	for _, s := range d.stores {
-		states = append(states, s.state)
+		if !s.forgotten {
+			states = append(states, s.state)
+		}
 	}
 	return states
 }
--- a/bluebell/bluebelldirectory/page_test.go
+++ b/bluebell/bluebelldirectory/page_test.go
@@ -84,3 +84,21 @@
 	require.Len(t, again.Holders(block("new", 0).Key, 0), 1)
 	require.Empty(t, again.Holders(block("stays", 0).Key, 0))
 }
+
+// The load pattern: a declaration drops a store and a later one has it again, emptied
+// meanwhile. A follower of both must not take what it held before for what it holds.
+func TestAStoreThatWasForgottenComesBackWithWhatItHolds(t *testing.T) {
+	d, v := bluebelldirectory.New(), bluebelldirectory.NewView()
+	d.Reset("s1", []bluebelldirectory.Block{block("old", 1)}, 0)
+	cursor, _ := read(d, v, 0, 100)
+	require.Len(t, v.Holders(block("old", 0).Key, 0), 1)
+	d.Forget("s1")
+	cursor, _ = read(d, v, cursor, 100)
+	require.Empty(t, v.Holders(block("old", 0).Key, 0))
+	require.Empty(t, d.States())
+	d.Reset("s1", []bluebelldirectory.Block{block("new", 1)}, time.Minute)
+	read(d, v, cursor, 100)
+	require.Empty(t, v.Holders(block("old", 0).Key, time.Minute))
+	require.Len(t, v.Holders(block("new", 0).Key, time.Minute), 1)
+	require.Equal(t, 1, d.States()[0].Used)
+}
