A ready answer outlives its connection

TestAReadyAnswerOutlivesItsConnection failed first (use of closed network connection). A connection that has ended needs no patience. Ruled out: the same before sending, where the call is not sent and goes elsewhere.

--- a/bluebellgate/internal/bluebelllink/exchange.go
+++ b/bluebellgate/internal/bluebelllink/exchange.go
@@ -146,7 +146,8 @@
 			continue
 		case r.Answers(response.StatusCode, response.Header):
 			x.response = response
-			return x.conn.tolerate(r.Silence)
+			x.conn.tolerateLonger(r.Silence)
+			return nil
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkipped)); err != nil {
 			return err
--- a/bluebellgate/internal/bluebelllink/link_test.go
+++ b/bluebellgate/internal/bluebelllink/link_test.go
@@ -307,6 +307,37 @@
 	require.Equal(t, int64(1), s.opened.Load())
 }
 
+// The connection ends right behind a whole answer. The answer is there, whatever can no longer
+// be set on the connection.
+func TestAReadyAnswerOutlivesItsConnection(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			id, ok := read(r)
+			if !ok {
+				return
+			}
+			answer(conn, id, "ready")
+		}
+	})
+	var dialed net.Conn
+	c := bluebelllink.NewClient(bluebelllink.Config{
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			dialed = conn
+			return conn, err
+		},
+	})
+	_, err := do(t, c, request(s, "a", ""))
+	require.NoError(t, err)
+	r := request(s, "a", "")
+	r.Silence = 9 * time.Second
+	r.Answers = func(int, http.Header) bool { return dialed.Close() == nil }
+	x, err := c.Do(context.Background(), r)
+	require.NoError(t, err)
+	defer x.Close()
+	require.Equal(t, http.StatusOK, x.Status())
+}
+
 func TestEventsAreWhole(t *testing.T) {
 	for _, c := range []struct {
 		body  string
--- a/bluebellgate/internal/bluebelllink/pool.go
+++ b/bluebellgate/internal/bluebelllink/pool.go
@@ -212,6 +212,12 @@
 	}
 }
 
+// tolerateLonger does so for an answer that has begun. A connection that has ended behind the
+// answer allows no change, and needs none: the answer is read from what has come.
+func (c *conn) tolerateLonger(silence time.Duration) {
+	_ = c.tolerate(silence)
+}
+
 // quiet tells whether nothing has come on an idle connection, neither bytes nor
 // its end.
 func (c *conn) quiet() bool {
