A slow peer is reached in the end

A peer that needs longer, on a starved VM or a long way, would never have been reached: no votes, no news. TestASlowPeerIsReachedInTheEnd (0.7 s) failed first. Each attempt that ran out of time gives the next one twice as long now, 0.3 to 2.4 s and round again, so that a peer that is starting is still found soon.

--- a/bluebell/bluebellpeer/client.go
+++ b/bluebell/bluebellpeer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -15,10 +16,13 @@
 const (
 	// maxIdle is the number of idle connections that a client keeps.
 	maxIdle = 4
-	// connectTimeout bounds the opening of a connection with its handshake. The first packet
-	// to a VM that is just starting is lost and sent again after a second: another attempt
-	// comes sooner.
-	connectTimeout = 300 * time.Millisecond
+	// firstConnectTimeout bounds the opening of a connection with its handshake. The first
+	// packet to a VM that is just starting is lost and sent again after a second: another
+	// attempt comes sooner. After each that ran out of time the next one has twice as long, up
+	// to lastConnectTimeout, which allows for a packet that is sent again, and then the first
+	// time again: the peer may have been down, and be starting.
+	firstConnectTimeout = 300 * time.Millisecond
+	lastConnectTimeout  = 2400 * time.Millisecond
 )
 
 // ClientConfig sets up a Client.
@@ -42,6 +46,7 @@
 	// Connections opened before this time are not used again.
 	distrustBefore time.Time
 	closed         bool
+	connectTimeout time.Duration
 }
 
 type peerConn struct {
@@ -54,7 +59,7 @@
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{}).DialContext
 	}
-	return &Client{cfg: cfg}
+	return &Client{cfg: cfg, connectTimeout: firstConnectTimeout}
 }
 
 // Raft sends messages of the consensus protocol.
@@ -129,7 +134,16 @@
 		return conn, nil
 	}
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	conn, err := c.connect(ctx)
+	c.adaptConnectTimeout(err)
+	return conn, err
+}
+
+// connect opens a connection.
+func (c *Client) connect(ctx context.Context) (*peerConn, error) {
+	c.mu.Lock()
+	ctx, cancel := context.WithTimeout(ctx, c.connectTimeout)
+	c.mu.Unlock()
 	defer cancel()
 	raw, err := c.cfg.Dial(ctx, "tcp", c.cfg.Address)
 	if err != nil {
@@ -147,6 +161,22 @@
 	return &peerConn{Conn: conn, openedAt: time.Now()}, nil
 }
 
+// adaptConnectTimeout gives the next attempt longer if this one ran out of time.
+func (c *Client) adaptConnectTimeout(err error) {
+	var ne net.Error
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err == nil:
+		c.connectTimeout = firstConnectTimeout
+	case errors.Is(err, context.DeadlineExceeded) || errors.As(err, &ne) && ne.Timeout():
+		c.connectTimeout *= 2
+		if c.connectTimeout > lastConnectTimeout {
+			c.connectTimeout = firstConnectTimeout
+		}
+	}
+}
+
 func (c *Client) put(conn *peerConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/bluebell/bluebellpeer/peer_test.go
+++ b/bluebell/bluebellpeer/peer_test.go
@@ -120,3 +120,27 @@
 	require.NoError(t, err)
 	require.Equal(t, 2, dials)
 }
+
+// The load pattern: a peer's VM is so slow, or the way there so long, that a connection takes
+// more than the first attempt has. Later attempts have longer, so that it is reached at all.
+func TestASlowPeerIsReachedInTheEnd(t *testing.T) {
+	client := bluebellpeer.NewClient(bluebellpeer.ClientConfig{
+		Address: serve(t, &server{}), Peer: "b", Name: "a", Secret: []byte("secret"),
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			select {
+			case <-time.After(700 * time.Millisecond):
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		},
+	})
+	defer client.Close()
+	var err error
+	for range 4 {
+		if _, err = status(client, 3*time.Second); err == nil {
+			return
+		}
+	}
+	require.NoError(t, err)
+}
