A log tells whether a call was turned away for memory or for time, and why it stayed

Cause (reading as on call): a refused call said AllFull both when engines had no room and when they would have begun it too late, and a call that stayed at a busy endpoint beyond its patience left no line, nor did how long it had waited before it was placed. AllLate is a cause of its own now; msg=unanswered has the decision with its inputs; msg=placed has Waited. No decision is changed. TestPromptsAreNotSentToBeginTooLate asks for the cause.

--- a/bluebell/bluebellplace/place.go
+++ b/bluebell/bluebellplace/place.go
@@ -125,10 +125,16 @@
 	AllSuspect
 	// AllFull endpoints have as many calls in their memory as is good for them.
 	AllFull
+	// AllLate endpoints have room, but would begin the call too late.
+	AllLate
 )
 
+// Saturated tells whether there is no endpoint for want of room or time, and so none for larger
+// calls either.
+func (a Absence) Saturated() bool { return a == AllFull || a == AllLate }
+
 func (a Absence) String() string {
-	return [...]string{"Untried", "Present", "NoEndpoint", "AllUnfit", "AllSuspect", "AllFull"}[a]
+	return [...]string{"Untried", "Present", "NoEndpoint", "AllUnfit", "AllSuspect", "AllFull", "AllLate"}[a]
 }
 
 // group is the state of one target under its own lock.
@@ -185,6 +191,7 @@
 	home     bool
 	second   bool
 	full     bool
+	late     bool
 	// busy engines have calls in flight.
 	busy     bool
 	expected time.Duration
@@ -214,7 +221,8 @@
 	for i := range candidates {
 		c := &candidates[i]
 		p.weigh(now, g, c, r)
-		c.full = p.isFull(c, r) || r.BeginBy > 0 && c.busy && now+g.slowed(c.expected) > r.BeginBy
+		c.full = p.isFull(c, r)
+		c.late = r.BeginBy > 0 && c.busy && now+g.slowed(c.expected) > r.BeginBy
 	}
 	slices.SortFunc(candidates, compareCandidates)
 	// With all of a prompt's homes suspect there is nothing to wait for.
@@ -226,7 +234,7 @@
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		if c.full || r.NearOnly && near > 0 && !c.home && !c.second || !p.mayTry(now, c, candidates[0].suspect) {
+		if c.full || c.late || r.NearOnly && near > 0 && !c.home && !c.second || !p.mayTry(now, c, candidates[0].suspect) {
 			continue
 		}
 		if c.cold && !c.belief.takeCold(now, p.coldRate(r.Target)) {
@@ -239,7 +247,11 @@
 		}, Present
 	}
 	switch {
-	case r.NearOnly && near > 0, slices.ContainsFunc(candidates, func(c candidate) bool { return c.full }):
+	case slices.ContainsFunc(candidates, func(c candidate) bool { return c.full }):
+		return Choice{}, AllFull
+	case slices.ContainsFunc(candidates, func(c candidate) bool { return c.late }):
+		return Choice{}, AllLate
+	case r.NearOnly && near > 0:
 		return Choice{}, AllFull
 	case candidates[0].suspect:
 		return Choice{}, AllSuspect
--- a/bluebell/bluebellplace/place_test.go
+++ b/bluebell/bluebellplace/place_test.go
@@ -184,7 +184,8 @@
 	r := prompt("doc")
 	r.BeginBy = second + 400*time.Millisecond
 	_, absence := p.Pick(second, r)
-	require.Equal(t, bluebellplace.AllFull, absence, "30,000 tokens take 0.7 s to read")
+	require.Equal(t, bluebellplace.AllLate, absence, "30,000 tokens take 0.7 s to read")
+	require.True(t, absence.Saturated())
 	r.BeginBy = second + 1200*time.Millisecond
 	choice, absence := p.Pick(second, r)
 	require.Equal(t, bluebellplace.Present, absence)
@@ -195,7 +196,7 @@
 		p.Done(choice, now+3*choice.Expected, bluebellplace.Answered)
 	}
 	_, absence = p.Pick(now, r)
-	require.Equal(t, bluebellplace.AllFull, absence, "answers have taken three times as long as expected")
+	require.Equal(t, bluebellplace.AllLate, absence, "answers have taken three times as long as expected")
 	f.Others = nil
 	p.Update(f)
 	_, absence = p.Pick(now, r)
--- a/bluebellgate/internal/bluebellrelay/lobby.go
+++ b/bluebellgate/internal/bluebellrelay/lobby.go
@@ -148,7 +148,7 @@
 		case l.try(g):
 			close(g.placed)
 			return bluebellqueue.Placed
-		case g.absence == bluebellplace.AllFull && !g.request.NearOnly:
+		case g.absence.Saturated() && !g.request.NearOnly:
 			return bluebellqueue.Full
 		}
 		return bluebellqueue.NoneYet
--- a/bluebellgate/internal/bluebellrelay/patience.go
+++ b/bluebellgate/internal/bluebellrelay/patience.go
@@ -62,7 +62,10 @@
 	last := min(now()+alivePatience*patience, now()+s.left())
 	return func() time.Time {
 		at := now()
-		if at >= last || !placer.AnsweredSince(choice, at-patience) {
+		stays := at < last && placer.AnsweredSince(choice, at-patience)
+		s.relay.cfg.Logger.Info("unanswered", "Call", s.q.Call.ID, "Endpoint", choice.Endpoint.ID, "Stays", stays,
+			"Patience", patience.Round(time.Millisecond), "Typical", choice.Typical.Round(time.Millisecond), "Attempt", s.sends)
+		if !stays {
 			return time.Time{}
 		}
 		return time.Now().Add(min(patience, last-at))
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -198,6 +198,7 @@
 
 // attempt sends the call to one endpoint and carries its answer back.
 func (s *serving) attempt(ctx context.Context) step {
+	asked := s.relay.cfg.Now()
 	choice, absence := s.place(ctx)
 	if absence != bluebellplace.Present {
 		s.cause = errors.Join(s.cause, errors.New("no endpoint: "+absence.String()))
@@ -212,7 +213,7 @@
 	s.tried = append(s.tried, choice.Endpoint.ID)
 	cfg := &s.relay.cfg
 	cfg.Logger.Info("placed", "Call", s.q.Call.ID, "Endpoint", choice.Endpoint.ID, "Address", choice.Endpoint.Address,
-		"Home", choice.Home, "Expected", choice.Expected.Round(time.Millisecond), "Candidates", choice.Candidates,
+		"Home", choice.Home, "Expected", choice.Expected.Round(time.Millisecond), "Candidates", choice.Candidates, "Waited", (cfg.Now() - asked).Round(time.Millisecond),
 		"HeardAgo", choice.HeardAgo.Round(time.Millisecond), "Weights", choice.Weights, "Attempt", s.sends, "Revision", s.q.Revision)
 	mayRepeat := s.q.Route.Repeatable() && s.runs+1 < s.q.Route.Attempts
 	patience := firstPatience(s.q.Route, choice, left, mayRepeat)
--- a/bluebellsim/bluebellcrowd/entry.go
+++ b/bluebellsim/bluebellcrowd/entry.go
@@ -153,7 +153,7 @@
 	case absence == bluebellplace.Present:
 		e.send(g.call, choice)
 		return bluebellqueue.Placed
-	case absence == bluebellplace.AllFull && !g.request.NearOnly:
+	case absence.Saturated() && !g.request.NearOnly:
 		return bluebellqueue.Full
 	}
 	return bluebellqueue.NoneYet
