Learn the speed of engines and predict answers by regression; find slow stores by overdue fetches

Change: the speed is estimated from calls at engines without unread tokens. Predictions are a delay and a factor, by regression. Engines that are not the prompt's homes need twice the predicted time. Stores are compared by how long their fetches are overdue, with the store at the fast quarter; a slow one gets two fetches at a time. OnSlowChange is called without the planner's lock.

--- a/bluebell/bluebelldeployment/deployment.go
+++ b/bluebell/bluebelldeployment/deployment.go
@@ -168,6 +168,8 @@
 	byHost      map[string][]*Route
 	targets     map[string]*Target
 	byKey       map[[sha256.Size]byte]*Customer
+
+	shortestObjective time.Duration
 }
 
 // New validates a declaration. It returns either a Deployment or all findings. The caller
@@ -197,6 +199,9 @@
 	var findings Findings
 	for i := range d.declaration.Routes {
 		r := &d.declaration.Routes[i]
+		if r.Work == Stream && r.Objective > 0 && (d.shortestObjective == 0 || r.Objective < d.shortestObjective) {
+			d.shortestObjective = r.Objective
+		}
 		for _, text := range d.routeFindings(r) {
 			findings = append(findings, fmt.Sprintf("route %q: %s", r.Name, text))
 		}
@@ -281,6 +286,15 @@
 	return d.declaration.Stores
 }
 
+// ShortestObjective returns the shortest objective of all streams, or 0 if there is none or d
+// is nil.
+func (d *Deployment) ShortestObjective() time.Duration {
+	if d == nil {
+		return 0
+	}
+	return d.shortestObjective
+}
+
 // Route returns the host's route with the longest prefix of the path, or nil.
 func (d *Deployment) Route(host, path string) *Route {
 	for _, r := range d.byHost[strings.ToLower(host)] {
--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -37,32 +37,21 @@
 }
 
 // loadSum is the sum of the uses of one endpoint by the entries that report to this process.
-type loadSum struct {
-	use Use
-	// waitingCalls is the number of calls with a Waited, and waitingSince the sum of the
-	// times at which they were reported: their waits grow until they are reported again.
-	waitingCalls int
-	waitingSince time.Duration
-}
+type loadSum struct{ use Use }
 
-// add adds a use that was reported at the time at, or removes it if sign is -1.
-func (s *loadSum) add(u Use, at time.Duration, sign int) {
+// add adds a use, or removes it if sign is -1.
+func (s *loadSum) add(u Use, sign int) {
 	s.use.Calls += sign * u.Calls
 	s.use.Tokens += sign * u.Tokens
 	s.use.Unread += sign * u.Unread
 	s.use.Failing += sign * u.Failing
+	s.use.Waited += time.Duration(sign) * u.Waited
 	s.use.AnsweredAt = max(s.use.AnsweredAt, u.AnsweredAt)
-	if u.Waited > 0 {
-		s.use.Waited += time.Duration(sign) * u.Waited
-		s.waitingCalls += sign * u.Calls
-		s.waitingSince += time.Duration(sign*u.Calls) * at
-	}
 }
 
 // at returns the sum at the time now.
 func (s *loadSum) at(now time.Duration) Use {
 	u := s.use
-	u.Waited += time.Duration(s.waitingCalls)*now - s.waitingSince
 	if now-u.AnsweredAt > answerRetention {
 		u.AnsweredAt = 0
 	}
@@ -158,7 +147,7 @@
 		if i := l.nameIndex(m.Endpoint); i >= 0 {
 			u := decodeReport(m, now)
 			next.names, next.uses = append(next.names, i), append(next.uses, u)
-			l.sums[i].add(u, now, 1)
+			l.sums[i].add(u, 1)
 		}
 	}
 	if old := l.reports[process]; old != nil {
@@ -180,7 +169,7 @@
 // subtract removes a report from the sums. l.mu must be held.
 func (l *loads) subtract(r *report) {
 	for at, i := range r.names {
-		l.sums[i].add(r.uses[at], r.receivedAt, -1)
+		l.sums[i].add(r.uses[at], -1)
 	}
 }
 
--- a/bluebell/bluebellfeed/primary.go
+++ b/bluebell/bluebellfeed/primary.go
@@ -213,14 +213,14 @@
 		if silent == nil {
 			silent = map[string]time.Duration{}
 			for id, at := range s.ages {
-				if now-at > silentAfter {
+				if now-at > SilentAfter {
 					silent[id] = at
 				}
 			}
 			continue
 		}
 		for id, at := range silent {
-			if latest, listed := s.ages[id]; !listed || now-latest <= silentAfter {
+			if latest, listed := s.ages[id]; !listed || now-latest <= SilentAfter {
 				delete(silent, id)
 			} else {
 				silent[id] = max(at, latest)
--- a/bluebell/bluebellfeed/source.go
+++ b/bluebell/bluebellfeed/source.go
@@ -55,9 +55,9 @@
 	// loadsWait is the longest time that a poll of a core process that shares its loads is
 	// held. It adds to the age of what entries know of each other.
 	loadsWait = 100 * time.Millisecond
-	// silentAfter is the age of a registration from which entries are told of it: two
+	// SilentAfter is the age of a registration from which entries are told of it: two
 	// heartbeats and their delivery.
-	silentAfter = 3 * time.Second
+	SilentAfter = 3 * time.Second
 	// entryTimeout is how long after its last poll an entry counts as one that shares
 	// limits: two polls and a retry.
 	entryTimeout = 2 * time.Second
@@ -233,12 +233,12 @@
 // registrationAges returns the ages of the registrations that are old, and of those of the
 // endpoints that a follower reports as failing: they may have been restarted.
 func (s *Source) registrationAges(r *pb.FollowRequest, now time.Duration) []*pb.RegistrationAge {
-	listed := s.cfg.Registry.Silent(silentAfter)
+	listed := s.cfg.Registry.Silent(SilentAfter)
 	for _, u := range r.Uses {
 		if u.Failing == 0 {
 			continue
 		}
-		if e, known := s.cfg.Registry.Endpoint(u.Endpoint); known && e.State != bluebellfleet.Gone && now-e.ReceivedAt <= silentAfter {
+		if e, known := s.cfg.Registry.Endpoint(u.Endpoint); known && e.State != bluebellfleet.Gone && now-e.ReceivedAt <= SilentAfter {
 			listed = append(listed, e)
 		}
 	}
--- a/bluebell/bluebellfeed/use.go
+++ b/bluebell/bluebellfeed/use.go
@@ -28,7 +28,7 @@
 	// AnsweredAt is the time of the last answer on the clock of this process, 0 if there was
 	// no recent one.
 	AnsweredAt time.Duration
-	// Waited is the sum of the times since the start of each fetch.
+	// Waited is the sum of the times that large fetches are overdue.
 	Waited time.Duration
 }
 
--- a/bluebell/bluebellplacement/cost.go
+++ b/bluebell/bluebellplacement/cost.go
@@ -21,41 +21,66 @@
 }
 
 const (
-	// slowdownWeight is the weight of the latest answer in the moving average of the
+	// slowdownWeight is the weight of the latest answer in the moving averages of the
 	// slowdown: an entry receives about ten answers per second.
 	slowdownWeight = 0.05
 	// maxSlowdown bounds the effect of a single answer, such as one of an endpoint that
-	// was frozen.
+	// was frozen, and the factor.
 	maxSlowdown = 10.0
+	// minSpread is the least variance of the expected times, relative to the square of their
+	// mean, from which delay and factor can be told apart.
+	minSpread = 0.01
 )
 
-// recordSlowdown updates the moving average of the ratio between the actual and the
-// expected time to the first event.
-func (t *targetState) recordSlowdown(expected, took time.Duration) {
+// slowdown relates the actual to the expected times to the first event: a delay that all calls
+// have, such as that of the network, and a factor. Both are from the regression line through
+// the recent calls, with exponentially decreasing weights. Without the delay, the many small
+// prompts, whose time is mostly delay, would make large prompts look several times slower than
+// they are.
+type slowdown struct {
+	calls int
+	// Moving averages of the expected and actual times in seconds, of the square of the
+	// expected ones, and of the product.
+	expected, took, square, product float64
+}
+
+// record updates the moving averages with the times of a call.
+func (s *slowdown) record(expected, took time.Duration) {
 	if expected <= 0 {
 		return
 	}
-	latest := min(float64(took)/float64(expected), maxSlowdown)
-	if t.slowdown == 0 {
-		t.slowdown = latest
-	}
-	t.slowdown += slowdownWeight * (latest - t.slowdown)
+	e := expected.Seconds()
+	t := min(took.Seconds(), maxSlowdown*max(e, s.expected))
+	s.calls++
+	weight := max(slowdownWeight, 1/float64(s.calls))
+	s.expected += weight * (e - s.expected)
+	s.took += weight * (t - s.took)
+	s.square += weight * (e*e - s.square)
+	s.product += weight * (e*t - s.product)
 }
 
-// scaleBySlowdown multiplies an expected time by the slowdown if that is above 1.
-func (t *targetState) scaleBySlowdown(expected time.Duration) time.Duration {
-	return time.Duration(max(t.slowdown, 1) * float64(expected))
+// predict returns the time to the first event for an expected time, at least that.
+func (s *slowdown) predict(expected time.Duration) time.Duration {
+	if s.expected == 0 {
+		return expected
+	}
+	factor, delay := s.took/s.expected, 0.0
+	if variance := s.square - s.expected*s.expected; variance > minSpread*s.expected*s.expected {
+		factor = min(max((s.product-s.expected*s.took)/variance, 0), maxSlowdown)
+		delay = max(s.took-factor*s.expected, 0)
+	}
+	return max(expected, time.Duration((delay+factor*expected.Seconds())*float64(time.Second)))
 }
 
 // setCost sets a candidate's expected time to the first event, and its cost: that time
 // with penalties for what the choice costs other prompts.
-func (p *Placer) setCost(now time.Duration, c *candidate, r Request, lastUse promptUse, newest uint64) {
+func (p *Placer) setCost(now time.Duration, t *targetState, c *candidate, r Request, lastUse promptUse, newest uint64) {
 	if r.Model == "" {
 		// Endpoints of plain services are compared by their calls in flight.
 		c.expected = c.state.responseTime() * time.Duration(1+c.state.running)
 		c.cost = c.expected
 	} else {
-		p.setPromptCost(c, r, missingShare(now, c, r, lastUse), newest)
+		p.setPromptCost(t, c, r, missingShare(now, c, r, lastUse), newest)
 	}
 	if !c.home && r.SharedBlock != "" {
 		c.cost += evictionCost
@@ -85,7 +110,7 @@
 // setPromptCost sets the expected time and the cost for an engine, an endpoint that runs a
 // model. The engine has to fetch or recompute the given share of the shared blocks. newest is
 // the newest named version of the weights.
-func (p *Placer) setPromptCost(c *candidate, r Request, share float64, newest uint64) {
+func (p *Placer) setPromptCost(t *targetState, c *candidate, r Request, share float64, newest uint64) {
 	c.prefillTokens = r.OwnTokens
 	var fetch, recompute time.Duration
 	if r.FetchTime > 0 {
@@ -93,9 +118,11 @@
 	} else {
 		tokens := int(math.Round(share * float64(r.SharedTokens)))
 		c.prefillTokens += tokens
-		recompute = prefillTime(tokens)
+		recompute = t.speed.prefillTime(tokens)
 	}
-	c.expected = fetch + prefillTime(c.prefillTokens+c.state.prefillTokens+c.others.PrefillTokens) + time.Duration(c.state.running+c.others.Calls)*runningCallCost
+	unread := max(c.state.prefillTokens+c.others.PrefillTokens, 0)
+	c.readsOthers = unread > 0
+	c.expected = fetch + t.speed.prefillTime(c.prefillTokens+unread) + time.Duration(c.state.running+c.others.Calls)*runningCallCost
 	c.busy = c.state.running+c.others.Calls > 0
 	c.cost = c.expected + (fetchWeight-1)*fetch
 	if !c.home {
@@ -105,8 +132,3 @@
 		c.cost += oldWeightsCost
 	}
 }
-
-// prefillTime returns the time in which an engine processes prompt tokens.
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillRate * float64(time.Second))
-}
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -27,6 +27,8 @@
 	// StaleAfter is the age from which on a registration is stale: the endpoint is suspect
 	// unless it has answered a call within that time. 0 means never.
 	StaleAfter time.Duration
+	// SilentAfter is the age of a registration from which it is listed in Fleet.SilentSince.
+	SilentAfter time.Duration
 	// HealthChanged, if not nil, is called for each change of the health estimate of an
 	// endpoint or failure domain that affects the choice of endpoints.
 	HealthChanged func(HealthChange)
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// prefillRate is the number of prompt tokens that an engine processes per second: 48
-	// per millisecond by the specifications of both users, less a tenth for the tokens of
-	// running calls that it generates in between.
-	prefillRate = 43_000.0
 	// runningCallCost is what each call in flight adds to the time to the first event of
 	// another, by the same specifications: 0.12 ms per step, and about ten steps until a
 	// piece of the prompt is processed.
@@ -53,6 +49,11 @@
 	// evictionCost is what a call away from its home costs later prompts, whose blocks it
 	// evicts. It keeps calls at their home while the home is not busier than others.
 	evictionCost = 15 * time.Millisecond
+	// awayCaution is the factor by which the answer of an engine that is neither home nor
+	// alternate home may take longer than predicted. A call that is away from home takes time
+	// from calls that have their home there, reads their shared blocks again, and the load
+	// from other entries is known late.
+	awayCaution = 2.0
 	// awayFillShare is the share of an engine's memory that running calls may fill for a
 	// prompt with its home elsewhere to be accepted. The rest caches the blocks of prompts
 	// that return to the engine. Engines that were filled with running calls had to
@@ -101,9 +102,9 @@
 	// HomeAddress is the address of the prompt's home, "" while the home is suspect.
 	// HomeDomain is the home's failure domain.
 	HomeAddress, HomeDomain string
-	// Expected is the expected time to the first event. Typical is the recent mean of that
-	// time over the target's endpoints.
-	Expected, Typical time.Duration
+	// Expected is the expected time to the first event. Predicted is the same with what recent
+	// calls took longer than expected. Typical is the recent mean over the target's endpoints.
+	Expected, Predicted, Typical time.Duration
 	// RegistrationAge is the age of the endpoint's registration.
 	RegistrationAge time.Duration
 	// Candidates is the number of endpoints that were eligible.
@@ -112,10 +113,13 @@
 	// prefillTokens and tokens are what the call adds to the fields of the same names in
 	// endpointState.
 	prefillTokens, tokens int
-	target                *targetState
-	state                 *endpointState
-	sharedBlock           string
-	sentAt                time.Duration
+	// ownTokens is the number of tokens that the engine certainly processes before it
+	// answers, 0 if it processes others first.
+	ownTokens   int
+	target      *targetState
+	state       *endpointState
+	sharedBlock string
+	sentAt      time.Duration
 	// prefilled is set once prefillTokens has been subtracted again. Copies of a Choice
 	// share it.
 	prefilled *bool
@@ -166,9 +170,8 @@
 	scratch []candidate
 	// lastUses holds the endpoint that last got a prompt from this entry, by shared block.
 	lastUses map[string]promptUse
-	// slowdown is the moving average of the ratio between the actual and the expected time
-	// to the first event.
-	slowdown float64
+	slowdown slowdown
+	speed    speedEstimate
 }
 
 // member is an endpoint of a target with what the choice needs of the fleet.
@@ -231,8 +234,10 @@
 	// Request.FirstEventBy.
 	full bool
 	late bool
-	// busy candidates are engines with calls in flight.
+	// busy candidates are engines with calls in flight. readsOthers is set if some of their
+	// prompts are not known to have been processed.
 	busy          bool
+	readsOthers   bool
 	expected      time.Duration
 	cost          time.Duration
 	prefillTokens int
@@ -264,11 +269,15 @@
 	}
 	count := summary.count
 	if c := p.firstAllowed(now, fits, summary.allSuspect, r); c != nil {
+		ownTokens := r.OwnTokens
+		if c.readsOthers {
+			ownTokens = 0
+		}
 		return Choice{
 			Endpoint: *c.endpoint, Weights: c.weights, AtHome: c.home, HomeAddress: home.address, HomeDomain: home.domain,
-			Expected: c.expected, Typical: t.meanFirstEvent(), RegistrationAge: p.registrationAge(now, c.member), Candidates: count,
+			Expected: c.expected, Predicted: t.slowdown.predict(c.expected), Typical: t.meanFirstEvent(), RegistrationAge: p.registrationAge(now, c.member), Candidates: count,
 			prefillTokens: c.prefillTokens, tokens: r.Tokens(), sharedBlock: r.SharedBlock, prefilled: new(bool),
-			target: t, state: c.state,
+			target: t, state: c.state, ownTokens: ownTokens,
 		}, Picked
 	}
 	switch {
@@ -284,6 +293,19 @@
 	return Choice{}, AllUnfit
 }
 
+// isLate reports whether the answer of a candidate is expected to begin after
+// Request.FirstEventBy. An idle engine is never late.
+func (c *candidate) isLate(now time.Duration, t *targetState, r Request) bool {
+	if r.FirstEventBy <= 0 || !c.busy {
+		return false
+	}
+	took := t.slowdown.predict(c.expected)
+	if !c.home && !c.alternate {
+		took = time.Duration(awayCaution * float64(took))
+	}
+	return now+took > r.FirstEventBy
+}
+
 // candidateSummary tells what holds for some or all candidates.
 type candidateSummary struct {
 	count      int
@@ -301,9 +323,9 @@
 	newest := p.fleet.newestNamed(r.Model)
 	for i := range candidates {
 		c := &candidates[i]
-		p.setCost(now, c, r, lastUse, newest)
+		p.setCost(now, t, c, r, lastUse, newest)
 		c.full = p.isFull(c, r)
-		c.late = r.FirstEventBy > 0 && c.busy && now+t.scaleBySlowdown(c.expected) > r.FirstEventBy
+		c.late = c.isLate(now, t, r)
 		summary.full, summary.late = summary.full || c.full, summary.late || c.late
 		summary.allSuspect = summary.allSuspect && c.suspect
 		if (c.home || c.alternate) && !c.suspect {
@@ -336,10 +358,14 @@
 	return nil
 }
 
-// registrationAge returns the age of an endpoint's last known registration, or of its latest
-// one if the registrations have stopped.
+// registrationAge returns the age of an endpoint's latest registration, or an upper bound of
+// it while the registrations continue.
 func (p *Placer) registrationAge(now time.Duration, m *member) time.Duration {
-	return now - max(m.endpoint.ReceivedAt, m.silentSince)
+	age := now - max(m.endpoint.ReceivedAt, m.silentSince)
+	if m.silentSince == 0 && p.cfg.SilentAfter > 0 {
+		return min(age, p.cfg.SilentAfter)
+	}
+	return age
 }
 
 // Tokens returns the memory that a call takes on an engine, in tokens.
--- a/bluebell/bluebelltier/load.go
+++ b/bluebell/bluebelltier/load.go
@@ -7,8 +7,10 @@
 
 // A store can become slow when its link does, while the engines (endpoints that run models)
 // are healthy. Calls that fetch large blocks from it then wait for seconds, and the only sign
-// is that they have not begun. The fetches that all entries have in flight reveal a store that
-// is slower than the others within a fraction of a second.
+// is that they have not begun when they should have. The fetches that all entries have in flight
+// reveal a store that is slower than the others within a fraction of a second. The time since
+// a fetch began says less: most of it is that of the engine, and a busy engine would make
+// stores look slow.
 
 const (
 	// largeBlockTokens is the size of the smallest block whose fetch time matters. Such a block
@@ -17,77 +19,85 @@
 	// minSlowFetches is the number of large blocks that must be in flight from a store before
 	// it can count as slow.
 	minSlowFetches = 4
-	// slowWaitFactor is the ratio of a store's mean wait to that of the median store above which
-	// the store counts as slow. The links within and between failure domains differ by less.
-	slowWaitFactor = 3.0
-	// minSlowWait is the least mean wait at which a store can count as slow. It is half of the
-	// shortest objective (time by which an answer is wanted) of a model in the specifications
-	// of both users of this software.
-	minSlowWait = 400 * time.Millisecond
+	// slowFactor is the ratio of a store's mean overdue time to that of a fast store above
+	// which the store counts as slow. If the fetches from all stores are overdue, the engines
+	// are slow.
+	slowFactor = 3.0
+	// fastStoreRank is the share of the stores that are faster than the one that others are
+	// compared to. More than half of the stores can become slow at once, so that the median
+	// store is itself slow.
+	fastStoreRank = 0.25
+	// slowShare is the share of the shortest objective (time by which an answer is wanted)
+	// that is the least mean overdue time at which a store can count as slow.
+	slowShare = 0.25
+	// defaultObjective is the objective while no route declares one.
+	defaultObjective = time.Second
+	// slowHoldTime is how long a store is avoided after it last counted as slow. Once it is
+	// avoided, its fetches in flight no longer tell whether it is slow.
+	slowHoldTime = 2 * time.Second
+	// maxSlowFetches is the number of large fetches in flight, over all entries, up to which
+	// a store that is avoided is still used: its link is slow but works, and computing all of
+	// its blocks again would make the engines the bottleneck.
+	maxSlowFetches = 2
 )
 
 // Load is the sum of the fetches from one store that are in flight.
 type Load struct {
 	// Tokens is the size of all blocks in flight.
 	Tokens int
-	// LargeFetches is the number of large blocks in flight, and Waited is the sum of the times
-	// since their fetches were planned.
+	// LargeFetches is the number of large blocks in flight, and Overdue the sum of the times
+	// since their calls should have begun to be answered.
 	LargeFetches int
-	Waited       time.Duration
+	Overdue      time.Duration
 }
 
 // Add returns the sum of the loads of two entries.
 func (l Load) Add(other Load) Load {
-	return Load{Tokens: l.Tokens + other.Tokens, LargeFetches: l.LargeFetches + other.LargeFetches, Waited: l.Waited + other.Waited}
+	return Load{Tokens: l.Tokens + other.Tokens, LargeFetches: l.LargeFetches + other.LargeFetches, Overdue: l.Overdue + other.Overdue}
 }
 
-// meanWait returns the mean time that the large fetches have been in flight.
-func (l Load) meanWait() time.Duration { return l.Waited / time.Duration(max(l.LargeFetches, 1)) }
+// meanOverdue returns the mean time that the large fetches are overdue.
+func (l Load) meanOverdue() time.Duration { return l.Overdue / time.Duration(max(l.LargeFetches, 1)) }
 
-// fetchSums is the Load of one entry, with the sum of start times in place of waiting times so
-// that it does not change as time passes.
-type fetchSums struct {
-	tokens, largeFetches int
-	startSum             time.Duration
+// fetch is a fetch of one block that is in flight.
+type fetch struct {
+	store  string
+	tokens int
+	// dueAt is when the call is expected to begin to be answered.
+	dueAt time.Duration
 }
 
-// add returns the sums with the fetch of one block added.
-func (f fetchSums) add(tokens int, now time.Duration) fetchSums {
-	f.tokens += tokens
-	if tokens >= largeBlockTokens {
-		f.largeFetches++
-		f.startSum += now
+// addTo adds the fetch to the load of its store.
+func (f *fetch) addTo(l Load, now time.Duration) Load {
+	l.Tokens += f.tokens
+	if f.tokens >= largeBlockTokens {
+		l.LargeFetches++
+		l.Overdue += max(now-f.dueAt, 0)
 	}
-	return f
+	return l
 }
 
-// subtract returns the sums without the fetches in other.
-func (f fetchSums) subtract(other fetchSums) fetchSums {
-	return fetchSums{tokens: f.tokens - other.tokens, largeFetches: f.largeFetches - other.largeFetches, startSum: f.startSum - other.startSum}
-}
-
-// load returns the Load at the given time.
-func (f fetchSums) load(now time.Duration) Load {
-	return Load{Tokens: f.tokens, LargeFetches: f.largeFetches, Waited: time.Duration(f.largeFetches)*now - f.startSum}
-}
-
-// slowStores returns the addresses of the stores whose fetches have been in flight much longer
-// than those from the median store.
-func slowStores(loads map[string]Load) map[string]bool {
-	var waits []time.Duration
+// slowStores returns the addresses of the stores whose fetches are overdue much longer than
+// those from a fast store, and for a considerable part of the objective.
+func slowStores(loads map[string]Load, objective time.Duration) map[string]bool {
+	var overdue []time.Duration
 	for _, l := range loads {
 		if l.LargeFetches > 0 {
-			waits = append(waits, l.meanWait())
+			overdue = append(overdue, l.meanOverdue())
 		}
 	}
-	if len(waits) == 0 {
+	if len(overdue) == 0 {
 		return nil
 	}
-	slices.Sort(waits)
-	limit := max(time.Duration(slowWaitFactor*float64(waits[len(waits)/2])), minSlowWait)
+	slices.Sort(overdue)
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	fast := overdue[int(fastStoreRank*float64(len(overdue)))]
+	limit := max(time.Duration(slowFactor*float64(fast)), time.Duration(slowShare*float64(objective)))
 	slow := map[string]bool{}
 	for address, l := range loads {
-		if l.LargeFetches >= minSlowFetches && l.meanWait() > limit {
+		if l.LargeFetches >= minSlowFetches && l.meanOverdue() > limit {
 			slow[address] = true
 		}
 	}
--- a/bluebell/bluebelltier/planner.go
+++ b/bluebell/bluebelltier/planner.go
@@ -65,6 +65,8 @@
 	Home, HomeDomain string
 	// TokenBytes is the cache size of one token in bytes.
 	TokenBytes float64
+	// Expected is the time in which the call is expected to begin to be answered.
+	Expected time.Duration
 }
 
 // Tokens returns the size of all shared blocks in tokens.
@@ -83,8 +85,7 @@
 	Fetch, Save []string
 	// HeldTokens is the size of the blocks that are fetched from a store.
 	HeldTokens int
-	// fetches are the planned fetches by store address.
-	fetches map[string]fetchSums
+	fetches    []*fetch
 }
 
 // Config is the configuration of a Planner.
@@ -96,6 +97,9 @@
 	Directory func() *bluebelldirectory.View
 	// OtherLoads returns the fetches that other entries have in flight, by store address.
 	OtherLoads func() map[string]Load
+	// Objective returns the shortest time in which an answer that waits for a fetch should
+	// begin, 0 if unknown. It may be nil.
+	Objective func() time.Duration
 	// OnSlowChange, if not nil, is called when a store becomes slower than the others and
 	// when it no longer is.
 	OnSlowChange func(store string, slow bool, l Load)
@@ -117,14 +121,15 @@
 
 	mu       sync.Mutex
 	pending  map[bluebelldirectory.Key]pendingWrite
-	inFlight map[string]fetchSums // by store address
-	// slow are the addresses of the stores that counted as slow at the latest check.
-	slow map[string]bool
+	inFlight map[*fetch]struct{}
+	// slowAt holds, by address, when each avoided store last counted as slow.
+	slowAt  map[string]time.Duration
+	changes []slowChange
 }
 
 // New returns a Planner without fetches in flight.
 func New(cfg Config) *Planner {
-	return &Planner{cfg: cfg, pending: map[bluebelldirectory.Key]pendingWrite{}, inFlight: map[string]fetchSums{}}
+	return &Planner{cfg: cfg, pending: map[bluebelldirectory.Key]pendingWrite{}, inFlight: map[*fetch]struct{}{}, slowAt: map[string]time.Duration{}}
 }
 
 // FetchTime estimates how long an endpoint in the request's failure domain needs to
@@ -137,7 +142,7 @@
 	}
 	now := p.cfg.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	stores := p.storesByAddress()
 	total := time.Duration(0)
 	for _, b := range r.Blocks {
@@ -153,11 +158,11 @@
 // Plan decides the block transfers of a call. The planned fetches count as in flight
 // until FetchesDone is called.
 func (p *Planner) Plan(r Request) Plan {
-	plan := Plan{Fetch: make([]string, len(r.Blocks)+1), Save: make([]string, len(r.Blocks)+1), fetches: map[string]fetchSums{}}
+	plan := Plan{Fetch: make([]string, len(r.Blocks)+1), Save: make([]string, len(r.Blocks)+1)}
 	view := p.cfg.Directory()
 	now := p.cfg.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.dropExpiredWrites(now)
 	stores := p.storesByAddress()
 	for i, b := range r.Blocks {
@@ -166,8 +171,9 @@
 				address := s.Address
 				plan.Fetch[i] = address
 				plan.HeldTokens += b.Tokens
-				plan.fetches[address] = plan.fetches[address].add(b.Tokens, now)
-				p.inFlight[address] = p.inFlight[address].add(b.Tokens, now)
+				f := &fetch{store: address, tokens: b.Tokens, dueAt: now + r.Expected}
+				plan.fetches = append(plan.fetches, f)
+				p.inFlight[f] = struct{}{}
 				continue
 			}
 			if !p.isHeld(view, stores, r, b, now) {
@@ -196,14 +202,11 @@
 	var best bluebelldeployment.Store
 	found, bestEstimate := false, time.Duration(0)
 	loads := p.totalLoads(now)
-	var slow map[string]bool
-	if b.Tokens >= largeBlockTokens {
-		slow = slowStores(loads)
-		p.reportSlowChanges(slow, loads)
-	}
+	avoided := p.avoidedStores(loads, b.Tokens, now)
 	for _, address := range view.Holders(bluebelldirectory.Key{Scope: r.Scope, ID: b.ID}, now) {
 		s, declared := stores[address]
-		if !declared || s.BytesPerSecond <= 0 || slow[address] {
+		_, slow := avoided[address]
+		if slow && loads[address].LargeFetches >= maxSlowFetches || !declared || s.BytesPerSecond <= 0 {
 			continue
 		}
 		estimate := transferTime(s, r, b.Tokens, loads[address].Tokens)
@@ -214,22 +217,55 @@
 	return best, found
 }
 
-// reportSlowChanges stores the set of slow stores and calls OnSlowChange for each store that
-// became slow or is no longer slow.
-func (p *Planner) reportSlowChanges(slow map[string]bool, loads map[string]Load) {
-	if p.cfg.OnSlowChange != nil {
-		for address := range slow {
-			if !p.slow[address] {
-				p.cfg.OnSlowChange(address, true, loads[address])
-			}
+// avoidedStores returns the addresses of the stores that count as slow or did within
+// slowHoldTime. It returns nil for small blocks, whose fetch time does not matter. The caller
+// must hold p.mu.
+func (p *Planner) avoidedStores(loads map[string]Load, tokens int, now time.Duration) map[string]time.Duration {
+	if tokens < largeBlockTokens {
+		return nil
+	}
+	for address := range slowStores(loads, p.objective()) {
+		if _, avoided := p.slowAt[address]; !avoided {
+			p.changes = append(p.changes, slowChange{address, true, loads[address]})
 		}
-		for address := range p.slow {
-			if !slow[address] {
-				p.cfg.OnSlowChange(address, false, loads[address])
-			}
+		p.slowAt[address] = now
+	}
+	for address, at := range p.slowAt {
+		if now-at > slowHoldTime {
+			delete(p.slowAt, address)
+			p.changes = append(p.changes, slowChange{address, false, loads[address]})
 		}
 	}
-	p.slow = slow
+	return p.slowAt
+}
+
+// objective returns the shortest objective of the calls that fetch, 0 if unknown.
+func (p *Planner) objective() time.Duration {
+	if p.cfg.Objective == nil {
+		return 0
+	}
+	return p.cfg.Objective()
+}
+
+// slowChange is a change of a store to slow or back, which is still to be reported.
+type slowChange struct {
+	store string
+	slow  bool
+	load  Load
+}
+
+// unlock unlocks p.mu and calls OnSlowChange for the changes since the last call, without the
+// lock.
+func (p *Planner) unlock() {
+	changes := p.changes
+	p.changes = nil
+	p.mu.Unlock()
+	if p.cfg.OnSlowChange == nil {
+		return
+	}
+	for _, c := range changes {
+		p.cfg.OnSlowChange(c.store, c.slow, c.load)
+	}
 }
 
 // isHeld reports whether any declared store, slow or not, holds a block.
@@ -255,15 +291,9 @@
 func (p *Planner) FetchesDone(plan Plan) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, f := range plan.fetches {
-		remaining := p.inFlight[address].subtract(f)
-		if remaining.tokens <= 0 {
-			delete(p.inFlight, address)
-			continue
-		}
-		p.inFlight[address] = remaining
+	for _, f := range plan.fetches {
+		delete(p.inFlight, f)
 	}
-	clear(plan.fetches)
 }
 
 // InFlight returns the fetches that this entry has in flight, by store address.
@@ -272,8 +302,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	loads := map[string]Load{}
-	for address, f := range p.inFlight {
-		loads[address] = f.load(now)
+	for f := range p.inFlight {
+		loads[f.store] = f.addTo(loads[f.store], now)
 	}
 	return loads
 }
@@ -285,8 +315,8 @@
 	if loads == nil {
 		loads = map[string]Load{}
 	}
-	for address, f := range p.inFlight {
-		loads[address] = loads[address].Add(f.load(now))
+	for f := range p.inFlight {
+		loads[f.store] = f.addTo(loads[f.store], now)
 	}
 	return loads
 }
--- a/bluebell/bluebelltier/planner_test.go
+++ b/bluebell/bluebelltier/planner_test.go
@@ -20,6 +20,9 @@
 	live      bool
 	slow      []string
 	others    map[string]bluebelltier.Load
+	objective time.Duration
+	// onSlow, if not nil, is called when a store becomes slow or fast.
+	onSlow func()
 }
 
 func newFixture() *fixture {
@@ -47,9 +50,13 @@
 			return f.view
 		},
 		OtherLoads: func() map[string]bluebelltier.Load { return f.others },
+		Objective:  func() time.Duration { return f.objective },
 		Now:        func() time.Duration { return f.now },
 		OnSlowChange: func(store string, slow bool, _ bluebelltier.Load) {
 			f.slow = append(f.slow, fmt.Sprint(store, " ", slow))
+			if f.onSlow != nil {
+				f.onSlow()
+			}
 		},
 	})
 }
@@ -145,7 +152,7 @@
 	f.now += time.Second
 	for _, store := range []string{"near", "far"} {
 		n := used[store]
-		require.Equal(t, bluebelltier.Load{Tokens: n * 8000, LargeFetches: n, Waited: time.Duration(n) * time.Second}, planner.InFlight()[store])
+		require.Equal(t, bluebelltier.Load{Tokens: n * 8000, LargeFetches: n, Overdue: time.Duration(n) * time.Second}, planner.InFlight()[store])
 	}
 	for _, p := range plans {
 		planner.FetchesDone(p)
@@ -179,8 +186,8 @@
 	r := request()
 	r.Home = "home"
 	f.others = map[string]bluebelltier.Load{
-		"near": {LargeFetches: 5, Tokens: 40_000, Waited: 10 * time.Second}, "far": {LargeFetches: 4, Tokens: 40_000, Waited: time.Second},
-		"third": {LargeFetches: 3, Tokens: 9_000, Waited: time.Second},
+		"near": {LargeFetches: 5, Tokens: 40_000, Overdue: 10 * time.Second}, "far": {LargeFetches: 4, Tokens: 40_000, Overdue: time.Second},
+		"third": {LargeFetches: 3, Tokens: 9_000, Overdue: time.Second},
 	}
 	plan := planner.Plan(r)
 	require.Equal(t, "home", plan.Fetch[1])
@@ -191,14 +198,19 @@
 	f.hold("far", "doc", 8000)
 	require.Equal(t, "far", planner.Plan(r).Fetch[1], "another store holds the block")
 	f.others = nil
+	f.now += time.Second
+	require.Equal(t, "near", planner.Plan(r).Fetch[1], "few fetches at a time still use the slow store")
+	require.Equal(t, "near", planner.Plan(r).Fetch[1])
+	require.Equal(t, "far", planner.Plan(r).Fetch[1], "two fetches are in flight")
+	f.now += 1500 * time.Millisecond
 	planner.Plan(r)
 	require.Equal(t, []string{"near true", "near false"}, f.slow, "OnSlowChange is called once for each change")
 
 	// The store does not count as slow if all stores are equally slow or if it has too few
 	// fetches in flight.
 	for _, others := range []map[string]bluebelltier.Load{
-		{"near": {LargeFetches: 5, Waited: 10 * time.Second}, "far": {LargeFetches: 6, Waited: 9 * time.Second}},
-		{"near": {LargeFetches: 1, Waited: 2 * time.Second}, "far": {LargeFetches: 6, Waited: time.Second}},
+		{"near": {LargeFetches: 5, Overdue: 10 * time.Second}, "far": {LargeFetches: 6, Overdue: 9 * time.Second}},
+		{"near": {LargeFetches: 1, Overdue: 2 * time.Second}, "far": {LargeFetches: 6, Overdue: time.Second}},
 	} {
 		f := newFixture()
 		f.hold("near", "doc", 8000)
@@ -207,6 +219,39 @@
 	}
 }
 
+// TestPlanAvoidsSlowMajority has five of nine stores become slow, with an objective of 600 ms.
+// Compared with the median store, which was slow too, none counted as slow, and most calls with
+// a fetch were late for as long as the links stayed slow.
+func TestPlanAvoidsSlowMajority(t *testing.T) {
+	f := newFixture()
+	f.objective = 600 * time.Millisecond
+	f.hold("near", "doc", 8000)
+	f.others = map[string]bluebelltier.Load{"near": {LargeFetches: 8, Overdue: 8 * 400 * time.Millisecond}}
+	for i := range 4 {
+		f.others[fmt.Sprint("slow-", i)] = bluebelltier.Load{LargeFetches: 9, Overdue: 9 * 350 * time.Millisecond}
+		f.others[fmt.Sprint("fast-", i)] = bluebelltier.Load{LargeFetches: 3, Overdue: 3 * 50 * time.Millisecond}
+	}
+	require.Empty(t, f.planner().Plan(request()).Fetch[1])
+	f.objective = 2 * time.Second
+	require.Equal(t, "near", f.planner().Plan(request()).Fetch[1], "a wait of 400 ms is short for this objective")
+}
+
+// OnSlowChange is free to use the planner.
+func TestSlowChangeIsReportedWithoutLock(t *testing.T) {
+	f := newFixture()
+	f.hold("near", "doc", 8000)
+	f.others = map[string]bluebelltier.Load{"near": {LargeFetches: 5, Overdue: 10 * time.Second}, "far": {LargeFetches: 4, Overdue: time.Second}}
+	var planner *bluebelltier.Planner
+	reported := 0
+	f.onSlow = func() {
+		reported++
+		planner.InFlight()
+	}
+	planner = f.planner()
+	planner.Plan(request())
+	require.Equal(t, 1, reported)
+}
+
 // TestPlannersChooseTheSameStoreForBlock has several entries get the same new prompt, each
 // for another endpoint. The block must take up space in one store only.
 func TestPlannersChooseTheSameStoreForBlock(t *testing.T) {
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -123,16 +123,16 @@
 	})
 	bounds := s.GetBounds()
 	g.placer = bluebellplacement.New(bluebellplacement.Config{
-		Self: g.address, FailureDomain: s.FailureDomain, StaleAfter: registrationStaleAfter,
+		Self: g.address, FailureDomain: s.FailureDomain, StaleAfter: registrationStaleAfter, SilentAfter: bluebellfeed.SilentAfter,
 		OldWeightsGrace: milliseconds(bounds.GetWeightsMillis()) - weightsMargin,
 		ColdFactor:      bounds.GetColdFactor(), ColdSlack: bounds.GetColdSlack(),
 		HealthChanged: g.logSuspicion,
 	})
 	g.cachePlanner = bluebelltier.New(bluebelltier.Config{
 		Stores:    func() []bluebelldeployment.Store { return g.routing.Load().Deployment.Stores() },
-		Directory: g.follower.Directory, OtherLoads: g.otherStoreLoads, Now: g.now,
+		Directory: g.follower.Directory, OtherLoads: g.otherStoreLoads, Objective: g.shortestObjective, Now: g.now,
 		OnSlowChange: func(store string, slow bool, l bluebelltier.Load) {
-			cfg.Logger.Info("cache store slowness changed", "Store", store, "Slow", slow, "InFlight", l.LargeFetches, "Waited", l.Waited.Round(time.Millisecond))
+			cfg.Logger.Info("cache store slowness changed", "Store", store, "Slow", slow, "InFlight", l.LargeFetches, "Overdue", l.Overdue.Round(time.Millisecond))
 		},
 	})
 	g.client = bluebelltransport.NewClient(bluebelltransport.Config{
@@ -303,11 +303,16 @@
 	// Fetches from cache stores are reported in the same way, with the address of the store
 	// as the endpoint and the number of large fetches as the calls.
 	for store, l := range g.cachePlanner.InFlight() {
-		list = append(list, bluebellfeed.Use{Endpoint: store, Unread: l.Tokens, Calls: l.LargeFetches, Waited: l.Waited})
+		list = append(list, bluebellfeed.Use{Endpoint: store, Unread: l.Tokens, Calls: l.LargeFetches, Waited: l.Overdue})
 	}
 	return list
 }
 
+// shortestObjective returns the shortest objective of the declared streams, 0 if there is none.
+func (g *Gateway) shortestObjective() time.Duration {
+	return g.routing.Load().Deployment.ShortestObjective()
+}
+
 // otherStoreLoads returns the fetches of other entries in flight, by cache store.
 func (g *Gateway) otherStoreLoads() map[string]bluebelltier.Load { return *g.otherFetches.Load() }
 
@@ -316,7 +321,7 @@
 func (g *Gateway) updateOtherUses() map[string]bluebellplacement.EndpointUse {
 	uses, fetches := map[string]bluebellplacement.EndpointUse{}, map[string]bluebelltier.Load{}
 	for _, u := range g.follower.UsesOfOthers() {
-		fetches[u.Endpoint] = bluebelltier.Load{Tokens: u.Unread, LargeFetches: u.Calls, Waited: u.Waited}
+		fetches[u.Endpoint] = bluebelltier.Load{Tokens: u.Unread, LargeFetches: u.Calls, Overdue: u.Waited}
 		uses[u.Endpoint] = bluebellplacement.EndpointUse{
 			Calls: u.Calls, Tokens: u.Tokens, PrefillTokens: u.Unread, Failing: u.Failing, AnsweredAt: u.AnsweredAt,
 		}
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -260,7 +260,7 @@
 	}
 	if c.request.Target.Engine != nil && len(c.request.Call.Blocks) > 0 {
 		r := c.sharedBlocks(choice.Weights, choice.Endpoint.FailureDomain)
-		r.HomeDomain = choice.HomeDomain
+		r.HomeDomain, r.Expected = choice.HomeDomain, choice.Predicted
 		if !choice.AtHome {
 			r.Home = choice.HomeAddress
 		}
--- a/bluebellsim/bluebelloverload/entry.go
+++ b/bluebellsim/bluebelloverload/entry.go
@@ -211,7 +211,7 @@
 func (e *entry) cacheRequest(c *call, domain int) bluebelltier.Request {
 	return bluebelltier.Request{
 		Scope: bluebelldirectory.Scope("", model, 1), FailureDomain: domainName(domain), HomeDomain: c.choice.HomeDomain, TokenBytes: tokenBytes,
-		Blocks: []bluebelltier.Block{{ID: c.subject, Tokens: c.kind.SharedTokens}},
+		Blocks: []bluebelltier.Block{{ID: c.subject, Tokens: c.kind.SharedTokens}}, Expected: c.choice.Predicted,
 	}
 }
 
--- a/bluebellsim/bluebelloverload/fault.go
+++ b/bluebellsim/bluebelloverload/fault.go
@@ -136,7 +136,7 @@
 	others := map[string]bluebelltier.Load{}
 	for address, sum := range sim.fetchSums[sim.side(e.domain)] {
 		own := e.reportedFetches[address]
-		others[address] = bluebelltier.Load{Tokens: sum.Tokens - own.Tokens, LargeFetches: sum.LargeFetches - own.LargeFetches, Waited: sum.Waited - own.Waited}
+		others[address] = bluebelltier.Load{Tokens: sum.Tokens - own.Tokens, LargeFetches: sum.LargeFetches - own.LargeFetches, Overdue: sum.Overdue - own.Overdue}
 	}
 	return others
 }
