Limit every part of a response, and let a slowdown end without answers

Cause: an endpoint that never ended its status line, header or body filled the memory of an entry (the new tests ended the test process on the old code); closing the body of a response to another call read it to its end.

Change: heads are limited to 64 KiB with their informational responses, events to 256 KiB, buffered bodies to 24 MiB for all calls together. A slowdown halves in each second without answers, and calls after a pause weigh more; one call lowers the speed estimate by 2 % at most.

--- a/bluebell/bluebellplacement/cost.go
+++ b/bluebell/bluebellplacement/cost.go
@@ -27,6 +27,9 @@
 	// maxSlowdown bounds the effect of a single answer, such as one of an endpoint that
 	// was frozen, and the factor.
 	maxSlowdown = 10.0
+	// slowdownHalfLife is the half-life of a slowdown without answers. An entry that counts
+	// all engines as late sends no calls that could show that they no longer are.
+	slowdownHalfLife = time.Second
 	// minSpread is the least variance of the expected times, relative to the square of their
 	// mean, from which delay and factor can be told apart.
 	minSpread = 0.01
@@ -42,17 +45,21 @@
 	// Moving averages of the expected and actual times in seconds, of the square of the
 	// expected ones, and of the product.
 	expected, took, square, product float64
+	recordedAt                      time.Duration
 }
 
 // record updates the moving averages with the times of a call.
-func (s *slowdown) record(expected, took time.Duration) {
+func (s *slowdown) record(now, expected, took time.Duration) {
 	if expected <= 0 {
 		return
 	}
 	e := expected.Seconds()
 	t := min(took.Seconds(), maxSlowdown*max(e, s.expected))
 	s.calls++
-	weight := max(slowdownWeight, 1/float64(s.calls))
+	// After a pause a call weighs more: an entry that sends few calls would otherwise keep a
+	// slowdown that has ended.
+	weight := max(slowdownWeight, 1/float64(s.calls), 1-decay(now-s.recordedAt, slowdownHalfLife))
+	s.recordedAt = now
 	s.expected += weight * (e - s.expected)
 	s.took += weight * (t - s.took)
 	s.square += weight * (e*e - s.square)
@@ -60,7 +67,7 @@
 }
 
 // predict returns the time to the first event for an expected time, at least that.
-func (s *slowdown) predict(expected time.Duration) time.Duration {
+func (s *slowdown) predict(now, expected time.Duration) time.Duration {
 	if s.expected == 0 {
 		return expected
 	}
@@ -69,7 +76,9 @@
 		factor = min(max((s.product-s.expected*s.took)/variance, 0), maxSlowdown)
 		delay = max(s.took-factor*s.expected, 0)
 	}
-	return max(expected, time.Duration((delay+factor*expected.Seconds())*float64(time.Second)))
+	still := decay(now-s.recordedAt, slowdownHalfLife)
+	took := delay*still + (1+(factor-1)*still)*expected.Seconds()
+	return max(expected, time.Duration(took*float64(time.Second)))
 }
 
 // setCost sets a candidate's expected time to the first event, and its cost: that time
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -49,10 +49,11 @@
 	// evictionCost is what a call away from its home costs later prompts, whose blocks it
 	// evicts. It keeps calls at their home while the home is not busier than others.
 	evictionCost = 15 * time.Millisecond
-	// awayCaution is the factor by which the answer of an engine that is neither home nor
-	// alternate home may take longer than predicted. A call that is away from home takes time
-	// from calls that have their home there, reads their shared blocks again, and the load
-	// from other entries is known late.
+	// homeCaution and awayCaution are the factors by which the answer of a home or alternate
+	// home, and of another engine, may take longer than predicted without being late. The load
+	// from other entries is known late. A call that is away from home also takes time from
+	// calls that have their home there, and its shared blocks are read again.
+	homeCaution = 1.0
 	awayCaution = 2.0
 	// awayFillShare is the share of an engine's memory that running calls may fill for a
 	// prompt with its home elsewhere to be accepted. The rest caches the blocks of prompts
@@ -275,7 +276,7 @@
 		}
 		return Choice{
 			Endpoint: *c.endpoint, Weights: c.weights, AtHome: c.home, HomeAddress: home.address, HomeDomain: home.domain,
-			Expected: c.expected, Predicted: t.slowdown.predict(c.expected), Typical: t.meanFirstEvent(), RegistrationAge: p.registrationAge(now, c.member), Candidates: count,
+			Expected: c.expected, Predicted: t.slowdown.predict(now, c.expected), Typical: t.meanFirstEvent(), RegistrationAge: p.registrationAge(now, c.member), Candidates: count,
 			prefillTokens: c.prefillTokens, tokens: r.Tokens(), sharedBlock: r.SharedBlock, prefilled: new(bool),
 			target: t, state: c.state, ownTokens: ownTokens,
 		}, Picked
@@ -299,11 +300,11 @@
 	if r.FirstEventBy <= 0 || !c.busy {
 		return false
 	}
-	took := t.slowdown.predict(c.expected)
-	if !c.home && !c.alternate {
-		took = time.Duration(awayCaution * float64(took))
+	caution := awayCaution
+	if c.home || c.alternate {
+		caution = homeCaution
 	}
-	return now+took > r.FirstEventBy
+	return now+time.Duration(caution*float64(t.slowdown.predict(now, c.expected))) > r.FirstEventBy
 }
 
 // candidateSummary tells what holds for some or all candidates.
--- a/bluebell/bluebellplacement/speed.go
+++ b/bluebell/bluebellplacement/speed.go
@@ -26,6 +26,9 @@
 	// minSpeedSamples is the number of calls from which the estimate may be below
 	// assumedPrefillRate.
 	minSpeedSamples = 8
+	// maxSpeedLoss is the share of the estimate by which one call can reduce it: seconds in
+	// which all answers are late, for example for slow stores, do not make engines slow.
+	maxSpeedLoss = 0.02
 )
 
 // speedEstimate estimates the number of prompt tokens that the engines of a target process
@@ -70,10 +73,11 @@
 		s.next = (s.next + 1) % maxSpeedSamples
 	}
 	sorted := slices.Sorted(slices.Values(s.bounds))
-	s.rate = sorted[max(len(sorted)-speedRank, 0)]
 	if len(s.bounds) < minSpeedSamples {
 		s.rate = max(sorted[len(sorted)-1], assumedPrefillRate)
+		return
 	}
+	s.rate = max(sorted[len(sorted)-speedRank], (1-maxSpeedLoss)*s.rate)
 }
 
 // prefillTime returns the time in which an engine processes prompt tokens.
--- a/bluebell/bluebellplacement/speed_test.go
+++ b/bluebell/bluebellplacement/speed_test.go
@@ -82,3 +82,31 @@
 	_, result := p.Pick(now, large)
 	require.Equal(t, bluebellplacement.Picked, result)
 }
+
+// While stores were slow for some seconds, the answers that one entry received took ten times as
+// long as expected. It then counted all engines as late, sent no calls whose answers could have
+// shown otherwise, and refused half of its calls for another 15 s.
+func TestSlowdownEndsWithoutAnswers(t *testing.T) {
+	f := fleet(3)
+	f.UseByOthers = map[string]bluebellplacement.EndpointUse{}
+	for _, e := range f.Endpoints {
+		f.UseByOthers[e.ID] = bluebellplacement.EndpointUse{Calls: 2, Tokens: 5000}
+	}
+	p := placer(config, f)
+	now := second
+	for i := range 40 {
+		choice, result := p.Pick(now, prompt(fmt.Sprint("doc-", i)))
+		require.Equal(t, bluebellplacement.Picked, result)
+		p.Sent(&choice, now)
+		p.FirstEvent(choice, now+10*choice.Expected)
+		p.Done(choice, now+10*choice.Expected, bluebellplacement.Answered)
+	}
+	r := prompt("doc")
+	r.FirstEventBy = now + 600*time.Millisecond
+	_, result := p.Pick(now, r)
+	require.Equal(t, bluebellplacement.AllLate, result)
+	now += 5 * second
+	r.FirstEventBy = now + 600*time.Millisecond
+	_, result = p.Pick(now, r)
+	require.Equal(t, bluebellplacement.Picked, result)
+}
--- a/bluebell/bluebellplacement/use.go
+++ b/bluebell/bluebellplacement/use.go
@@ -64,7 +64,7 @@
 			return
 		}
 		*c.prefilled = true
-		t.slowdown.record(c.Expected, now-c.sentAt)
+		t.slowdown.record(now, c.Expected, now-c.sentAt)
 		t.speed.record(c.ownTokens, now-c.sentAt)
 		s.prefillTokens -= c.prefillTokens
 		s.recordFirstEvent(now, now-c.sentAt)
--- a/bluebell/bluebellqueue/queue.go
+++ b/bluebell/bluebellqueue/queue.go
@@ -34,7 +34,7 @@
 	congestionThreshold = 2
 	// congestedShare is the share of its objective within which a call's answer must be
 	// expected to begin during congestion.
-	congestedShare = 0.2
+	congestedShare = 0.35
 	// homesOnlyShare is the share of its wait during which a prompt waits for its homes
 	// only, the endpoints that should have its blocks cached. On another endpoint its
 	// blocks are fetched or recomputed, and evict others.
--- /dev/null
+++ b/bluebellgate/internal/bluebelltransport/endless_test.go
@@ -0,0 +1,163 @@
+package bluebelltransport_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebellgate/internal/bluebelltransport"
+)
+
+const (
+	// endlessCalls is the number of calls that meet an endless response at once.
+	endlessCalls = 100
+	// entryHeap is the heap that an entry VM of 184 MB has for its process.
+	entryHeap = 110 << 20
+)
+
+// endless starts an endpoint that responds with head and then repeats a text until the caller
+// closes the connection.
+func endless(t *testing.T, head, repeated string) *server {
+	t.Helper()
+	block := []byte(strings.Repeat(repeated, 1+4096/len(repeated)))
+	return serve(t, func(conn net.Conn, r *bufio.Reader) {
+		if _, ok := readCall(r); !ok {
+			return
+		}
+		if _, err := conn.Write([]byte(head)); err != nil {
+			return
+		}
+		for {
+			if _, err := conn.Write(block); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// watchHeap returns a function that stops the watch and returns the largest heap seen.
+func watchHeap() func() uint64 {
+	var largest atomic.Uint64
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			largest.Store(max(largest.Load(), m.HeapAlloc))
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	return func() uint64 {
+		close(stop)
+		<-stopped
+		return largest.Load()
+	}
+}
+
+// An endpoint may send bytes without end in any part of a response. Each call must fail long
+// before its deadline, and all calls together must leave the entry alive.
+func TestEndlessResponseFailsWithinBounds(t *testing.T) {
+	ok := "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	for name, response := range map[string][2]string{
+		"StatusLine":      {"HTTP/1.1 200 ", "OK"},
+		"HeaderField":     {"HTTP/1.1 200 OK\r\nX: ", "y"},
+		"HeaderFields":    {"HTTP/1.1 200 OK\r\n", "Field: value\r\n"},
+		"Informational":   {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"OtherCalls":      {"", "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\n"},
+		"BodyOfOtherCall": {"HTTP/1.1 200 OK\r\nId: 2\r\n\r\n", "x"},
+		"Body":            {ok + "\r\n", "x"},
+		"ChunkedBody":     {ok + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nxxxx\r\n"},
+		"ChunkSize":       {ok + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		"ChunkExtension":  {ok + "Transfer-Encoding: chunked\r\n\r\n4;", "x"},
+		"Trailers":        {ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "Field: value\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := endless(t, response[0], response[1])
+			c := bluebelltransport.NewClient(bluebelltransport.Config{})
+			stop := watchHeap()
+			started := time.Now()
+			var calls sync.WaitGroup
+			var succeeded atomic.Int64
+			for range endlessCalls {
+				calls.Go(func() {
+					if _, err := readWhole(c, s, time.Now().Add(time.Minute)); err == nil {
+						succeeded.Add(1)
+					}
+				})
+			}
+			calls.Wait()
+			require.Less(t, time.Since(started), 20*time.Second, "calls must fail before their deadline of a minute")
+			require.Zero(t, succeeded.Load())
+			require.Less(t, stop(), uint64(entryHeap))
+		})
+	}
+}
+
+// readWhole sends a call and reads its whole response, as an entry does for plain services.
+func readWhole(c *bluebelltransport.Client, s *server, deadline time.Time) ([]byte, error) {
+	r := request(s, "1", "")
+	r.HeaderDeadline = deadline
+	x, err := c.Do(context.Background(), r)
+	if err != nil {
+		return nil, err
+	}
+	defer x.Close()
+	return x.ReadAll(8<<20, deadline)
+}
+
+// An event without end must not fill the memory of the entry.
+func TestEndlessEventFailsWithinBounds(t *testing.T) {
+	s := endless(t, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\ndata: ", "x")
+	c := bluebelltransport.NewClient(bluebelltransport.Config{})
+	stop := watchHeap()
+	var calls sync.WaitGroup
+	var succeeded atomic.Int64
+	for range endlessCalls {
+		calls.Go(func() {
+			x, err := c.Do(context.Background(), request(s, "1", ""))
+			if err != nil {
+				return
+			}
+			defer x.Close()
+			if _, err := x.NextEvent(time.Now().Add(time.Minute)); err == nil {
+				succeeded.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	require.Zero(t, succeeded.Load())
+	require.Less(t, stop(), uint64(entryHeap))
+}
+
+// Many large responses that end are still read, one after another.
+func TestBufferedBytesAreReleased(t *testing.T) {
+	body := strings.Repeat("x", 4<<20)
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			id, ok := readCall(r)
+			if !ok {
+				return
+			}
+			writeResponse(conn, id, body)
+		}
+	})
+	c := bluebelltransport.NewClient(bluebelltransport.Config{})
+	for range 40 {
+		read, err := readWhole(c, s, time.Now().Add(testTimeout))
+		require.NoError(t, err)
+		require.Len(t, read, len(body))
+	}
+}
--- a/bluebellgate/internal/bluebelltransport/pool.go
+++ b/bluebellgate/internal/bluebelltransport/pool.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -39,12 +40,16 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OnConnect is called after each new connection. It may be nil.
 	OnConnect func(address string)
+	// MaxBuffered limits the bytes of all responses that are buffered at once. If 0, it is
+	// 24 MiB.
+	MaxBuffered int64
 }
 
 // Client sends calls to endpoints and keeps idle connections to them. It is safe for concurrent
 // use.
 type Client struct {
-	cfg Config
+	cfg      Config
+	buffered buffered
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the last used one last.
@@ -61,6 +66,9 @@
 	ackTimeout time.Duration
 	// extendDeadline is ExtendDeadline of the current call's Request, or nil.
 	extendDeadline func() time.Time
+	// headLeft is the number of bytes that may still be read while headers are, 0 while there
+	// is no limit.
+	headLeft atomic.Int64
 	// usableUntil is the time after which the endpoint may close the idle connection.
 	usableUntil time.Time
 }
@@ -70,7 +78,10 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dialer().DialContext
 	}
-	return &Client{cfg: cfg, idle: map[string][]*conn{}}
+	if cfg.MaxBuffered <= 0 {
+		cfg.MaxBuffered = defaultMaxBuffered
+	}
+	return &Client{cfg: cfg, buffered: buffered{limit: cfg.MaxBuffered}, idle: map[string][]*conn{}}
 }
 
 // dialer returns a dialer whose connections fail when sent data or keep-alive probes stay
@@ -147,6 +158,9 @@
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		if n > 0 && err == nil {
+			err = c.countHead(n)
+		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.extendDeadline == nil {
 			return n, err
 		}
