Count only events with data as progress of a stream

Cause: a comment restarted the gap timeout of a stream, began the answer to the caller and ended the extension of its deadline.

Change: only events with data begin the answer and restart the gap; comments before the first event are dropped.

--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -57,6 +57,11 @@
 	// Unnumbered sends stream events without IDs and closes the connection in the middle
 	// of the stream.
 	Unnumbered
+	// Stalling sends the first half of a stream, and then a comment now and then, without
+	// end.
+	Stalling
+	// Commenting sends only comments, now and then, without end.
+	Commenting
 )
 
 const (
@@ -66,6 +71,8 @@
 	StreamPathPrefix = "/stream/"
 	// registerTimeout bounds one registration.
 	registerTimeout = time.Second
+	// commentInterval is the time between the comments of Stalling and Commenting.
+	commentInterval = 30 * time.Millisecond
 )
 
 // Config configures an Endpoint.
@@ -102,8 +109,10 @@
 	server   *http.Server
 	done     chan struct{} // closed when the server has stopped
 
-	mu          sync.Mutex
-	behaviour   Behaviour
+	mu        sync.Mutex
+	behaviour Behaviour
+	// processing replaces Config.ProcessingTime if it is not 0.
+	processing  time.Duration
 	runs        []*Run
 	sequence    uint64
 	state       bluebellfleet.State
@@ -269,6 +278,22 @@
 	return &r, e.behaviour
 }
 
+// SetProcessingTime replaces Config.ProcessingTime.
+func (e *Endpoint) SetProcessingTime(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.processing = d
+}
+
+func (e *Endpoint) processingTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.processing > 0 {
+		return e.processing
+	}
+	return e.cfg.ProcessingTime
+}
+
 func (e *Endpoint) endRun() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -302,7 +327,7 @@
 		return e.writeStream(w, r, run, header, b)
 	}
 	select {
-	case <-time.After(e.cfg.ProcessingTime):
+	case <-time.After(e.processingTime()):
 	case <-r.Context().Done():
 		return r.Context().Err()
 	}
@@ -352,6 +377,23 @@
 	return err
 }
 
+// writeComments sends comments until the caller closes the connection.
+func writeComments(w http.ResponseWriter, r *http.Request) error {
+	for {
+		select {
+		case <-time.After(commentInterval):
+		case <-r.Context().Done():
+			return r.Context().Err()
+		}
+		if _, err := io.WriteString(w, ": still here\n\n"); err != nil {
+			return err
+		}
+		if err := http.NewResponseController(w).Flush(); err != nil {
+			return err
+		}
+	}
+}
+
 // writeStream answers a call with a stream of events. If the call states the last event
 // that its caller received, the stream resumes after that event.
 func (e *Endpoint) writeStream(w http.ResponseWriter, r *http.Request, run *Run, h http.Header, b Behaviour) error {
@@ -369,10 +411,13 @@
 	controller := http.NewResponseController(w)
 	for n := first; n <= StreamEvents; n++ {
 		select {
-		case <-time.After(e.cfg.ProcessingTime):
+		case <-time.After(e.processingTime()):
 		case <-r.Context().Done():
 			return r.Context().Err()
 		}
+		if b == Commenting || b == Stalling && n == StreamEvents/2+1 {
+			return writeComments(w, r)
+		}
 		event := Event(run.Call.CallID, n)
 		if b == Unnumbered {
 			event = event[strings.Index(event, "data:"):]
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -128,16 +128,14 @@
 	cfg.RecordFirstEvent(c.request.Target.Name, cfg.Now()-c.start)
 }
 
-// stream forwards events as they arrive. If the stream breaks, the next attempt resumes it at
-// another endpoint after the last event that the caller received.
+// stream forwards events as they arrive. If the stream breaks or stalls, the next attempt
+// resumes it at another endpoint after the last event that the caller received. Only events
+// with data are progress: a stalled endpoint may go on sending comments.
 func (c *activeCall) stream(ctx context.Context, choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, retryable bool) attemptResult {
-	first := true
+	begun := false
+	progressBy := time.Now().Add(firstEventTimeout(c.request.Route, choice, c.timeLeft(), retryable))
 	for {
-		timeout := nextEventTimeout(c.request.Route, c.timeLeft(), retryable)
-		if first {
-			timeout = firstEventTimeout(c.request.Route, choice, c.timeLeft(), retryable)
-		}
-		event, err := exchange.NextEvent(time.Now().Add(timeout))
+		event, err := exchange.NextEvent(progressBy)
 		if errors.Is(err, io.EOF) {
 			c.endAttempt(choice, bluebellplacement.Answered, nil)
 			c.beginAnswer(exchange.Status(), exchange.Header())
@@ -148,25 +146,35 @@
 			c.endAttempt(choice, c.readErrorOutcome(ctx, err), err)
 			return resultRetry
 		}
-		if first {
-			first = false
-			c.recordFirstEvent(choice)
-			c.beginAnswer(exchange.Status(), exchange.Header())
-		}
-		if err := c.sink.Write(event.Text); err != nil {
-			c.endAttempt(choice, bluebellplacement.Abandoned, err)
-			c.cause = err
-			c.abort()
+		if event.HasData {
+			if !begun {
+				begun = true
+				c.recordFirstEvent(choice)
+				c.beginAnswer(exchange.Status(), exchange.Header())
+			}
+			progressBy = time.Now().Add(nextEventTimeout(c.request.Route, c.timeLeft(), retryable))
 		}
-		switch {
-		case event.ID != "":
-			c.lastEvent = event.ID
-		case event.HasData:
-			c.sentEventWithoutID = true
+		if begun {
+			c.forward(choice, event)
 		}
 	}
 }
 
+// forward sends an event to the caller. It breaks the answer off if the caller has gone.
+func (c *activeCall) forward(choice bluebellplacement.Choice, event bluebelltransport.Event) {
+	if err := c.sink.Write(event.Text); err != nil {
+		c.endAttempt(choice, bluebellplacement.Abandoned, err)
+		c.cause = err
+		c.abort()
+	}
+	switch {
+	case event.ID != "":
+		c.lastEvent = event.ID
+	case event.HasData:
+		c.sentEventWithoutID = true
+	}
+}
+
 // beginAnswer sends the header to the caller, unless an earlier attempt has sent it.
 func (c *activeCall) beginAnswer(status int, h http.Header) {
 	if c.headerSent {
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -243,7 +243,9 @@
 		}
 		e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data:"))
 		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(e.Text) > len(line) {
-			x.conn.extendDeadline = nil
+			if e.HasData {
+				x.conn.extendDeadline = nil
+			}
 			return e, nil
 		}
 	}
