Reject invalid messages of peers, and contain panics of their handlers

Change: Step checks a message before it changes anything and returns ErrInvalidMessage; the voter logs it, the randomised cluster takes it as a violation. A handler's panic fails its call and is logged with its stack. States that contradict the node's own log still stop it.

--- a/bluebell/bluebellpeer/doc.go
+++ b/bluebell/bluebellpeer/doc.go
@@ -13,7 +13,7 @@
 // # Usage
 //
 //	listener, err := net.Listen("tcp", address)
-//	go bluebellpeer.Serve(ctx, listener, secret, name, handler)
+//	go bluebellpeer.Serve(ctx, bluebellpeer.ServerConfig{Listener: listener, Secret: secret, Name: name, Handler: handler})
 //
 //	client := bluebellpeer.NewClient(bluebellpeer.ClientConfig{...})
 //	reply, err := client.Watch(ctx, request)
--- a/bluebell/bluebellpeer/peer_test.go
+++ b/bluebell/bluebellpeer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,16 @@
 type server struct {
 	pb.DRPCPeerUnimplementedServer
 	release chan struct{}
+	// faulty makes Propose panic. panics counts the reported panics.
+	faulty bool
+	panics atomic.Int64
+}
+
+func (s *server) Propose(context.Context, *pb.ProposeRequest) (*pb.ProposeReply, error) {
+	if s.faulty {
+		panic("a message that the handler does not expect")
+	}
+	return &pb.ProposeReply{}, nil
 }
 
 func (s *server) Status(ctx context.Context, _ *pb.StatusRequest) (*pb.StatusReply, error) {
@@ -37,7 +48,9 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- bluebellpeer.Serve(ctx, listener, []byte("secret"), "b", s) }()
+	go func() {
+		ended <- bluebellpeer.Serve(ctx, bluebellpeer.ServerConfig{Listener: listener, Secret: []byte("secret"), Name: "b", Handler: s, OnPanic: func(string, any, []byte) { s.panics.Add(1) }})
+	}()
 	t.Cleanup(func() {
 		cancel()
 		require.NoError(t, <-ended)
@@ -147,3 +160,19 @@
 	}
 	require.NoError(t, err)
 }
+
+// A panic in the handler of one call ended the whole process.
+func TestHandlerPanicFailsOnlyItsCall(t *testing.T) {
+	s := &server{faulty: true}
+	client := bluebellpeer.NewClient(bluebellpeer.ClientConfig{Address: serve(t, s), Peer: "b", Name: "a", Secret: []byte("secret")})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for i := range 3 {
+		_, err := client.Propose(ctx, &pb.ProposeRequest{})
+		require.Error(t, err)
+		require.Equal(t, int64(i+1), s.panics.Load())
+		_, err = status(client, 5*time.Second)
+		require.NoError(t, err, "other calls are served")
+	}
+}
--- a/bluebell/bluebellpeer/server.go
+++ b/bluebell/bluebellpeer/server.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"net"
+	"runtime/debug"
 
 	"github.com/sourcegraph/conc"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -26,14 +28,52 @@
 	}
 }
 
+// ServerConfig configures Serve.
+type ServerConfig struct {
+	Listener net.Listener
+	Secret   []byte
+	// Name is the name of this process.
+	Name    string
+	Handler pb.DRPCPeerServer
+	// OnPanic is called with each panic of the handler. The call fails, its connection is
+	// closed, and the process goes on. It may be nil.
+	OnPanic func(method string, value any, stack []byte)
+}
+
+// errHandlerPanic is the error of a call whose handler panicked.
+var errHandlerPanic = errors.New("internal error")
+
+// containment turns a panic of a handler into an error of its call: one message that a handler
+// does not expect must not end the process.
+type containment struct {
+	drpc.Handler
+	onPanic func(method string, value any, stack []byte)
+}
+
+// HandleRPC serves one call.
+func (c containment) HandleRPC(stream drpc.Stream, method string) (err error) {
+	defer func() {
+		value := recover()
+		if value == nil {
+			return
+		}
+		if c.onPanic != nil {
+			c.onPanic(method, value, debug.Stack())
+		}
+		err = errHandlerPanic
+	}()
+	return c.Handler.HandleRPC(stream, method)
+}
+
 // Serve serves calls of authenticated peers until ctx is done or the listener fails. A
 // connection that fails the handshake is closed.
-func Serve(ctx context.Context, listener net.Listener, secret []byte, name string, handler pb.DRPCPeerServer) error {
+func Serve(ctx context.Context, cfg ServerConfig) error {
+	listener := cfg.Listener
 	mux := drpcmux.New()
-	if err := pb.DRPCRegisterPeer(mux, handler); err != nil {
+	if err := pb.DRPCRegisterPeer(mux, cfg.Handler); err != nil {
 		return err
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	server := drpcserver.NewWithOptions(containment{Handler: mux, onPanic: cfg.OnPanic}, drpcserver.Options{Manager: managerOptions()})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
@@ -53,7 +93,7 @@
 			defer func() { _ = conn.Close() }()
 			stopClose := context.AfterFunc(ctx, func() { _ = conn.Close() })
 			defer stopClose()
-			if _, err := handshake(ctx, conn, secret, name, serverSide); err != nil {
+			if _, err := handshake(ctx, conn, cfg.Secret, cfg.Name, serverSide); err != nil {
 				return
 			}
 			_ = server.ServeOne(ctx, conn)
--- a/bluebell/bluebellraft/replication.go
+++ b/bluebell/bluebellraft/replication.go
@@ -1,7 +1,6 @@
 package bluebellraft
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -9,14 +8,19 @@
 )
 
 // Step processes one message from another member. Messages may be lost, duplicated,
-// delayed or reordered. Messages to other identities are ignored.
-func (n *Node) Step(now time.Duration, m *pb.RaftMessage) {
-	if m.To != n.cfg.ID {
-		return
+// delayed or reordered. Messages to other identities are ignored. A message that no correct
+// member sends is rejected with ErrInvalidMessage and changes nothing: one member with a fault
+// must not end the processes of the others.
+func (n *Node) Step(now time.Duration, m *pb.RaftMessage) error {
+	if m.GetTo() != n.cfg.ID {
+		return nil
+	}
+	if err := n.check(m); err != nil {
+		return err
 	}
 	if m.Kind == pb.RaftKind_PreVote || m.Kind == pb.RaftKind_Vote {
 		n.handleVoteRequest(now, m)
-		return
+		return nil
 	}
 	fromLeader := m.Kind == pb.RaftKind_Append || m.Kind == pb.RaftKind_Install
 	// A granted pre-vote carries the term of the proposed election, which has not begun.
@@ -28,7 +32,7 @@
 			// The refusal carries the current term, so that the former leader steps down.
 			n.send(&pb.RaftMessage{Kind: pb.RaftKind_AppendReply, To: m.From, Refused: true, Match: n.log.commitIndex})
 		}
-		return
+		return nil
 	}
 	switch m.Kind {
 	case pb.RaftKind_PreVoteReply, pb.RaftKind_VoteReply:
@@ -43,14 +47,11 @@
 	case pb.RaftKind_AppendReply:
 		n.handleAppendReply(now, m)
 	}
+	return nil
 }
 
-// followLeader makes the node a follower of the sender. It panics if this node leads the
-// same term, which Raft excludes.
+// followLeader makes the node a follower of the sender.
 func (n *Node) followLeader(now time.Duration, m *pb.RaftMessage) {
-	if n.role == Leader {
-		panic(fmt.Sprintf("two leaders in term %d: %s and %s", n.term, n.cfg.ID, m.From))
-	}
 	n.becomeFollower(now, m.Term, m.From)
 	n.lastContact = now
 }
@@ -126,9 +127,6 @@
 		n.replicate(now, m.From, true)
 		return
 	}
-	if m.Match > n.log.lastIndex() {
-		panic(fmt.Sprintf("%s acknowledged entry %d, but the leader's log ends at %d", m.From, m.Match, n.log.lastIndex()))
-	}
 	if m.Match > p.matchIndex {
 		p.matchIndex = m.Match
 		n.advanceCommit()
--- a/bluebell/bluebellvoter/voter.go
+++ b/bluebell/bluebellvoter/voter.go
@@ -280,7 +280,9 @@
 func (v *Voter) step(messages []*pb.RaftMessage) {
 	now := v.cfg.Now()
 	for _, m := range messages {
-		v.node.Step(now, m)
+		if err := v.node.Step(now, m); err != nil {
+			v.cfg.Logger.Error("message of another member rejected", "Error", err)
+		}
 	}
 }
 
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -202,7 +202,9 @@
 		return n.voter.Run(ctx)
 	})
 	tasks.Go(func(ctx context.Context) error {
-		return bluebellpeer.Serve(ctx, peers, []byte(s.Secret), n.address, handler{node: n})
+		return bluebellpeer.Serve(ctx, bluebellpeer.ServerConfig{
+			Listener: peers, Secret: []byte(s.Secret), Name: n.address, Handler: handler{node: n}, OnPanic: n.logPeerPanic,
+		})
 	})
 	tasks.Go(func(ctx context.Context) error { n.follower.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.announcePeriodically(ctx); return nil })
@@ -221,6 +223,12 @@
 	return err
 }
 
+// logPeerPanic logs a panic in the handler of a peer's call.
+func (n *Node) logPeerPanic(method string, value any, stack []byte) {
+	n.metrics.Scope.Counter("peer_panics").Inc(1)
+	n.cfg.Logger.Error("handler of a peer's call panicked", "Method", method, "Panic", value, "Stack", string(stack))
+}
+
 // isLeader reports whether this process regards itself as the leader. Another process may
 // already have been elected.
 func (n *Node) isLeader() bool { return n.voter.Status().Leader == n.id }
--- a/bluebellentry/internal/bluebellnode/node.go
+++ b/bluebellentry/internal/bluebellnode/node.go
@@ -270,7 +270,9 @@
 		components.Go(n.voter.Run)
 	}
 	components.Go(func(ctx context.Context) error {
-		return bluebellpeer.Serve(ctx, peerListener, n.cfg.Secret, n.vm, peerHandler{node: n})
+		return bluebellpeer.Serve(ctx, bluebellpeer.ServerConfig{
+			Listener: peerListener, Secret: n.cfg.Secret, Name: n.vm, Handler: peerHandler{node: n}, OnPanic: n.logPeerPanic,
+		})
 	})
 	components.Go(func(ctx context.Context) error { n.follower.Run(ctx); return nil })
 	components.Go(func(ctx context.Context) error { n.applyChanges(ctx); return nil })
@@ -432,3 +434,8 @@
 		Propose: n.propose, LeaseDuration: electionTimeout, Now: n.now, WallClock: time.Now, Logger: n.cfg.Logger,
 	})
 }
+
+// logPeerPanic logs a panic in the handler of a peer's call.
+func (n *Node) logPeerPanic(method string, value any, stack []byte) {
+	n.cfg.Logger.Error("handler of a peer's call panicked", "Method", method, "Panic", value, "Stack", string(stack))
+}
--- a/bluebellsim/bluebellcluster/member.go
+++ b/bluebellsim/bluebellcluster/member.go
@@ -185,7 +185,10 @@
 	case m.paused:
 		m.heldMessages = append(m.heldMessages, message)
 	default:
-		m.node.Step(m.clock(), message)
+		if err := m.node.Step(m.clock(), message); err != nil {
+			// All members are correct here, so the protocol itself is broken.
+			panic(err)
+		}
 		m.processReady()
 	}
 }
