--- a/bluebellentry/internal/bluebelldispatch/dispatcher.go
+++ b/bluebellentry/internal/bluebelldispatch/dispatcher.go
@@ -31,8 +31,10 @@
 	// hopSlack is added to the first-byte timeout of a forwarded call, so that the owner's
 	// own timeout ends first.
 	hopSlack = time.Second
-	// crashReportTimeout bounds the wait until the voters agree on a crash report.
-	crashReportTimeout = time.Second
+	// crashReportTimeout limits the time to agree on a crash report. An election after the loss
+	// of a leader, which takes up to 3.6 s, must not lose the report: the call would crash one
+	// more endpoint.
+	crashReportTimeout = 5 * time.Second
 )
 
 // Names of the HTTP headers used between VMs, towards endpoints and in answers to callers.
