Take no answer without a call ID from a connection that carried another call

Refusals were checked for this before, answers and errors were not.

Change: on a reused connection an answer needs the ID; on a new one it can only be its own.

--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -60,6 +60,8 @@
 	// Stalling sends the first half of a stream, and then a comment now and then, without
 	// end.
 	Stalling
+	// Unidentified runs calls and answers without the ID of the call.
+	Unidentified
 	// Commenting sends only comments, now and then, without end.
 	Commenting
 )
@@ -320,6 +322,8 @@
 	case Unavailable:
 		writeHeader(w, header, http.StatusServiceUnavailable)
 		return nil
+	case Unidentified:
+		header = bluebellplatform.AnswerHeader("", e.cfg.ID+"."+run.Call.CallID)
 	case Unsealed:
 		header = bluebellplatform.AnswerHeader(run.Call.CallID, "")
 	}
--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -290,6 +290,22 @@
 }
 
 // The caller receives all events of a stream unchanged.
+// A second copy of an answer may arrive on a connection that carries the next call. An answer
+// without the ID of its call may be such a copy, and is given to no caller if the connection has
+// carried another call. On a new connection it can only be the answer to this call.
+func TestAnswerWithoutCallIDIsNotDelivered(t *testing.T) {
+	for _, path := range []string{"/once/x", "/read/x", "/stream/x", "/stream/again/x"} {
+		e := startEntry(t, 1)
+		require.Equal(t, http.StatusOK, e.do(http.MethodPost, "/once/x", "first").status)
+		e.behave(bluebellstub.Unidentified)
+		c := e.do(http.MethodPost, path, "second")
+		require.NoError(t, c.err)
+		require.Equal(t, http.StatusBadGateway, c.status, path)
+		require.NotContains(t, c.body, "answer to")
+		require.Equal(t, http.StatusOK, e.do(http.MethodPost, path, "third").status, path)
+	}
+}
+
 func TestStreamIsForwarded(t *testing.T) {
 	e := startEntry(t, 1)
 	c := e.do(http.MethodPost, "/stream/x", "prompt")
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -27,6 +27,10 @@
 // on the same connection.
 var errUnidentifiedRefusal = errors.New("refusal on a reused connection has no call ID")
 
+// errUnidentifiedAnswer is the cause of an attempt whose answer may be a second copy of the
+// answer to an earlier call on the same connection.
+var errUnidentifiedAnswer = errors.New("answer on a reused connection has no call ID")
+
 // refusalApplies reports whether a refusal can be taken as the answer to this call. A
 // refusal without a call ID on a reused connection may be a late answer to the previous
 // call. This does not matter for calls that may run more than once.
@@ -47,6 +51,10 @@
 		c.endAttempt(choice, bluebellplacement.InvalidAnswer, errUnidentifiedRefusal)
 		return resultRetry
 	}
+	if a.CallID == "" && exchange.Reused() {
+		c.endAttempt(choice, bluebellplacement.InvalidAnswer, errUnidentifiedAnswer)
+		return resultRetry
+	}
 	good := exchange.Status() < http.StatusMultipleChoices
 	if good && (!a.Sealed || a.ContentEncoded) {
 		c.endAttempt(choice, bluebellplacement.InvalidAnswer, errors.New("answer has no endpoint seal or has a content encoding"))
