Let refused callers who will be late return at different times

Cause: after an overload or a loss of power the callers of some seconds were refused together and told to return within 0.4 to 0.8 s.

Change: RetryAfter is a decision of bluebellqueue. A caller whose objective will have passed is told to return within a third of the time that is left, which callers accept.

--- a/bluebell/bluebellplacement/speed_test.go
+++ b/bluebell/bluebellplacement/speed_test.go
@@ -50,17 +50,22 @@
 	}
 }
 
+// busyPlacer returns a placer of three engines, each with calls of other entries.
+func busyPlacer(others bluebellplacement.EndpointUse) *bluebellplacement.Placer {
+	f := fleet(3)
+	f.UseByOthers = map[string]bluebellplacement.EndpointUse{}
+	for _, e := range f.Endpoints {
+		f.UseByOthers[e.ID] = others
+	}
+	return placer(config, f)
+}
+
 // On a calm day four of five prompts are small and take several times as long as the engine
 // needs to read them, since most of their time is that of the network and of one step. The mean
 // ratio made every prompt look as slow: large ones counted as late at all busy engines and were
 // refused, although the engines would have answered them in half of their objective.
 func TestSmallPromptsDoNotMakeLargeOnesLate(t *testing.T) {
-	f := fleet(3)
-	f.UseByOthers = map[string]bluebellplacement.EndpointUse{}
-	for _, e := range f.Endpoints {
-		f.UseByOthers[e.ID] = bluebellplacement.EndpointUse{Calls: 1, Tokens: 2000}
-	}
-	p := placer(config, f)
+	p := busyPlacer(bluebellplacement.EndpointUse{Calls: 1, Tokens: 2000})
 	now := second
 	serve := func(r bluebellplacement.Request, took time.Duration) {
 		choice, result := p.Pick(now, r)
@@ -87,12 +92,7 @@
 // long as expected. It then counted all engines as late, sent no calls whose answers could have
 // shown otherwise, and refused half of its calls for another 15 s.
 func TestSlowdownEndsWithoutAnswers(t *testing.T) {
-	f := fleet(3)
-	f.UseByOthers = map[string]bluebellplacement.EndpointUse{}
-	for _, e := range f.Endpoints {
-		f.UseByOthers[e.ID] = bluebellplacement.EndpointUse{Calls: 2, Tokens: 5000}
-	}
-	p := placer(config, f)
+	p := busyPlacer(bluebellplacement.EndpointUse{Calls: 2, Tokens: 5000})
 	now := second
 	for i := range 40 {
 		choice, result := p.Pick(now, prompt(fmt.Sprint("doc-", i)))
--- a/bluebell/bluebellqueue/queue.go
+++ b/bluebell/bluebellqueue/queue.go
@@ -7,12 +7,15 @@
 // late calls long after the burst. Calls therefore wait at the entry, the process that
 // accepts them, while the engines hold as many calls as they should. Calls that can still
 // meet their objective are tried first, by priority and then by arrival. Calls that will
-// not get an endpoint are refused early.
+// not get an endpoint are refused early. When all entries return from a loss of power, the
+// callers of some seconds are refused together: those who cannot be answered in time any more
+// are told to return at different times.
 //
 // # Usage
 //
 //	bluebellqueue.Admit(waiters, now, func(i int) bluebellqueue.TryResult { ... })
 //	until := bluebellqueue.WaitUntil(waiter)
+//	after := bluebellqueue.RetryAfter(timeLeft, inTime, random)
 package bluebellqueue
 
 import (
--- a/bluebellgate/internal/bluebellrelay/finish.go
+++ b/bluebellgate/internal/bluebellrelay/finish.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bluebellhaven.org/bluebell/bluebelldirectory"
+	"bluebellhaven.org/bluebell/bluebellqueue"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
@@ -37,7 +38,8 @@
 
 // refuse answers that the call has not run, with the time after which to retry.
 func (c *activeCall) refuse() {
-	after := retryAfter(time.Until(c.request.Deadline), c.relay.cfg.Random())
+	inTime := c.request.Route.Objective - (c.relay.cfg.Now() - c.start)
+	after := bluebellqueue.RetryAfter(time.Until(c.request.Deadline), inTime, c.relay.cfg.Random())
 	c.relay.cfg.CountEvent("refused", c.request.Target.Name)
 	c.beginAnswer(http.StatusServiceUnavailable, bluebellplatform.RefusalHeader(c.request.Call.ID, after))
 	c.finish("refused", http.StatusServiceUnavailable)
