--- a/bluebell/bluebellfeed/loads_test.go
+++ b/bluebell/bluebellfeed/loads_test.go
@@ -16,9 +16,9 @@
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
-// With 295 entries and 240 endpoints, an entry received 190 kB/s and a core process spent more
-// than its processor share on polls: three sources each sent all sums, all entries and all
-// heartbeats. An entry now has one primary source, in its own failure domain.
+// With 295 entries and 240 endpoints, an entry that received all sums, all entries and all
+// heartbeats from three sources got 190 kB/s, and a core process spent more than its processor
+// share on polls. An entry reports to one primary source, in its own failure domain.
 func TestEntryHasPrimarySourceInItsDomain(t *testing.T) {
 	d := newDeployment("a/c1", "b/c2", "b/c3")
 	d.shareLoads(t)
@@ -33,7 +33,8 @@
 	require.Zero(t, d.cores["a/c1"].polledAsPrimary("b/e1"), "the entry reports to no core process of another domain")
 }
 
-// An entry must see the calls of the others in full at once when its primary source dies.
+// When its primary source dies, an entry has to find another one and learn the calls of the other
+// entries from it.
 func TestEntryChangesPrimarySourceWhenItDies(t *testing.T) {
 	d := newDeployment("a/c1", "b/c2")
 	d.shareLoads(t)
--- a/bluebell/bluebellfeed/primary.go
+++ b/bluebell/bluebellfeed/primary.go
@@ -62,34 +62,48 @@
 	return 1
 }
 
-// choosePrimary chooses an entry's primary source: the current one while it answers, unless
-// another one in the entry's failure domain has settled; otherwise the first by rank of those
-// that answer, in the entry's failure domain if possible.
+// choosePrimary chooses an entry's primary source. The current one stays while it answers,
+// unless it is in another failure domain and a source in the entry's own has settled.
 func (f *Follower) choosePrimary() {
 	if !f.cfg.Entry {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	answers := f.primarySource() != nil
+	if answers && f.isNear(f.primary) {
+		return
+	}
+	best := f.bestSource(answers)
+	if best == "" || best == f.primary || f.mayWaitForNear(best) {
+		return
+	}
+	f.cfg.Logger.Info("primary source changed", "Source", best, "Before", f.primary, "BeforeAnswers", answers, "Near", f.isNear(best))
+	f.primary = best
+}
+
+// bestSource returns the first source by rank that answers, in the entry's failure domain if
+// possible, or "" if there is none. If onlySettled is set, it must be in that domain and have
+// settled. f.mu must be held.
+func (f *Follower) bestSource(onlySettled bool) string {
 	now := f.cfg.Now()
-	current := f.sources[f.primary]
-	alive := current != nil && f.isFresh(current)
 	best := ""
 	for _, address := range slices.SortedFunc(maps.Keys(f.sources), f.compareRank) {
 		s := f.sources[address]
-		if !f.isFresh(s) || alive && (!f.isNear(address) || now-s.answersSince < settledAfter) {
+		if !f.isFresh(s) || onlySettled && (!f.isNear(address) || now-s.answersSince < settledAfter) {
 			continue
 		}
 		if best == "" || f.isNear(address) && !f.isNear(best) {
 			best = address
 		}
 	}
-	waitForNear := f.primary == "" && !f.isNear(best) && len(f.nearCores()) > 0 && now-f.firstReplyAt < nearGrace
-	if best == "" || best == f.primary || alive && f.isNear(f.primary) || waitForNear {
-		return
-	}
-	f.cfg.Logger.Info("primary source changed", "Source", best, "Before", f.primary, "BeforeAnswers", alive, "Near", f.isNear(best))
-	f.primary = best
+	return best
+}
+
+// mayWaitForNear reports whether a new entry may wait for a source in its failure domain
+// instead of taking another one. f.mu must be held.
+func (f *Follower) mayWaitForNear(other string) bool {
+	return f.primary == "" && !f.isNear(other) && len(f.nearCores()) > 0 && f.cfg.Now()-f.firstReplyAt < nearGrace
 }
 
 // primarySource returns an entry's primary source, or nil if it has not answered within
--- a/bluebell/bluebellplacement/doc.go
+++ b/bluebell/bluebellplacement/doc.go
@@ -16,6 +16,14 @@
 // prompt is sent elsewhere if its home would be slower although it has the prompt's blocks.
 // Endpoints of plain services are compared by their calls in flight.
 //
+// # Predictions
+//
+// The speed of the engines is estimated from the calls that found an engine without unread
+// tokens, and the time to the first event is predicted from the expected one by a regression
+// over recent calls. An engine is not picked if the predicted answer would come too late, with
+// twice the prediction for engines that are not homes of the prompt. Without answers a slowdown
+// is forgotten within seconds.
+//
 // # Health
 //
 // An endpoint that resets or refuses connections gets no calls during a back-off, then one
