Reserve little for small answers, and blame no endpoint for a full buffer

Cause: each buffered answer reserved 32 KiB of the common 24 MiB, so 768 small answers at once would have exhausted it, and ready answers would have been lost; an exhausted buffer counted as a failure of the endpoint. Found on reading again.

Change: the first step is the announced length, or 2 KiB; a full buffer ends the attempt without a verdict on the endpoint.

Result: TestSmallResponsesReserveLittle reads 120 answers of 800 bytes within 100 kB; by calculation three fitted before.

--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -83,6 +83,9 @@
 	switch {
 	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return bluebellplacement.Abandoned
+	case errors.Is(err, bluebelltransport.ErrBufferFull):
+		// The limit is this entry's own; the endpoint must not become suspect for it.
+		return bluebellplacement.Abandoned
 	case errors.As(err, &failure) && failure.Timeout:
 		return bluebellplacement.TimedOut
 	}
--- a/bluebellgate/internal/bluebelltransport/endless_test.go
+++ b/bluebellgate/internal/bluebelltransport/endless_test.go
@@ -161,3 +161,27 @@
 		require.Len(t, read, len(body))
 	}
 }
+
+// Small answers reserve little of what all calls may buffer: with a whole step for each, 768 answers
+// of 800 bytes at once exhausted the limit, and ready answers were lost.
+func TestSmallResponsesReserveLittle(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		if id, ok := readCall(r); ok {
+			writeResponse(conn, id, strings.Repeat("x", 800))
+			_, _ = r.ReadByte() // until the caller closes the connection
+		}
+	})
+	c := bluebelltransport.NewClient(bluebelltransport.Config{MaxBuffered: 100_000})
+	for i := range 130 {
+		x, err := c.Do(context.Background(), request(s, "1", ""))
+		require.NoError(t, err)
+		t.Cleanup(x.Close)
+		_, err = x.ReadAll(8<<20, time.Now().Add(testTimeout))
+		if i < 120 {
+			require.NoError(t, err, "answer %d", i)
+		}
+		if i == 129 {
+			require.ErrorIs(t, err, bluebelltransport.ErrBufferFull)
+		}
+	}
+}
--- a/bluebellgate/internal/bluebelltransport/limit.go
+++ b/bluebellgate/internal/bluebelltransport/limit.go
@@ -21,17 +21,19 @@
 	// defaultMaxBuffered is the limit on the bytes of all buffered responses together if
 	// Config sets none: a third of the heap of the smallest specified entry VM.
 	defaultMaxBuffered = 24 << 20
-	// bufferStep is the number of bytes by which a buffered response grows.
-	bufferStep = 32 << 10
+	// bufferStep is the number of bytes by which a buffered response grows, firstBufferStep
+	// that with which one of unknown length begins: most are below a kilobyte.
+	bufferStep      = 32 << 10
+	firstBufferStep = 2 << 10
 )
 
-// Errors of responses that exceed a limit.
+// Errors of responses that exceed a limit. ErrBufferFull says nothing about the endpoint.
 var (
 	errHeadTooLarge    = errors.New("header of the response is too large")
 	errBodyTooLarge    = errors.New("response body is larger than the limit")
 	errEventTooLarge   = errors.New("event is larger than 256 KiB")
 	errSkippedTooLarge = errors.New("response to another call is too large")
-	errBufferFull      = errors.New("buffered responses exceed the limit of this process")
+	ErrBufferFull      = errors.New("buffered responses exceed the limit of this process")
 )
 
 // limitHead makes reads fail once more than maxHeadBytes have been read.
@@ -73,12 +75,16 @@
 // in pieces that are joined at its end, since a buffer that grows takes several times as much.
 func (x *Exchange) readBody(limit int64) ([]byte, error) {
 	var pieces [][]byte
-	for size := int64(0); ; {
-		if !x.client.buffered.reserve(bufferStep) {
-			return nil, errBufferFull
+	step := int64(firstBufferStep)
+	if length := x.response.ContentLength; length >= 0 {
+		step = min(length+1, bufferStep)
+	}
+	for size := int64(0); ; step = bufferStep {
+		if !x.client.buffered.reserve(step) {
+			return nil, ErrBufferFull
 		}
-		x.reserved += bufferStep
-		piece := make([]byte, bufferStep)
+		x.reserved += step
+		piece := make([]byte, step)
 		n, err := fill(x.response.Body, piece)
 		pieces, size = append(pieces, piece[:n]), size+int64(n)
 		switch {
