--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -133,6 +133,7 @@
 
 // recordFirstEvent records that the answer, or the first event of a stream, has arrived.
 func (c *activeCall) recordFirstEvent(choice bluebellplacement.Choice) {
+	c.begun = true
 	cfg := &c.relay.cfg
 	cfg.Placer.FirstEvent(choice, cfg.Now())
 	cfg.CachePlanner.FetchesDone(c.cachePlan)
@@ -143,7 +144,6 @@
 // resumes it at another endpoint after the last event that the caller received. Only events
 // with data are progress: a stalled endpoint may go on sending comments.
 func (c *activeCall) stream(ctx context.Context, choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, retryable bool) attemptResult {
-	begun := false
 	progressBy := time.Now().Add(firstEventTimeout(c.request.Route, choice, c.timeLeft(), retryable))
 	for {
 		event, err := exchange.NextEvent(progressBy)
@@ -158,14 +158,13 @@
 			return resultRetry
 		}
 		if event.HasData {
-			if !begun {
-				begun = true
+			if !c.begun {
 				c.recordFirstEvent(choice)
 				c.beginAnswer(exchange.Status(), exchange.Header())
 			}
 			progressBy = time.Now().Add(nextEventTimeout(c.request.Route, c.timeLeft(), retryable))
 		}
-		if begun {
+		if c.begun {
 			c.forward(choice, event)
 		}
 	}
--- a/bluebellgate/internal/bluebellrelay/prompt.go
+++ b/bluebellgate/internal/bluebellrelay/prompt.go
@@ -32,3 +32,15 @@
 	r.OwnTokens = max(c.PromptTokens-r.SharedTokens, total-r.SharedTokens, 0)
 	r.OutputTokens = c.MaxOutputTokens
 }
+
+// maxLoggedBlocks bounds the blocks in a log line.
+const maxLoggedBlocks = 8
+
+// loggedBlocks returns the IDs of the first blocks that the call's prompt may share with others.
+func (c *activeCall) loggedBlocks() []string {
+	var ids []string
+	for _, b := range c.request.Call.Blocks[:min(max(len(c.request.Call.Blocks)-1, 0), maxLoggedBlocks)] {
+		ids = append(ids, b.ID)
+	}
+	return ids
+}
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -94,6 +94,8 @@
 	// sentEventWithoutID is set once the caller has received an event without an ID. The
 	// stream cannot be resumed after it.
 	sentEventWithoutID bool
+	// begun is set once the current attempt has had an event or a whole answer.
+	begun bool
 	// errorAnswer is an answer with an error status, which is delivered if no later attempt
 	// gives a better one.
 	errorAnswer *bufferedAnswer
@@ -218,6 +220,7 @@
 		return resultFinal
 	}
 	c.sends++
+	c.begun = false
 	c.tried = append(c.tried, choice.Endpoint.ID)
 	cfg := &c.relay.cfg
 	cfg.Logger.Info("endpoint selected", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Address", choice.Endpoint.Address,
@@ -309,5 +312,5 @@
 	c.cause = err
 	cfg.CountEvent("attempt_"+outcome.String(), c.request.Target.Name)
 	cfg.Logger.Warn("attempt failed", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Outcome", outcome, "Error", err,
-		"Attempt", c.sends, "Took", (cfg.Now() - c.start).Round(time.Millisecond))
+		"Attempt", c.sends, "Took", (cfg.Now() - c.start).Round(time.Millisecond), "Begun", c.begun, "Blocks", c.loggedBlocks())
 }
