Test that a block which crashes engines reaches few of them

The soak can now run a deployment in which a part of the calls carry a block that crashes each engine that begins an answer on it; the stub crashes with all its connections after the header and starts again a second later under another ID.

--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -92,6 +92,10 @@
 	ProcessingTime time.Duration
 	// StartUnixMillis is the start time to register, in milliseconds since 1970 (Unix time).
 	StartUnixMillis int64
+	// Crashes, if not nil, reports whether a call crashes the endpoint when its answer begins.
+	Crashes func(call bluebellplatform.IncomingCall) bool
+	// OnCrash, if not nil, is called after such a crash.
+	OnCrash func()
 }
 
 // Run is a call that an endpoint has begun to run. Finished is set once an answer has been
@@ -102,6 +106,8 @@
 	URI      string
 	Body     string
 	Finished bool
+	// At is when the run began.
+	At time.Time
 }
 
 // Endpoint is one simulated endpoint.
@@ -259,6 +265,9 @@
 		return
 	}
 	defer e.endRun()
+	if e.cfg.Crashes != nil && e.cfg.Crashes(incoming) {
+		e.crash(w, incoming)
+	}
 	if err := e.writeAnswer(w, r, run, behaviour); err == nil {
 		e.mu.Lock()
 		run.Finished = true
@@ -266,6 +275,18 @@
 	}
 }
 
+// crash begins the answer to a call and then closes the listener and all connections. It does
+// not return.
+func (e *Endpoint) crash(w http.ResponseWriter, call bluebellplatform.IncomingCall) {
+	writeHeader(w, bluebellplatform.AnswerHeader(call.CallID, e.cfg.ID+"."+call.CallID), http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	_ = e.server.Close()
+	if e.cfg.OnCrash != nil {
+		e.cfg.OnCrash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // beginRun records a run and returns it with the current behaviour. The run is nil if the
 // endpoint declines the call.
 func (e *Endpoint) beginRun(r Run) (*Run, Behaviour) {
@@ -276,6 +297,7 @@
 		return nil, Declining
 	}
 	e.activeCalls++
+	r.At = time.Now()
 	e.runs = append(e.runs, &r)
 	return &r, e.behaviour
 }
--- a/bluebellsoak/bluebellchaos/load.go
+++ b/bluebellsoak/bluebellchaos/load.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -69,7 +70,7 @@
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		path := callPaths[rng.IntN(len(callPaths))]
-		o := call(client, c.gates[rng.IntN(len(c.gates))], fmt.Sprintf("call-%d-%d", name, n), path)
+		o := call(client, c.gates[rng.IntN(len(c.gates))], fmt.Sprintf("call-%d-%d", name, n), path, usualBlocks)
 		c.mu.Lock()
 		c.outcomes = append(c.outcomes, o)
 		if o.status == http.StatusOK && o.complete {
@@ -80,9 +81,12 @@
 	}
 }
 
-// call makes one call through a gate. The key of the customer is sent with each call, also on a
-// connection that the client reuses.
-func call(client *http.Client, gate, id, path string) outcome {
+// usualBlocks are the shared blocks of the prompts of most calls.
+var usualBlocks = []bluebellplatform.Block{{ID: "5c1e", Tokens: 200}}
+
+// call makes one call through a gate, with a prompt that begins with the shared blocks. The key
+// of the customer is sent with each call, also on a connection that the client reuses.
+func call(client *http.Client, gate, id, path string, shared []bluebellplatform.Block) outcome {
 	o := outcome{id: id, path: path + id + "?n=1"}
 	r, err := http.NewRequest(http.MethodPost, "http://"+gate+o.path, strings.NewReader("body of "+id))
 	if err != nil {
@@ -91,7 +95,7 @@
 	r.Host = hostName
 	r.Header = bluebellplatform.CallerHeader(bluebellplatform.Call{
 		ID: id, Key: customerKey, TimeLeft: statedTimeout, Model: "m0", PromptTokens: 300, MaxOutputTokens: 5,
-		Blocks: []bluebellplatform.Block{{ID: "5c1e", Tokens: 200}, {ID: id, Tokens: 100}},
+		Blocks: append(slices.Clone(shared), bluebellplatform.Block{ID: id, Tokens: 100}),
 	})
 	response, err := client.Do(r)
 	if err != nil {
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 
 	"bluebellhaven.org/bluebellfake/bluebellstub"
+	"bluebellhaven.org/platform/bluebellplatform"
 )
 
 const (
@@ -70,6 +71,9 @@
 	// crashMu is held from a crash until the endpoint has started again, so that crashes of the
 	// same backend do not overlap.
 	crashMu sync.Mutex
+	// crashes and onCrash are the fields of the same names of the endpoint's configuration.
+	crashes func(call bluebellplatform.IncomingCall) bool
+	onCrash func()
 
 	mu      sync.Mutex
 	current *bluebellstub.Endpoint
@@ -105,18 +109,11 @@
 // Run starts a deployment, injects faults for cfg.Duration and returns a report. An error means
 // that the deployment could not be set up or served no calls; violations are in Report.Findings.
 func Run(ctx context.Context, cfg Config) (Report, error) {
-	d := &deployment{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 77))}
-	if err := os.RemoveAll(cfg.DataFolder); err != nil {
-		return Report{}, err
-	}
-	if err := os.MkdirAll(cfg.DataFolder, 0o700); err != nil {
-		return Report{}, err
-	}
+	d := newDeployment(cfg)
 	defer d.stopAll()
 	if err := d.startAll(); err != nil {
 		return Report{}, err
 	}
-	d.operator = newOperator(d.controlAddresses)
 	var load conc.WaitGroup
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
@@ -151,8 +148,18 @@
 	return d.report(), nil
 }
 
-// startAll starts all processes and endpoints.
+func newDeployment(cfg Config) *deployment {
+	return &deployment{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 77))}
+}
+
+// startAll starts all processes and endpoints with an empty data folder.
 func (d *deployment) startAll() error {
+	if err := os.RemoveAll(d.cfg.DataFolder); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(d.cfg.DataFolder, 0o700); err != nil {
+		return err
+	}
 	var addresses []string
 	for n := range d.cfg.Cores {
 		addresses = append(addresses, fmt.Sprintf("%s:%d", d.address(1, n), controlPort))
@@ -181,6 +188,7 @@
 		b.proxy = endpointProxy
 		d.backends = append(d.backends, b)
 	}
+	d.operator = newOperator(d.controlAddresses)
 	return nil
 }
 
@@ -261,6 +269,7 @@
 	e, err := bluebellstub.Start(bluebellstub.Config{
 		ID: fmt.Sprintf("i-%d-%d", b.index, b.starts), Target: target, FailureDomain: fmt.Sprint("domain-", b.index%3),
 		Listen: b.listen, Advertise: b.advertisedAddress(), Weights: weights, ProcessingTime: 4 * time.Millisecond, StartUnixMillis: time.Now().UnixMilli(),
+		Crashes: b.crashes, OnCrash: b.onCrash,
 	})
 	if err != nil {
 		return err
@@ -318,7 +327,7 @@
 			d.operator.declare(d.controlAddresses[n%len(d.controlAddresses)])
 		}
 		n++
-		o := call(client, d.callers.gates[n%len(d.callers.gates)], fmt.Sprintf("probe-%v-%d", declare, n), readPath)
+		o := call(client, d.callers.gates[n%len(d.callers.gates)], fmt.Sprintf("probe-%v-%d", declare, n), readPath, usualBlocks)
 		d.callers.mu.Lock()
 		d.callers.outcomes = append(d.callers.outcomes, o)
 		d.callers.mu.Unlock()
