Quarantine blocks and calls that crash endpoints

Cause: an entry judged each attempt by its endpoint only. No process related the crashes of different endpoints to what their calls had in common, and nothing was shared: a block that crashes engines was new to each entry, with each call, and the retry of a call took it to a second engine. The class of fault: a verdict that needs the evidence of all entries was left to each one. Discovered deployments had no counterpart of the poisoned requests of generated ones, so whole calls that are repeated had the same fault (docs/PLATFORM.md listed that as not built).

Change: entries report crashes by subject (block or whole call) to their primary core process, and the core processes exchange the sums; answers clear subjects. The leader convicts a subject after crashes at three different moments without a complete answer in between, and stores the verdict in the replicated log, so restarted processes and new leaders know it. Entries refuse calls with the subject at once, as not run, with the rest of its term as Retry-After, and withdraw those that wait or have not begun. Domains that go dark and reset connections count once or not at all; a verdict ends after 10 minutes (doubled each time), by an answer, or with bluebellctl quarantine lift. An entry that reaches no core process convicts by its own evidence.

The IDs of the blocks are part of a call's key now.

--- a/bluebell/bluebellfeed/follower.go
+++ b/bluebell/bluebellfeed/follower.go
@@ -15,6 +15,7 @@
 	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellquarantine"
 )
 
 const (
@@ -61,6 +62,14 @@
 	// Uses returns, for each endpoint, the calls that this entry has in flight and the
 	// failures that it has seen. It is nil in other processes.
 	Uses func() []Use
+	// Suspicions returns what this entry has observed of calls that may crash endpoints, and
+	// OnSuspected is called with the subjects that entries suspect. Both are nil in other
+	// processes.
+	Suspicions  func() []bluebellquarantine.Suspect
+	OnSuspected func(keys []bluebellquarantine.Key)
+	// OnPeerSuspicions is called with what another core process has received from its entries.
+	// It is nil in entries.
+	OnPeerSuspicions func(core string, suspects []bluebellquarantine.Suspect)
 	// Poll sends a request to a source and returns its reply.
 	Poll func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error)
 	// Now returns the time of a monotonic clock.
@@ -368,6 +377,9 @@
 		uses = f.cfg.Uses()
 		r.Uses = encodeReport(uses, f.cfg.Now())
 	}
+	if f.cfg.Suspicions != nil {
+		r.Suspicions = encodeSuspicions(f.cfg.Suspicions(), f.cfg.Now())
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reported++
@@ -394,11 +406,27 @@
 		f.cfg.Registry.Heard(age.ID, now-time.Duration(age.Millis)*time.Millisecond)
 	}
 	if f.recordStatus(ctx, address, request, reply, now) {
+		f.passSuspicions(address, request, reply, now)
 		f.applyDeployment(reply)
 		f.choosePrimary()
 	}
 }
 
+// passSuspicions passes the suspicions of a reply on.
+func (f *Follower) passSuspicions(address string, request *pb.FollowRequest, reply *pb.FollowReply, now time.Duration) {
+	if f.cfg.OnPeerSuspicions != nil {
+		f.cfg.OnPeerSuspicions(address, decodeSuspicions(reply.Suspicions, now))
+	}
+	if f.cfg.OnSuspected == nil || !request.Primary {
+		return
+	}
+	keys := make([]bluebellquarantine.Key, 0, len(reply.Suspected))
+	for _, key := range reply.Suspected {
+		keys = append(keys, bluebellquarantine.Key(key))
+	}
+	f.cfg.OnSuspected(keys)
+}
+
 // recordStatus records the loading endpoints, registration ages, loads and core processes of a
 // reply. It records nothing and returns false if the source is no longer polled.
 func (f *Follower) recordStatus(ctx context.Context, address string, request *pb.FollowRequest, reply *pb.FollowReply, now time.Duration) bool {
--- a/bluebell/bluebellfeed/source.go
+++ b/bluebell/bluebellfeed/source.go
@@ -42,6 +42,7 @@
 	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellquarantine"
 )
 
 const (
@@ -80,6 +81,8 @@
 	Domain func(core string) string
 	// PeerLoads returns what the other core processes have summed. It may be nil.
 	PeerLoads func() []PeerLoads
+	// Suspects receives what entries report of calls that may crash endpoints. It may be nil.
+	Suspects *bluebellquarantine.Ledger
 	// Now returns the time of a monotonic clock. After is time.After, or a fake in tests.
 	Now   func() time.Duration
 	After func(d time.Duration) <-chan time.Time
@@ -193,6 +196,7 @@
 	}
 	if r.Primary {
 		s.loads.addTo(reply, r)
+		s.addSuspicions(reply, r, now)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -204,6 +208,20 @@
 	return reply
 }
 
+// addSuspicions adds what the entries of this source have observed to the reply to a core process,
+// and the subjects that are suspect to that to an entry.
+func (s *Source) addSuspicions(reply *pb.FollowReply, r *pb.FollowRequest, now time.Duration) {
+	switch {
+	case s.cfg.Suspects == nil:
+	case r.Entry:
+		for _, key := range s.cfg.Suspects.Listed(now) {
+			reply.Suspected = append(reply.Suspected, uint64(key))
+		}
+	default:
+		reply.Suspicions = encodeSuspicions(s.cfg.Suspects.Own(now), now)
+	}
+}
+
 // recordPoll records that an entry polls, and what it reports to its primary source.
 func (s *Source) recordPoll(r *pb.FollowRequest) {
 	if !r.Entry {
@@ -212,6 +230,9 @@
 	s.loads.seen(r.Process)
 	if r.Primary {
 		s.loads.record(r.Process, r.Report, r.Uses)
+		if now := s.cfg.Now(); s.cfg.Suspects != nil {
+			s.cfg.Suspects.Record(r.Process, now, decodeSuspicions(r.Suspicions, now))
+		}
 	}
 }
 
--- /dev/null
+++ b/bluebell/bluebellquarantine/judge.go
@@ -0,0 +1,137 @@
+package bluebellquarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// Strikes is the number of crashes at different moments that convict a subject.
+	Strikes = 3
+	// doubtFactor multiplies Strikes while most crashes have other causes.
+	doubtFactor = 2
+	// furtherCrashes is the number of crashes by other calls after which the crashes of a convicted
+	// call count against its blocks.
+	furtherCrashes = 2
+	// EvidenceRetention is how long a crash counts.
+	EvidenceRetention = 5 * time.Minute
+)
+
+// Record is what is known of an earlier verdict on a subject.
+type Record struct {
+	// Active is set while the verdict is in force.
+	Active bool
+	// Since is when the verdict was agreed on.
+	Since time.Duration
+	// EndedAt is when the verdict ended, 0 if it has not. Crashes before it are no longer evidence.
+	EndedAt time.Duration
+	// Lifted is set if it ended before its term, as wrong.
+	Lifted bool
+}
+
+// strikes returns the number of crashes that convict a subject with this record.
+func (r Record) strikes() int {
+	if r.EndedAt != 0 && !r.Lifted {
+		return 1
+	}
+	return Strikes
+}
+
+// Judge returns the subjects to convict. History holds the records of earlier verdicts by key.
+func Judge(suspects []Suspect, history map[Key]Record) []Subject {
+	all := allCrashes(suspects)
+	open := make([]Suspect, 0, len(suspects))
+	var known explanation
+	for _, s := range suspects {
+		r := history[s.Key]
+		if r.Active {
+			known = known.with(s)
+			continue
+		}
+		open = append(open, s.withoutCrashes(func(c Crash) bool { return r.EndedAt != 0 && c.At <= r.EndedAt }))
+	}
+	var convicted []Subject
+	for {
+		left := make([]Suspect, len(open))
+		for i, s := range open {
+			left[i] = known.unexplained(s)
+		}
+		best := strongest(left)
+		if best < 0 || !conclusive(left[best], history[left[best].Key], all) {
+			return convicted
+		}
+		convicted = append(convicted, open[best].Subject)
+		known = known.with(open[best])
+		open = slices.Delete(open, best, best+1)
+	}
+}
+
+// explanation holds the crashes of convicted subjects.
+type explanation struct{ byBlocks, byCalls []Crash }
+
+// with returns the explanation with the crashes of one more convicted subject.
+func (e explanation) with(s Suspect) explanation {
+	if s.Depth == CallDepth {
+		e.byCalls = append(slices.Clip(e.byCalls), s.Crashes...)
+	} else {
+		e.byBlocks = append(slices.Clip(e.byBlocks), s.Crashes...)
+	}
+	return e
+}
+
+// unexplained returns the suspect without the explained crashes. Crashes of a convicted call count
+// against its blocks again once other calls with a block have crashed endpoints too.
+func (e explanation) unexplained(s Suspect) Suspect {
+	s = s.withoutCrashes(func(c Crash) bool { return slices.ContainsFunc(e.byBlocks, c.same) })
+	rest := s.withoutCrashes(func(c Crash) bool { return slices.ContainsFunc(e.byCalls, c.same) })
+	if s.Depth != CallDepth && moments(rest.Crashes) >= furtherCrashes {
+		return s
+	}
+	return rest
+}
+
+// strongest returns the position of the suspect with the most crashes, and of those the most
+// specific one; -1 if there is none.
+func strongest(suspects []Suspect) int {
+	best := -1
+	for i, s := range suspects {
+		if best < 0 {
+			best = i
+			continue
+		}
+		have, than := moments(s.Crashes), moments(suspects[best].Crashes)
+		if have > than || have == than && s.Depth > suspects[best].Depth {
+			best = i
+		}
+	}
+	return best
+}
+
+// conclusive reports whether a suspect has enough crashes, given those of all suspects.
+func conclusive(s Suspect, r Record, all []Crash) bool {
+	count := moments(s.Crashes)
+	if count == 0 {
+		return false
+	}
+	since := s.Crashes[0].At
+	around := moments(slices.DeleteFunc(slices.Clone(all), func(c Crash) bool { return c.At < since-sameMoment }))
+	needed := r.strikes()
+	if 2*count < around {
+		needed = max(doubtFactor*needed, Strikes)
+	}
+	return count >= needed
+}
+
+// allCrashes returns the crashes of all suspects, ordered by time and each once.
+func allCrashes(suspects []Suspect) []Crash {
+	var all []Crash
+	for _, s := range suspects {
+		for _, c := range s.Crashes {
+			if !slices.ContainsFunc(all, c.same) {
+				all = append(all, c)
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b Crash) int { return int(a.At - b.At) })
+	return all
+}
--- /dev/null
+++ b/bluebell/bluebellquarantine/ledger.go
@@ -0,0 +1,148 @@
+package bluebellquarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// reportRetention is how long the last report of a process counts. It covers the change of
+	// an entry to another core process.
+	reportRetention = 10 * time.Second
+	// sumInterval is how often the sums are made at most.
+	sumInterval = 50 * time.Millisecond
+	// maxListed bounds the suspects that entries are asked about, and maxSummed those in a sum.
+	maxListed = 64
+	maxSummed = 512
+)
+
+// Ledger adds up what processes report. It is safe for concurrent use.
+type Ledger struct {
+	mu      sync.Mutex
+	reports map[string]processReport
+	// all and own are the sums of all reports and of those of entries, as of summedAt.
+	all, own []Suspect
+	// listed are the subjects that entries should report answers of.
+	listed   []Key
+	summedAt time.Duration
+}
+
+// processReport is the last report of an entry, or the sum that another core process has sent.
+type processReport struct {
+	at       time.Duration
+	suspects []Suspect
+	// relayed is set for the sum of another core process.
+	relayed bool
+}
+
+// NewLedger returns a ledger without reports.
+func NewLedger() *Ledger {
+	return &Ledger{reports: map[string]processReport{}, summedAt: -time.Hour}
+}
+
+// Record replaces the report of an entry.
+func (l *Ledger) Record(entry string, now time.Duration, suspects []Suspect) {
+	l.record(entry, processReport{at: now, suspects: suspects})
+}
+
+// RecordPeer replaces what another core process has added up.
+func (l *Ledger) RecordPeer(core string, now time.Duration, suspects []Suspect) {
+	l.record(core, processReport{at: now, suspects: suspects, relayed: true})
+}
+
+func (l *Ledger) record(process string, r processReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old, known := l.reports[process]
+	if len(r.suspects) == 0 && (!known || len(old.suspects) == 0) {
+		return
+	}
+	l.reports[process] = r
+}
+
+// Suspects returns the sum of all reports, the suspects with the most crashes first.
+func (l *Ledger) Suspects(now time.Duration) []Suspect {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sum(now)
+	return l.all
+}
+
+// Own returns the sum of the reports of entries, for other core processes.
+func (l *Ledger) Own(now time.Duration) []Suspect {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sum(now)
+	return l.own
+}
+
+// Listed returns the keys of the subjects that entries should report answers of: those with the
+// most crashes, of two or more, whether an answer has cleared them or not.
+func (l *Ledger) Listed(now time.Duration) []Key {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sum(now)
+	return l.listed
+}
+
+// sum makes the sums if they are due. l.mu must be held.
+func (l *Ledger) sum(now time.Duration) {
+	if now-l.summedAt < sumInterval {
+		return
+	}
+	l.summedAt = now
+	maps.DeleteFunc(l.reports, func(_ string, r processReport) bool { return now-r.at > reportRetention })
+	all, own := map[Key]Suspect{}, map[Key]Suspect{}
+	for _, r := range l.reports {
+		for _, s := range r.suspects {
+			all[s.Key] = all[s.Key].merge(s)
+			if !r.relayed {
+				own[s.Key] = own[s.Key].merge(s)
+			}
+		}
+	}
+	l.listed = nil
+	for _, s := range sorted(all) {
+		if len(s.Crashes) >= 2 && len(l.listed) < maxListed {
+			l.listed = append(l.listed, s.Key)
+		}
+	}
+	l.all, l.own = sorted(cleared(all)), sorted(own)
+}
+
+// sorted returns the suspects with the most crashes, most first.
+func sorted(suspects map[Key]Suspect) []Suspect {
+	list := slices.SortedFunc(maps.Values(suspects), compareEvidence)
+	return list[:min(len(list), maxSummed)]
+}
+
+// compareEvidence orders suspects by their crashes, most first.
+func compareEvidence(a, b Suspect) int {
+	return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.Key, b.Key))
+}
+
+// cleared returns the suspects without the crashes before an answer.
+func cleared(suspects map[Key]Suspect) map[Key]Suspect {
+	for key, s := range suspects {
+		suspects[key] = s.withServed(s.ServedAt)
+	}
+	return suspects
+}
+
+// merge returns the suspect with the evidence of another report. Crashes before an answer stay.
+func (s Suspect) merge(other Suspect) Suspect {
+	s.Key, s.Depth = other.Key, max(s.Depth, other.Depth)
+	servedAt := s.ServedAt
+	if servedAt == 0 || other.ServedAt != 0 && other.ServedAt > servedAt {
+		servedAt = other.ServedAt
+	}
+	s.ServedAt = 0
+	for _, c := range other.Crashes {
+		s = s.withCrash(c)
+	}
+	s.ServedAt = servedAt
+	return s
+}
--- /dev/null
+++ b/bluebell/bluebellquarantine/quarantine_test.go
@@ -0,0 +1,228 @@
+package bluebellquarantine_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	quarantine "bluebellhaven.org/bluebell/bluebellquarantine"
+)
+
+const second = time.Second
+
+// block returns the subject of a block at a position.
+func block(id string, position int) quarantine.Subject { return quarantine.Block("m", id, position) }
+
+// deployment is a number of entries with a ledger that gets their reports.
+type deployment struct {
+	ledger *quarantine.Ledger
+	guards []*quarantine.Guard
+}
+
+func newDeployment(entries int) *deployment {
+	d := &deployment{ledger: quarantine.NewLedger()}
+	for range entries {
+		d.guards = append(d.guards, quarantine.NewGuard())
+	}
+	return d
+}
+
+// judge exchanges reports twice, as polls do, and returns the convicted subjects.
+func (d *deployment) judge(now time.Duration, history map[quarantine.Key]quarantine.Record) []quarantine.Subject {
+	for range 2 {
+		now += 100 * time.Millisecond
+		for i, g := range d.guards {
+			d.ledger.Record(fmt.Sprint("entry-", i), now, g.Report(now))
+			g.SetListed(d.ledger.Listed(now))
+		}
+	}
+	return quarantine.Judge(d.ledger.Suspects(now+100*time.Millisecond), history)
+}
+
+// crash lets the calls with the given subjects end in a crash, each at another entry.
+func (d *deployment) crash(now time.Duration, endpoint uint64, calls ...[]quarantine.Subject) {
+	for i, subjects := range calls {
+		d.guards[(int(endpoint)+i)%len(d.guards)].RecordCrash(now, endpoint, subjects)
+	}
+}
+
+// A block whose calls crash engines at any entries is convicted at the third crash, and no block
+// that shares calls or crashes with it, with few entries and with many.
+func TestBlockIsConvictedAcrossEntries(t *testing.T) {
+	first, subject, poisoned := block("first", 0), block("subject", 1), block("poisoned", 2)
+	for _, entries := range []int{1, 6, 295} {
+		d := newDeployment(entries)
+		for n := range 3 {
+			at := second * time.Duration(1+n)
+			require.Empty(t, d.judge(at-second/2, nil))
+			d.crash(at, uint64(n+1), []quarantine.Subject{first, subject, poisoned}, []quarantine.Subject{first, block(fmt.Sprint("other-", n), 1)})
+			d.guards[0].RecordServed(at+second/4, []quarantine.Subject{first, block("another", 1)})
+		}
+		require.Equal(t, []quarantine.Subject{poisoned}, d.judge(4*second, nil), "%d entries", entries)
+	}
+}
+
+// Engines of a domain that end together, and connections of an entry that are reset together, count
+// as one crash.
+func TestDarkDomainConvictsNoBlock(t *testing.T) {
+	d := newDeployment(6)
+	for n := range 20 {
+		d.crash(second+time.Duration(n)*time.Millisecond, uint64(n+1), []quarantine.Subject{block("first", 0), block("subject", 1)})
+	}
+	require.Empty(t, d.judge(2*second, nil))
+}
+
+// Engines that are replaced one after the other end with calls of many blocks. Those whose calls are
+// answered elsewhere are cleared, also by an entry that saw none of the crashes.
+func TestSlowRollConvictsNoAnsweredBlock(t *testing.T) {
+	d := newDeployment(6)
+	popular := []quarantine.Subject{block("first", 0), block("subject", 1)}
+	for n := range 12 {
+		at := second * time.Duration(2*n+1)
+		d.crash(at, uint64(n+1), popular)
+		d.guards[5].RecordServed(at+second, popular)
+		require.Empty(t, d.judge(at+second, nil))
+	}
+}
+
+// While engines crash for other reasons, a block that happens to be there each time needs twice the
+// crashes.
+func TestOtherCrashesRaiseTheBar(t *testing.T) {
+	rare := block("rare", 1)
+	d := newDeployment(6)
+	for n := range 12 {
+		subjects := []quarantine.Subject{block(fmt.Sprint("some-", n), 1)}
+		if n%4 == 0 {
+			subjects = append(subjects, rare)
+		}
+		d.crash(second*time.Duration(n+1), uint64(n+1), subjects)
+	}
+	require.Empty(t, d.judge(13*second, nil))
+}
+
+// A connection that was lost while its endpoint goes on answering is no crash.
+func TestResetConnectionIsNoCrash(t *testing.T) {
+	d := newDeployment(1)
+	g := d.guards[0]
+	for n := range 5 {
+		at := second * time.Duration(2*n+1)
+		g.RecordCrash(at, 7, []quarantine.Subject{block("subject", 1)})
+		g.RecordAnswer(at+second/2, at+second/4, 7)
+	}
+	require.Empty(t, g.Report(11*second))
+}
+
+// A call that is repeated is convicted, and not its blocks; once other calls with one of its blocks
+// crash engines, the block is.
+func TestRepeatedCallIsConvictedBeforeItsBlocks(t *testing.T) {
+	poisoned := block("poisoned", 1)
+	call := quarantine.Call("customer", "h", "/x", []string{"poisoned", "own"}, nil)
+	d := newDeployment(6)
+	for n := range 3 {
+		d.crash(second*time.Duration(n+1), uint64(n+1), []quarantine.Subject{poisoned, call})
+	}
+	require.Equal(t, []quarantine.Subject{call}, d.judge(4*second, nil))
+	history := map[quarantine.Key]quarantine.Record{call.Key: {Active: true, Since: 4 * second}}
+	require.Empty(t, d.judge(5*second, history))
+	for n := range 2 {
+		d.crash(second*time.Duration(n+6), uint64(n+6), []quarantine.Subject{poisoned, quarantine.Call("customer", "h", "/x", []string{"poisoned", fmt.Sprint(n)}, nil)})
+	}
+	require.Equal(t, []quarantine.Subject{poisoned}, d.judge(8*second, history))
+}
+
+// After the term of a verdict one new crash is enough, after a verdict that was lifted it is not.
+// Crashes from before the end count in neither case.
+func TestVerdictOfEndedTermIsRenewedSoon(t *testing.T) {
+	poisoned := block("poisoned", 1)
+	d := newDeployment(6)
+	for n := range 4 {
+		d.crash(second*time.Duration(n+1), uint64(n+1), []quarantine.Subject{poisoned})
+	}
+	ended := map[quarantine.Key]quarantine.Record{poisoned.Key: {Since: 3 * second, EndedAt: 10 * second}}
+	lifted := map[quarantine.Key]quarantine.Record{poisoned.Key: {Since: 3 * second, EndedAt: 10 * second, Lifted: true}}
+	require.Empty(t, d.judge(11*second, ended))
+	d.crash(12*second, 20, []quarantine.Subject{poisoned})
+	require.Empty(t, d.judge(13*second, lifted))
+	require.Equal(t, []quarantine.Subject{poisoned}, d.judge(13*second, ended))
+}
+
+// An entry that reaches no core process keeps the verdicts and convicts by what it has seen itself.
+func TestCutOffEntryConvictsAlone(t *testing.T) {
+	known, seen := block("known", 1), block("seen", 1)
+	g := quarantine.NewGuard()
+	g.SetVerdicts(second, []quarantine.Verdict{{Subject: known, Until: 100 * second}})
+	for n := range 3 {
+		g.RecordCrash(second*time.Duration(n+2), uint64(n+1), []quarantine.Subject{seen})
+	}
+	_, blocked := g.Blocked(6*second, []quarantine.Subject{seen})
+	require.False(t, blocked, "while a core process answers, the verdict is the leader's")
+	g.SetAlone(true)
+	for _, s := range []quarantine.Subject{known, seen} {
+		_, blocked = g.Blocked(6*second, []quarantine.Subject{s})
+		require.True(t, blocked)
+	}
+	_, blocked = g.Blocked(101*second, []quarantine.Subject{known})
+	require.False(t, blocked, "the verdict has ended")
+}
+
+// A verdict withdraws the calls that wait, and only those with its subject.
+func TestVerdictWithdrawsWaitingCalls(t *testing.T) {
+	g := quarantine.NewGuard()
+	withdrawn := map[string]int{}
+	for _, id := range []string{"a", "b", "ended"} {
+		unwatch := g.Watch([]quarantine.Subject{block("first", 0), block(id, 1)}, func() { withdrawn[id]++ })
+		if id == "ended" {
+			unwatch()
+		}
+	}
+	verdicts := []quarantine.Verdict{{Subject: block("a", 1), Until: 9 * second}, {Subject: block("ended", 1), Until: 9 * second}}
+	require.Len(t, g.SetVerdicts(second, verdicts), 2)
+	require.Empty(t, g.SetVerdicts(2*second, verdicts), "known verdicts are not new")
+	require.Equal(t, map[string]int{"a": 1}, withdrawn)
+}
+
+// Crashes with subjects that never repeat take bounded memory, and the block that repeats is still
+// found.
+func TestEvidenceIsBoundedWhenSubjectsNeverRepeat(t *testing.T) {
+	d := newDeployment(1)
+	g := d.guards[0]
+	rng := rand.New(rand.NewPCG(1, 1))
+	poisoned := block("poisoned", 3)
+	for n := range 8 * quarantine.MaxSubjects {
+		subjects := []quarantine.Subject{block(fmt.Sprint(rng.Uint64()), 1)}
+		if n%(2*quarantine.MaxSubjects) == 0 {
+			subjects = append(subjects, poisoned)
+		}
+		g.RecordCrash(time.Duration(n)*time.Millisecond, uint64(n/1000+1), subjects)
+		g.RecordServed(time.Duration(n)*time.Millisecond, []quarantine.Subject{block(fmt.Sprint(rng.Uint64()), 1)})
+	}
+	require.LessOrEqual(t, len(g.Report(5*second)), quarantine.MaxSubjects)
+}
+
+// The evidence of an entry that has ended is forgotten; that of the others stays.
+func TestReportOfEndedEntryExpires(t *testing.T) {
+	l := quarantine.NewLedger()
+	suspect := quarantine.Suspect{Subject: block("x", 1), Crashes: []quarantine.Crash{{Endpoint: 1, At: -5 * second}}}
+	l.Record("entry", second, []quarantine.Suspect{suspect})
+	l.RecordPeer("core", second, []quarantine.Suspect{suspect})
+	require.Len(t, l.Suspects(2*second), 1, "crashes from before the start of a core process count")
+	require.Len(t, l.Suspects(2 * second)[0].Crashes, 1, "the same crash from two reports counts once")
+	l.RecordPeer("core", 10*second, nil)
+	require.Len(t, l.Suspects(10*second), 1)
+	require.Empty(t, l.Suspects(12*second))
+}
+
+func TestKeyRoundTrip(t *testing.T) {
+	key := block("x", 1).Key
+	parsed, err := quarantine.ParseKey(key.String())
+	require.NoError(t, err)
+	require.Equal(t, key, parsed)
+	for _, text := range []string{"", "12", "zzzzzzzzzzzzzzzz", key.String() + "0"} {
+		_, err := quarantine.ParseKey(text)
+		require.Error(t, err)
+	}
+	require.NotEqual(t, quarantine.Call("a", "b", "c", nil, []byte("d")).Key, quarantine.Call("ab", "", "c", nil, []byte("d")).Key)
+}
--- a/bluebell/bluebellstate/deployment.go
+++ b/bluebell/bluebellstate/deployment.go
@@ -68,6 +68,7 @@
 	deployment := &pb.Deployment{
 		Version: old.GetVersion(), Document: old.GetDocument(),
 		Weights: slices.Clone(old.GetWeights()), DomainsOut: slices.Clone(old.GetDomainsOut()),
+		Quarantines: slices.Clone(old.GetQuarantines()),
 	}
 	edit(deployment)
 	next := cloneView(m.view)
--- a/bluebell/bluebellstate/deployment_test.go
+++ b/bluebell/bluebellstate/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -89,3 +90,42 @@
 	require.Equal(t, uint64(3), bluebellstate.WeightsVersion(restored.View().Deployment, "m0"))
 	require.Equal(t, []string{"b"}, restored.View().Deployment.DomainsOut)
 }
+
+func setQuarantine(at int64, key uint64, lifted bool) *pb.Command {
+	return &pb.Command{UnixNanos: at, Body: &pb.Command_SetQuarantine{SetQuarantine: &pb.SetQuarantine{Key: key, Depth: 2, Lifted: lifted}}}
+}
+
+// A quarantine outlives restarts through snapshots, ends by itself, and lasts longer each time until
+// it is lifted.
+func TestQuarantineTerms(t *testing.T) {
+	minute := int64(time.Minute)
+	m := bluebellstate.New()
+	m.Apply(setQuarantine(minute, 7, false))
+	revision := m.View().Revision
+	require.Equal(t, revision, m.Apply(setQuarantine(2*minute, 7, false)).Revision, "a verdict that is agreed on twice counts once")
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	m, err = bluebellstate.Restore(data)
+	require.NoError(t, err)
+	require.Equal(t, 11*minute, m.View().Deployment.Quarantines[0].Until)
+	m.Apply(setQuarantine(20*minute, 7, false))
+	require.Equal(t, 40*minute, m.View().Deployment.Quarantines[0].Until, "the second term is twice as long")
+	m.Apply(setQuarantine(21*minute, 7, true))
+	require.Equal(t, 21*minute, m.View().Deployment.Quarantines[0].Until)
+	require.True(t, m.View().Deployment.Quarantines[0].Lifted)
+	m.Apply(setQuarantine(30*minute, 7, false))
+	require.Equal(t, 40*minute, m.View().Deployment.Quarantines[0].Until, "after it was lifted, the terms begin anew")
+}
+
+// The number of quarantines is bounded: ended ones make room, and further ones are refused while all
+// are in force.
+func TestQuarantinesAreBounded(t *testing.T) {
+	minute := int64(time.Minute)
+	m := bluebellstate.New()
+	for key := range uint64(256) {
+		require.Equal(t, pb.Verdict_Accepted, m.Apply(setQuarantine(minute+int64(key), key+1, false)).Verdict)
+	}
+	require.Equal(t, pb.Verdict_Refused, m.Apply(setQuarantine(2*minute, 999, false)).Verdict)
+	require.Equal(t, pb.Verdict_Accepted, m.Apply(setQuarantine(20*minute, 999, false)).Verdict)
+	require.Len(t, m.View().Deployment.Quarantines, 256)
+}
--- a/bluebell/bluebellstate/machine.go
+++ b/bluebell/bluebellstate/machine.go
@@ -71,6 +71,8 @@
 		return m.nameWeights(body.NameWeights)
 	case *pb.Command_OrderDomain:
 		return m.orderDomain(body.OrderDomain)
+	case *pb.Command_SetQuarantine:
+		return m.setQuarantine(body.SetQuarantine)
 	case *pb.Command_Barrier:
 		return m.accepted()
 	}
--- a/bluebellcore/internal/bluebellcontrol/control.go
+++ b/bluebellcore/internal/bluebellcontrol/control.go
@@ -104,13 +104,19 @@
 	o := bluebellplatform.DecodeOperation(string(c.Method()), string(c.Path()))
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
-	r := s.answer(ctx, o, bytes.Clone(c.PostBody()))
+	verb := o.Verb.String()
+	r, isQuarantine := s.answerQuarantine(ctx, string(c.Method()), string(c.Path()))
+	if isQuarantine {
+		verb = "Quarantine"
+	} else {
+		r = s.answer(ctx, o, bytes.Clone(c.PostBody()))
+	}
 	c.SetStatusCode(r.status)
 	c.SetBody(r.body)
 	if r.status < 300 {
 		c.SetContentType("application/json")
 	}
-	s.cfg.ObserveCall(o.Verb.String(), r.status, s.cfg.Now()-start)
+	s.cfg.ObserveCall(verb, r.status, s.cfg.Now()-start)
 }
 
 func (s *Server) answer(ctx context.Context, o bluebellplatform.Operation, body []byte) reply {
--- a/bluebellcore/internal/bluebellcontrol/control_test.go
+++ b/bluebellcore/internal/bluebellcontrol/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -214,3 +215,34 @@
 	status, _ = f.do(t, bluebellplatform.Leave, "none", nil)
 	require.Equal(t, http.StatusOK, status)
 }
+
+// Operators list the quarantines and lift one. A key that is none is refused.
+func TestOperatorLiftsQuarantine(t *testing.T) {
+	f := start(t)
+	_, err := f.propose(context.Background(), &pb.Command{
+		UnixNanos: time.Now().UnixNano(), Body: &pb.Command_SetQuarantine{SetQuarantine: &pb.SetQuarantine{Key: 0xabc, Depth: 2, Reason: "crashes endpoints"}},
+	})
+	require.NoError(t, err)
+	list := func() []bluebellcontrol.Quarantine {
+		response, err := http.Get(f.url + bluebellcontrol.QuarantinePath)
+		require.NoError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		var all []bluebellcontrol.Quarantine
+		require.NoError(t, json.NewDecoder(response.Body).Decode(&all))
+		return all
+	}
+	lift := func(key string) int {
+		r, err := http.NewRequest(http.MethodDelete, f.url+bluebellcontrol.QuarantinePath+"/"+key, nil)
+		require.NoError(t, err)
+		response, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		return response.StatusCode
+	}
+	require.Len(t, list(), 1)
+	require.True(t, list()[0].InForce)
+	require.Equal(t, http.StatusBadRequest, lift("abc"))
+	require.Equal(t, http.StatusOK, lift(list()[0].Key))
+	require.False(t, list()[0].InForce)
+	require.Equal(t, "lifted by an operator", list()[0].Reason)
+}
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -33,6 +33,7 @@
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellpeer"
 	"bluebellhaven.org/bluebell/bluebellprocess"
+	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebell/bluebellvoter"
 	"bluebellhaven.org/bluebell/bluebellwal"
 	"bluebellhaven.org/bluebellcore/internal/bluebellcontrol"
@@ -88,6 +89,7 @@
 	inventory *bluebellinventory.Inventory
 	control   *bluebellcontrol.Server
 	metrics   *bluebellmetrics.Metrics
+	judge     *judge
 
 	mu        sync.Mutex
 	processes map[string]bluebellmember.Process
@@ -111,9 +113,10 @@
 	n.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: n.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
 	n.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: n.now})
 	directory := bluebelldirectory.New()
+	suspects := bluebellquarantine.NewLedger()
 	n.source = bluebellfeed.NewSource(bluebellfeed.SourceConfig{
 		Registry: n.registry, Directory: directory, Epoch: rand.Uint64(), Cores: n.recentCores, Domain: n.domainOf,
-		PeerLoads: func() []bluebellfeed.PeerLoads { return n.follower.PeerLoads() }, Now: n.now, After: time.After,
+		PeerLoads: func() []bluebellfeed.PeerLoads { return n.follower.PeerLoads() }, Suspects: suspects, Now: n.now, After: time.After,
 	})
 	if err := n.openVoter(s); err != nil {
 		return nil, err
@@ -123,8 +126,12 @@
 		Poll: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
 			return n.pool.Client(source).Follow(ctx, r)
 		},
-		Now: n.now, Logger: cfg.Logger,
+		OnPeerSuspicions: func(core string, list []bluebellquarantine.Suspect) { suspects.RecordPeer(core, n.now(), list) },
+		Now:              n.now, Logger: cfg.Logger,
 	})
+	n.judge = &judge{
+		ledger: suspects, deployment: n.source.Deployment, isLeader: n.isLeader, propose: n.propose, now: n.now, wallClock: time.Now, logger: cfg.Logger,
+	}
 	n.orderer = bluebellorder.New(bluebellorder.Config{
 		Holder: n.address, Lease: millis(s.GetBounds().GetOrderLeaseMillis()),
 		Registry: n.registry, Deployment: n.source.Deployment, SetLoading: n.source.SetLoading,
@@ -209,6 +216,7 @@
 	tasks.Go(func(ctx context.Context) error { n.follower.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.announcePeriodically(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.maintainMembers(ctx); return nil })
+	tasks.Go(func(ctx context.Context) error { n.judge.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.orderer.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.inventory.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { return n.control.Serve(ctx, control) })
--- a/bluebellctl/main.go
+++ b/bluebellctl/main.go
@@ -29,17 +29,18 @@
 )
 
 type arguments struct {
-	Generate *generateCommand `arg:"subcommand:generate" help:"generate the configuration and the settings of each VM from the answers"`
-	Check    *checkCommand    `arg:"subcommand:check" help:"check answers, and that generated files are up to date"`
-	Diff     *diffCommand     `arg:"subcommand:diff" help:"show where a configuration differs from the one in force"`
-	Apply    *applyCommand    `arg:"subcommand:apply" help:"have a configuration agreed and wait until it is in force"`
-	Status   *statusCommand   `arg:"subcommand:status" help:"show what is in force, VM by VM"`
-	Domain   *domainCommand   `arg:"subcommand:domain" help:"order a failure domain out or in"`
-	Endpoint *endpointCommand `arg:"subcommand:endpoint" help:"drain an endpoint or take it back into use"`
-	Move     *moveCommand     `arg:"subcommand:move" help:"start, watch or take back a version move"`
-	Why      *whyCommand      `arg:"subcommand:why" help:"show why a request went where it did"`
-	Members  *membersCommand  `arg:"subcommand:members" help:"replace the members of the agreed log, one voter at a time"`
-	KeyHash  *keyHashCommand  `arg:"subcommand:keyhash" help:"print the hash under which a key is declared"`
+	Generate   *generateCommand   `arg:"subcommand:generate" help:"generate the configuration and the settings of each VM from the answers"`
+	Check      *checkCommand      `arg:"subcommand:check" help:"check answers, and that generated files are up to date"`
+	Diff       *diffCommand       `arg:"subcommand:diff" help:"show where a configuration differs from the one in force"`
+	Apply      *applyCommand      `arg:"subcommand:apply" help:"have a configuration agreed and wait until it is in force"`
+	Status     *statusCommand     `arg:"subcommand:status" help:"show what is in force, VM by VM"`
+	Domain     *domainCommand     `arg:"subcommand:domain" help:"order a failure domain out or in"`
+	Endpoint   *endpointCommand   `arg:"subcommand:endpoint" help:"drain an endpoint or take it back into use"`
+	Move       *moveCommand       `arg:"subcommand:move" help:"start, watch or take back a version move"`
+	Why        *whyCommand        `arg:"subcommand:why" help:"show why a request went where it did"`
+	Members    *membersCommand    `arg:"subcommand:members" help:"replace the members of the agreed log, one voter at a time"`
+	Quarantine *quarantineCommand `arg:"subcommand:quarantine" help:"list or lift quarantines of a discovered deployment"`
+	KeyHash    *keyHashCommand    `arg:"subcommand:keyhash" help:"print the hash under which a key is declared"`
 }
 
 // Description returns the text at the head of the help.
@@ -122,6 +123,8 @@
 		return args.Why.run()
 	case args.Members != nil:
 		return args.Members.run()
+	case args.Quarantine != nil:
+		return args.Quarantine.run()
 	case args.KeyHash != nil:
 		return args.KeyHash.run()
 	}
--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -19,6 +19,7 @@
 	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	"bluebellhaven.org/bluebell/bluebellplacement"
+	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebell/bluebelltier"
 	"bluebellhaven.org/bluebellfake/bluebellstub"
 	"bluebellhaven.org/bluebellgate/internal/bluebellfrontend"
@@ -98,8 +99,8 @@
 			Stores: func() []bluebelldeployment.Store { return nil }, Directory: func() *bluebelldirectory.View { return nil },
 			OtherLoads: func() map[string]bluebelltier.Load { return nil }, Now: now,
 		}),
-		RetryLimits: limits,
-		Now:         now, Random: func() float64 { return 0 }, CountEvent: func(string, string) {},
+		RetryLimits: limits, Guard: bluebellquarantine.NewGuard(),
+		Now: now, Random: func() float64 { return 0 }, CountEvent: func(string, string) {},
 		RecordFirstEvent: func(string, time.Duration) {}, RecordWait: func(string, time.Duration) {}, Logger: log.New(io.Discard),
 	})
 	frontend := bluebellfrontend.New(bluebellfrontend.Config{
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -33,6 +33,7 @@
 	"bluebellhaven.org/bluebell/bluebellpeer"
 	"bluebellhaven.org/bluebell/bluebellplacement"
 	"bluebellhaven.org/bluebell/bluebellprocess"
+	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebell/bluebelltier"
 	"bluebellhaven.org/bluebellgate/internal/bluebellfrontend"
 	"bluebellhaven.org/bluebellgate/internal/bluebellrelay"
@@ -80,6 +81,7 @@
 	follower     *bluebellfeed.Follower
 	placer       *bluebellplacement.Placer
 	cachePlanner *bluebelltier.Planner
+	guard        *bluebellquarantine.Guard
 	client       *bluebelltransport.Client
 	frontend     *bluebellfrontend.Frontend
 	metrics      *bluebellmetrics.Metrics
@@ -101,7 +103,7 @@
 	s := cfg.Settings()
 	g := &Gateway{
 		cfg: cfg, address: bluebellprocess.HostPort(s.Address, s.PeerPort), started: time.Now(),
-		changed: make(chan struct{}, 1), namedVersions: map[string][]bluebellplacement.NamedVersion{},
+		guard: bluebellquarantine.NewGuard(), changed: make(chan struct{}, 1), namedVersions: map[string][]bluebellplacement.NamedVersion{},
 		metrics: bluebellmetrics.New(bluebellmetrics.Config{Prefix: "bluebell_gate", Logger: cfg.Logger}),
 	}
 	g.routing.Store(&bluebellfrontend.Routing{})
@@ -116,6 +118,8 @@
 		},
 		OnDeployment: g.applyDeployment,
 		Uses:         g.endpointUses,
+		Suspicions:   func() []bluebellquarantine.Suspect { return g.guard.Report(g.now()) },
+		OnSuspected:  g.guard.SetListed,
 		Poll: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
 			return g.pool.Client(source).Follow(ctx, r)
 		},
@@ -154,7 +158,7 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
 	scoped := func(target string) tally.Scope { return g.metrics.Scope.Tagged(map[string]string{"target": target}) }
 	return bluebellrelay.New(bluebellrelay.Config{
-		Placer: g.placer, Client: g.client, CachePlanner: g.cachePlanner, Now: g.now, Random: rand.Float64, Logger: g.cfg.Logger,
+		Placer: g.placer, Client: g.client, CachePlanner: g.cachePlanner, Guard: g.guard, Now: g.now, Random: rand.Float64, Logger: g.cfg.Logger,
 		RetryLimits: bluebellrelay.RetryLimits{
 			Ratio: bounds.GetRetryRatio(), Window: bounds.GetRetryWindow().AsDuration(), Slack: bounds.GetRetrySlack(),
 		},
@@ -226,11 +230,26 @@
 		}
 	}
 	g.mu.Unlock()
+	g.applyQuarantines(d.Quarantines)
 	g.routing.Store(next)
 	g.updatePlacer()
 	g.cfg.Logger.Info("deployment in force", "Revision", revision, "Version", d.Version, "DomainsOut", d.DomainsOut, "Weights", d.Weights)
 }
 
+// applyQuarantines passes the quarantines that are in force to the guard.
+func (g *Gateway) applyQuarantines(quarantines []*pb.Quarantine) {
+	now := g.now()
+	var verdicts []bluebellquarantine.Verdict
+	for _, q := range quarantines {
+		verdicts = append(verdicts, bluebellquarantine.Verdict{
+			Subject: bluebellquarantine.Subject{Key: bluebellquarantine.Key(q.Key), Depth: int(q.Depth)}, Until: now + time.Until(time.Unix(0, q.Until)),
+		})
+	}
+	for _, v := range g.guard.SetVerdicts(now, verdicts) {
+		g.cfg.Logger.Warn("quarantine in force", "Key", v.Key, "Depth", v.Depth, "For", (v.Until - now).Round(time.Millisecond))
+	}
+}
+
 // sinceUnixNanos converts a time of day to this entry's monotonic clock. The clocks of VMs
 // differ: a time in the future counts as now.
 func (g *Gateway) sinceUnixNanos(unixNanos int64) time.Duration {
@@ -278,6 +297,7 @@
 		}
 	}
 	g.placer.Update(fleet)
+	g.guard.SetAlone(!fleet.RegistrationsLive)
 	addresses := make(map[string]bool, len(endpoints))
 	for _, e := range endpoints {
 		addresses[e.Address] = true
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -133,8 +133,9 @@
 
 // recordFirstEvent records that the answer, or the first event of a stream, has arrived.
 func (c *activeCall) recordFirstEvent(choice bluebellplacement.Choice) {
-	c.begun = true
 	cfg := &c.relay.cfg
+	c.begunAt = cfg.Now()
+	c.begun.Store(true)
 	cfg.Placer.FirstEvent(choice, cfg.Now())
 	cfg.CachePlanner.FetchesDone(c.cachePlan)
 	cfg.RecordFirstEvent(c.request.Target.Name, cfg.Now()-c.start)
@@ -158,13 +159,13 @@
 			return resultRetry
 		}
 		if event.HasData {
-			if !c.begun {
+			if !c.begun.Load() {
 				c.recordFirstEvent(choice)
 				c.beginAnswer(exchange.Status(), exchange.Header())
 			}
 			progressBy = time.Now().Add(nextEventTimeout(c.request.Route, c.timeLeft(), retryable))
 		}
-		if c.begun {
+		if c.begun.Load() {
 			c.forward(choice, event)
 		}
 	}
--- a/bluebellgate/internal/bluebellrelay/finish.go
+++ b/bluebellgate/internal/bluebellrelay/finish.go
@@ -1,6 +1,7 @@
 package bluebellrelay
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -40,6 +41,11 @@
 func (c *activeCall) refuse() {
 	inTime := c.request.Route.Objective - (c.relay.cfg.Now() - c.start)
 	after := bluebellqueue.RetryAfter(time.Until(c.request.Deadline), inTime, c.relay.cfg.Random())
+	var quarantined *QuarantinedError
+	if errors.As(c.cause, &quarantined) {
+		after = quarantined.Verdict.Until - c.relay.cfg.Now()
+		c.relay.cfg.CountEvent("quarantined", c.request.Target.Name)
+	}
 	c.relay.cfg.CountEvent("refused", c.request.Target.Name)
 	c.beginAnswer(http.StatusServiceUnavailable, bluebellplatform.RefusalHeader(c.request.Call.ID, after))
 	c.finish("refused", http.StatusServiceUnavailable)
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -5,12 +5,14 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"bluebellhaven.org/bluebell/bluebelllimit"
 	"bluebellhaven.org/bluebell/bluebellplacement"
+	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebell/bluebellqueue"
 	"bluebellhaven.org/bluebell/bluebelltier"
 	"bluebellhaven.org/bluebellgate/internal/bluebelltransport"
@@ -43,6 +45,8 @@
 	Client       *bluebelltransport.Client
 	CachePlanner *bluebelltier.Planner
 	RetryLimits  RetryLimits
+	// Guard refuses calls that crash endpoints.
+	Guard *bluebellquarantine.Guard
 	// Now returns the time of a monotonic clock.
 	Now func() time.Duration
 	// Random returns a random number in [0, 1).
@@ -94,8 +98,11 @@
 	// sentEventWithoutID is set once the caller has received an event without an ID. The
 	// stream cannot be resumed after it.
 	sentEventWithoutID bool
-	// begun is set once the current attempt has had an event or a whole answer.
-	begun bool
+	// begun is set at begunAt, once the current attempt has had an event or a whole answer.
+	begun   atomic.Bool
+	begunAt time.Duration
+	// subjects are the parts of the call that may be in quarantine.
+	subjects []bluebellquarantine.Subject
 	// errorAnswer is an answer with an error status, which is delivered if no later attempt
 	// gives a better one.
 	errorAnswer *bufferedAnswer
@@ -118,16 +125,26 @@
 // Serve sends one call to endpoints and its answer to sink. The cancellation of ctx means
 // that the caller has disconnected.
 func (r *Relay) Serve(ctx context.Context, request *Request, sink Sink) {
-	c := &activeCall{relay: r, request: request, sink: sink, start: r.cfg.Now(), lastEvent: request.Call.ResumeAfter}
+	c := &activeCall{
+		relay: r, request: request, sink: sink, start: r.cfg.Now(), lastEvent: request.Call.ResumeAfter,
+		subjects: r.subjects(request, r.cfg.Guard.NeedsCalls()),
+	}
 	r.recordCall(request.Target.Name)
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-answerMargin))
 	defer cancel()
+	ctx, withdraw := context.WithCancelCause(ctx)
+	defer withdraw(nil)
+	defer c.watchQuarantine(withdraw)()
 	for c.attempt(ctx) == resultRetry {
 		if ctx.Err() != nil || !c.mayRetry() {
 			break
 		}
 	}
-	if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	var quarantined *QuarantinedError
+	switch {
+	case errors.As(context.Cause(ctx), &quarantined):
+		c.cause = quarantined
+	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		c.finish("caller left", 0)
 		return
 	}
@@ -209,6 +226,10 @@
 // attempt sends the call to one endpoint and handles its answer.
 func (c *activeCall) attempt(ctx context.Context) attemptResult {
 	waitStart := c.relay.cfg.Now()
+	if quarantined := c.quarantined(); quarantined != nil {
+		c.cause = quarantined
+		return resultFinal
+	}
 	choice, result := c.selectEndpoint(ctx)
 	if result != bluebellplacement.Picked {
 		c.cause = errors.Join(c.cause, errors.New("no endpoint selected: "+result.String()))
@@ -220,7 +241,7 @@
 		return resultFinal
 	}
 	c.sends++
-	c.begun = false
+	c.begun.Store(false)
 	c.tried = append(c.tried, choice.Endpoint.ID)
 	cfg := &c.relay.cfg
 	cfg.Logger.Info("endpoint selected", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Address", choice.Endpoint.Address,
@@ -244,6 +265,7 @@
 	}
 	defer exchange.Close()
 	c.received++
+	cfg.Guard.RecordAnswer(cfg.Now(), waitStart, incarnation(choice))
 	return c.handleAnswer(ctx, choice, exchange, retryable)
 }
 
@@ -306,11 +328,12 @@
 	cfg.Placer.Done(choice, cfg.Now(), outcome)
 	cfg.CachePlanner.FetchesDone(c.cachePlan)
 	c.relay.waitQueue(c.request.Target.Name).callEnded()
+	c.recordEvidence(choice, outcome, err)
 	if outcome == bluebellplacement.Answered {
 		return
 	}
 	c.cause = err
 	cfg.CountEvent("attempt_"+outcome.String(), c.request.Target.Name)
 	cfg.Logger.Warn("attempt failed", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Outcome", outcome, "Error", err,
-		"Attempt", c.sends, "Took", (cfg.Now() - c.start).Round(time.Millisecond), "Begun", c.begun, "Blocks", c.loggedBlocks())
+		"Attempt", c.sends, "Took", (cfg.Now() - c.start).Round(time.Millisecond), "Begun", c.begun.Load(), "Blocks", c.loggedBlocks())
 }
