--- a/bluebell/bluebellplacement/endpointstate.go
+++ b/bluebell/bluebellplacement/endpointstate.go
@@ -97,6 +97,7 @@
 	// cold, by the entries as of coldSenderVersion.
 	coldSender        bool
 	coldSenderVersion uint64
+	limit             RateLimit
 }
 
 // responseTime returns meanFirstEvent, or defaultResponseTime before the first answer.
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -43,6 +43,7 @@
 // is complete.
 func (c *activeCall) handleAnswer(ctx context.Context, choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, retryable bool) attemptResult {
 	a := bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header())
+	c.recordRateLimit(choice, a.RateLimit)
 	if a.NotRun && c.refusalApplies(a, exchange) {
 		return c.handleNotRun(choice, exchange, a)
 	}
@@ -77,6 +78,19 @@
 	return resultFinal
 }
 
+// recordRateLimit records the limit that an answer names, or that it names none.
+func (c *activeCall) recordRateLimit(choice bluebellplacement.Choice, l bluebellplatform.RateLimit) {
+	cfg := &c.relay.cfg
+	if l.Malformed != "" {
+		cfg.CountEvent("malformed_limits", c.request.Target.Name)
+		cfg.Logger.Warn("endpoint limit ignored", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Limit", l.Malformed)
+		return
+	}
+	if cfg.Placer.RecordRateLimit(choice, bluebellplacement.RateLimit{Named: l.Named, PerSecond: l.PerSecond, At: cfg.Now()}) {
+		cfg.Logger.Info("endpoint limit changed", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Limited", l.Named, "PerSecond", l.PerSecond)
+	}
+}
+
 // readErrorOutcome classifies an error from reading an answer.
 func (c *activeCall) readErrorOutcome(ctx context.Context, err error) bluebellplacement.Outcome {
 	var failure *bluebelltransport.Error
