--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -18,6 +18,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -125,7 +126,9 @@
 	sequence    uint64
 	state       bluebellfleet.State
 	activeCalls int
-	arrivals    int
+	arrivals    []time.Time
+	// rateLimit is the limit that answers name, "" for none.
+	rateLimit string
 }
 
 // Start returns an endpoint that serves calls until Stop.
@@ -184,10 +187,20 @@
 }
 
 // Arrivals returns the number of calls received, including declined ones.
-func (e *Endpoint) Arrivals() int {
+func (e *Endpoint) Arrivals() int { return len(e.ArrivalTimes()) }
+
+// ArrivalTimes returns when the calls were received, including declined ones.
+func (e *Endpoint) ArrivalTimes() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.arrivals)
+}
+
+// SetRateLimit makes answers name a limit of calls a second, or none if it is "".
+func (e *Endpoint) SetRateLimit(perSecond string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.arrivals
+	e.rateLimit = perSecond
 }
 
 // NextRegistration increments the sequence number of the endpoint's registrations and
@@ -259,6 +272,13 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.mu.Lock()
+	if e.rateLimit != "" {
+		for name, values := range bluebellplatform.LimitHeader(e.rateLimit) {
+			w.Header()[name] = values
+		}
+	}
+	e.mu.Unlock()
 	run, behaviour := e.beginRun(Run{Call: incoming, Method: r.Method, URI: r.RequestURI, Body: string(body)})
 	if run == nil {
 		writeHeader(w, bluebellplatform.NotRunHeader(incoming.CallID), http.StatusServiceUnavailable)
@@ -292,7 +312,7 @@
 func (e *Endpoint) beginRun(r Run) (*Run, Behaviour) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.arrivals++
+	e.arrivals = append(e.arrivals, time.Now())
 	if e.behaviour == Declining {
 		return nil, Declining
 	}
--- a/bluebellsoak/bluebellchaos/poison_test.go
+++ b/bluebellsoak/bluebellchaos/poison_test.go
@@ -28,6 +28,7 @@
 		restartProcesses bool
 	}{{"alone", 1, false}, {"with restarts", 2, true}} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			report, err := bluebellchaos.RunPoisoned(context.Background(), bluebellchaos.Config{
 				ProgramFolder: bin, DataFolder: filepath.Join(t.TempDir(), "soak"), Seed: c.seed, Duration: 16 * time.Second, Gates: 3, Cores: 3, Endpoints: 16,
 			}, c.restartProcesses)
