Keep the limits that endpoints name, over all entries together

Such an endpoint answers late or not at all, and its callers with it.

The class of fault: a limit for all entries together, of which each entry only sees its own part.

Change: entries report the latest limit that they have heard, or its end, with their loads; core processes pass on the latest of all entries. Calls that no limited endpoint takes in their waiting time are refused at once, with the time of the next turn as Retry-After. An endpoint that names 0 gets a call every two seconds; a malformed limit says nothing; one above 10^6 is none; a new incarnation has none. The rank of an entry for an endpoint is computed once for cold and limited endpoints.

Tried before: senders that did not take turns all sent when the limit was named and then at the same moments, so that an endpoint that named 0 got nothing for up to 15 s after its limit had ended (the test's case zero).

In the harness: a fork of a parallel run holds a copy of a closed listener until its exec, so an endpoint that starts again at its address waits for it (seen twice: bind: address already in use).

--- a/bluebell/bluebellfeed/feed_test.go
+++ b/bluebell/bluebellfeed/feed_test.go
@@ -20,6 +20,7 @@
 	"bluebellhaven.org/bluebell/bluebellfeed"
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellplacement"
 )
 
 const (
@@ -161,7 +162,10 @@
 		Uses: func() []bluebellfeed.Use {
 			return []bluebellfeed.Use{
 				{Endpoint: "i-1", Calls: 1, Tokens: 100, Unread: 10},
-				{Endpoint: "i-2", Failing: 1, AnsweredAt: d.now() - answerAge},
+				{
+					Endpoint: "i-2", Failing: 1, AnsweredAt: d.now() - answerAge,
+					Limit: bluebellplacement.RateLimit{Named: true, PerSecond: 1.4, At: d.now() - answerAge},
+				},
 				{Endpoint: "s-1", Calls: 2, Waited: time.Minute},
 			}
 		},
@@ -301,7 +305,8 @@
 		}
 		answeredAgo := d.now() - failing.AnsweredAt
 		return len(uses) == 3 && busy == (bluebellfeed.Use{Endpoint: "i-1", Calls: 2, Tokens: 200, Unread: 20}) &&
-			failing.Failing == 2 && answeredAgo >= answerAge && answeredAgo < answerAge+timeout
+			failing.Failing == 2 && answeredAgo >= answerAge && answeredAgo < answerAge+timeout &&
+			failing.Limit.Named && failing.Limit.PerSecond == 1.4 && d.now()-failing.Limit.At >= answerAge
 	})
 }
 
--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellplacement"
 )
 
 // A source sums what its entries report and adds the sums of the other core processes. The
@@ -47,6 +48,7 @@
 	s.use.Failing += sign * u.Failing
 	s.use.Waited += time.Duration(sign) * u.Waited
 	s.use.AnsweredAt = max(s.use.AnsweredAt, u.AnsweredAt)
+	s.use.Limit = s.use.Limit.Later(u.Limit)
 }
 
 // at returns the sum at the time now.
@@ -55,9 +57,16 @@
 	if now-u.AnsweredAt > answerRetention {
 		u.AnsweredAt = 0
 	}
+	if now-u.Limit.At > limitRetention {
+		u.Limit = bluebellplacement.RateLimit{}
+	}
 	return u
 }
 
+// limitRetention is how long what an endpoint said about its limit is passed on after the last
+// report of it. Entries that have heard of a limit report it until it ends.
+const limitRetention = time.Minute
+
 // answerRetention is how long an answer is passed on. Followers decide by answers of the last
 // few seconds.
 const answerRetention = 10 * time.Second
@@ -241,6 +250,7 @@
 			sum.Failing += u.Failing
 			sum.Waited += u.Waited
 			sum.AnsweredAt = max(sum.AnsweredAt, u.AnsweredAt)
+			sum.Limit = sum.Limit.Later(u.Limit)
 		}
 	}
 	l.total = l.encode(uses, now)
@@ -265,6 +275,8 @@
 		t.Names, t.Calls, t.Failing = append(t.Names, uint32(i)), append(t.Calls, uint32(max(u.Calls, 0))), append(t.Failing, uint32(max(u.Failing, 0)))
 		t.Tokens, t.Unread = append(t.Tokens, uint64(max(u.Tokens, 0))), append(t.Unread, uint64(max(u.Unread, 0)))
 		t.AnsweredMillis, t.WaitedMillis = append(t.AnsweredMillis, answered), append(t.WaitedMillis, uint64(max(u.Waited, 0).Milliseconds()))
+		thousandths, millis := encodeLimit(u.Limit, now)
+		t.LimitThousandths, t.LimitMillis = append(t.LimitThousandths, thousandths), append(t.LimitMillis, millis)
 	}
 	encoded, err := proto.Marshal(t)
 	if err != nil {
--- a/bluebell/bluebellfeed/use.go
+++ b/bluebell/bluebellfeed/use.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellplacement"
 )
 
 // Uses are reported as a list of messages, one for each endpoint that an entry uses. Sums over
@@ -30,9 +31,11 @@
 	AnsweredAt time.Duration
 	// Waited is the sum of the times that large fetches are overdue.
 	Waited time.Duration
+	// Limit is the latest that the endpoint has said about the number of calls that it takes.
+	Limit bluebellplacement.RateLimit
 }
 
-// minus returns the use without a part of it. The last answer stays: it is the latest one.
+// minus returns the use without a part of it. The last answer and limit stay: they are the latest.
 func (u Use) minus(part Use) Use {
 	u.Calls = max(u.Calls-part.Calls, 0)
 	u.Tokens = max(u.Tokens-part.Tokens, 0)
@@ -56,6 +59,7 @@
 		if u.Waited > 0 {
 			m.Waited = durationpb.New(u.Waited)
 		}
+		m.LimitThousandths, m.LimitMillis = encodeLimit(u.Limit, now)
 		list = append(list, m)
 	}
 	return list
@@ -70,9 +74,37 @@
 	if m.AnsweredAgo != nil {
 		u.AnsweredAt = timeOfAnswer(now, m.AnsweredAgo.AsDuration())
 	}
+	u.Limit = decodeLimit(m.LimitThousandths, m.LimitMillis, now)
 	return u
 }
 
+// maxLimitThousandths bounds the limits that are sent: no endpoint takes that many calls.
+const maxLimitThousandths = 1e12
+
+// encodeLimit encodes a limit at the time now: 0 if nothing is known, 1 for no limit, and otherwise
+// 2 plus its thousandths of a call a second; and the milliseconds since it was heard.
+func encodeLimit(l bluebellplacement.RateLimit, now time.Duration) (thousandths uint64, millis uint32) {
+	switch {
+	case l.At == 0:
+		return 0, 0
+	case !l.Named:
+		return 1, millisSince(l.At, now)
+	}
+	return 2 + uint64(min(max(1000*l.PerSecond, 0), maxLimitThousandths)), millisSince(l.At, now)
+}
+
+// decodeLimit decodes the result of encodeLimit.
+func decodeLimit(thousandths uint64, millis uint32, now time.Duration) bluebellplacement.RateLimit {
+	l := bluebellplacement.RateLimit{At: timeOfAnswer(now, time.Duration(millis)*time.Millisecond)}
+	switch {
+	case thousandths == 0:
+		return bluebellplacement.RateLimit{}
+	case thousandths >= 2:
+		l.Named, l.PerSecond = true, float64(thousandths-2)/1000
+	}
+	return l
+}
+
 // timeOfAnswer returns when an answer came that is ago old. It is never 0, which means none,
 // also for an answer from before the start of this process.
 func timeOfAnswer(now, ago time.Duration) time.Duration { return max(now-ago, 1) }
@@ -88,7 +120,7 @@
 		return nil, fmt.Errorf("%w: %w", errMalformedTable, err)
 	}
 	n := len(t.Names)
-	for _, length := range []int{len(t.Calls), len(t.Tokens), len(t.Unread), len(t.Failing), len(t.AnsweredMillis), len(t.WaitedMillis)} {
+	for _, length := range []int{len(t.Calls), len(t.Tokens), len(t.Unread), len(t.Failing), len(t.AnsweredMillis), len(t.WaitedMillis), len(t.LimitThousandths), len(t.LimitMillis)} {
 		if length != n {
 			return nil, fmt.Errorf("%w: columns of %d and %d elements", errMalformedTable, n, length)
 		}
@@ -101,6 +133,7 @@
 		uses[i] = Use{
 			Endpoint: names[name], Calls: int(t.Calls[i]), Tokens: int(t.Tokens[i]), Unread: int(t.Unread[i]), Failing: int(t.Failing[i]),
 			Waited: time.Duration(t.WaitedMillis[i]) * time.Millisecond,
+			Limit:  decodeLimit(t.LimitThousandths[i], t.LimitMillis[i], now),
 		}
 		if millis := t.AnsweredMillis[i]; millis > 0 {
 			uses[i].AnsweredAt = timeOfAnswer(now, time.Duration(millis-1)*time.Millisecond)
--- a/bluebell/bluebellplacement/cold.go
+++ b/bluebell/bluebellplacement/cold.go
@@ -1,10 +1,7 @@
 package bluebellplacement
 
 import (
-	"slices"
 	"time"
-
-	"bluebellhaven.org/bluebell/bluebellfleet"
 )
 
 // assumedColdFor is how long an endpoint counts as cold after a failed connection if it
@@ -41,30 +38,10 @@
 	return max(min(int(spare), len(p.fleet.Entries)), 1)
 }
 
-// maySendCold reports whether this entry is among the entries that send to a cold
-// endpoint, which are chosen by rendezvous hashing. It is false while this entry is not in
-// the list of entries.
+// maySendCold reports whether this entry is among the entries that send to a cold endpoint.
 func (p *Placer) maySendCold(m *member) bool {
-	s := m.state
-	if s.coldSenderVersion != p.entriesVersion {
-		s.coldSenderVersion, s.coldSender = p.entriesVersion, p.isColdSender(m.endpoint)
-	}
-	return s.coldSender
-}
-
-func (p *Placer) isColdSender(e *bluebellfleet.Endpoint) bool {
-	if !slices.Contains(p.fleet.Entries, p.cfg.Self) {
-		return false
-	}
-	senders := p.coldSenders(p.fleet.ColdRates[e.Target])
-	own := rendezvous(e.ID, p.cfg.Self)
-	ahead := 0
-	for _, entry := range p.fleet.Entries {
-		if rendezvous(e.ID, entry) > own {
-			ahead++
-		}
-	}
-	return ahead < senders
+	rank := p.senderRank(m)
+	return rank >= 0 && rank < p.coldSenders(p.fleet.ColdRates[m.endpoint.Target])
 }
 
 // hasColdAllowance reports whether a cold endpoint may get another call at the given rate.
--- a/bluebell/bluebellplacement/doc.go
+++ b/bluebell/bluebellplacement/doc.go
@@ -39,6 +39,14 @@
 // rates. After a failed connection an endpoint counts as cold for a while unless it registers
 // as warm, since it may have been restarted.
 //
+// # Limited endpoints
+//
+// An endpoint in need names in its answers how many calls a second it takes from all entries. The
+// entries report the latest that any of them has heard, and as many of them share the limit as can
+// send a call at once without exceeding it. They take turns. An endpoint that names no limit in its
+// latest answer, or that has started again, has none; one that names very little still gets a call
+// every two seconds, from whose answer the end of the limit is known.
+//
 // # Usage
 //
 //	placer := bluebellplacement.New(bluebellplacement.Config{Self: address})
--- a/bluebell/bluebellplacement/endpointstate.go
+++ b/bluebell/bluebellplacement/endpointstate.go
@@ -93,11 +93,20 @@
 	// suspectedSince is the time since which suspectedByEntries is true for the endpoint,
 	// 0 if it is false. probeAfter is the earliest time of this entry's next probe.
 	suspectedSince, probeAfter time.Duration
-	// coldSender is set if this entry is among those that send to the endpoint while it is
-	// cold, by the entries as of coldSenderVersion.
-	coldSender        bool
-	coldSenderVersion uint64
-	limit             RateLimit
+	// senderRank is the position of this entry among those that share limits of the endpoint, by
+	// the entries as of senderRankVersion. It is -1 while this entry is not in their list.
+	senderRank        int
+	senderRankVersion uint64
+	// limit is the latest that any entry has heard from the endpoint. limitObserved is set if this
+	// entry has heard it itself, and limitEnded if it ended a limit that this entry knew.
+	limit                     RateLimit
+	limitObserved, limitEnded bool
+	// limitedSince is when the limit in force was first named.
+	limitedSince time.Duration
+	// startUnixMillis is the incarnation that limit is about.
+	startUnixMillis int64
+	// pickedAt is when the endpoint was last picked, 0 if never.
+	pickedAt time.Duration
 }
 
 // responseTime returns meanFirstEvent, or defaultResponseTime before the first answer.
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -68,6 +68,8 @@
 
 // Fleet is the data on the endpoints and entries. It must not be modified after Update.
 type Fleet struct {
+	// At is the time of the data.
+	At        time.Duration
 	Endpoints []bluebellfleet.Endpoint
 	// DomainsOut are the failure domains that operators took out of service.
 	DomainsOut []string
@@ -106,6 +108,8 @@
 	Failing int
 	// AnsweredAt is the time of the endpoint's last answer, 0 if there was no recent one.
 	AnsweredAt time.Duration
+	// Limit is the latest that the endpoint has said about its limit.
+	Limit RateLimit
 }
 
 // Add returns the sum of the uses by two sets of entries.
@@ -113,6 +117,7 @@
 	return EndpointUse{
 		Calls: u.Calls + other.Calls, Tokens: u.Tokens + other.Tokens, PrefillTokens: u.PrefillTokens + other.PrefillTokens,
 		Failing: u.Failing + other.Failing, AnsweredAt: max(u.AnsweredAt, other.AnsweredAt),
+		Limit: u.Limit.Later(other.Limit),
 	}
 }
 
@@ -159,6 +164,7 @@
 		t.states[e.ID] = s
 	}
 	f := &p.fleet
+	s.learnRateLimit(f.At, e.StartUnixMillis, f.UseByOthers[e.ID].Limit)
 	return member{
 		endpoint: e, state: s, hash: s.hash, others: f.UseByOthers[e.ID], near: e.FailureDomain == p.cfg.FailureDomain,
 		open:        e.State == bluebellfleet.Serving && !slices.Contains(f.DomainsOut, e.FailureDomain) && !slices.Contains(f.Loading, e.ID),
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -110,6 +110,10 @@
 	RegistrationAge time.Duration
 	// Candidates is the number of endpoints that were eligible.
 	Candidates int
+	// AllowedAt is when this entry may send the next call to an endpoint of the target, and
+	// AllowedInterval the mean time between further ones. They are set with AllLimited; the
+	// interval is 0 if other entries share the limits of all endpoints.
+	AllowedAt, AllowedInterval time.Duration
 
 	// prefillTokens and tokens are what the call adds to the fields of the same names in
 	// endpointState.
@@ -150,6 +154,9 @@
 	// AllLate means that endpoints have memory for the call but would begin the answer too
 	// late.
 	AllLate
+	// AllLimited means that endpoints could take the call but for the limits that they name.
+	// Choice.AllowedAt tells when one may.
+	AllLimited
 )
 
 // Saturated reports whether no endpoint was picked for lack of memory or time, which rules
@@ -157,7 +164,7 @@
 func (r PickResult) Saturated() bool { return r == AllFull || r == AllLate }
 
 func (r PickResult) String() string {
-	return [...]string{"Untried", "Present", "NoEndpoint", "AllUnfit", "AllSuspect", "AllFull", "AllLate"}[r]
+	return [...]string{"Untried", "Present", "NoEndpoint", "AllUnfit", "AllSuspect", "AllFull", "AllLate", "AllLimited"}[r]
 }
 
 // targetState is the state of one target. Each has its own lock.
@@ -207,7 +214,7 @@
 	// newestVersions holds the highest version of each model's weights that was named or that
 	// any endpoint has.
 	newestVersions map[string]uint64
-	// entriesVersion changes with Fleet.Entries.
+	// entriesVersion changes with Fleet.Entries. It is never 0.
 	entriesVersion uint64
 
 	// domainMu is acquired after the mutex of a targetState.
@@ -217,7 +224,7 @@
 
 // New returns a Placer without endpoints.
 func New(cfg Config) *Placer {
-	return &Placer{cfg: cfg, targets: map[string]*targetState{}, domains: map[string]*domainState{}}
+	return &Placer{cfg: cfg, targets: map[string]*targetState{}, domains: map[string]*domainState{}, entriesVersion: 1}
 }
 
 // candidate is an endpoint that is eligible for one call.
@@ -255,8 +262,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	candidates := p.candidates(now, t, r)
+	candidates, limited := p.candidates(now, t, r)
 	if len(candidates) == 0 {
+		if limited.endpoints > 0 {
+			return Choice{AllowedAt: limited.from, AllowedInterval: limited.interval()}, AllLimited
+		}
 		return Choice{}, AllUnfit
 	}
 	home := homeOf(markHomes(candidates, r.SharedBlock))
@@ -351,6 +361,7 @@
 			if c.cold {
 				c.state.coldSentAt = now
 			}
+			c.state.pickedAt = max(now, 1)
 			return c
 		}
 		fits[best] = fits[len(fits)-1]
@@ -383,10 +394,41 @@
 	return int(a.cost - b.cost)
 }
 
-// candidates returns the endpoints that are eligible for a call. They are valid until the
-// next call for the same target.
-func (p *Placer) candidates(now time.Duration, t *targetState, r Request) []candidate {
+// limitSummary tells which endpoints may get no call now for the limits that they name.
+type limitSummary struct {
+	// endpoints is their number.
+	endpoints int
+	// from is the earliest time at which one may get a call of this entry, 0 if none may.
+	from time.Duration
+	// rate is the number of calls a second that this entry may send to them.
+	rate float64
+}
+
+// add adds an endpoint to which this entry may send calls from a time on, at an interval.
+func (l *limitSummary) add(from, interval time.Duration, sends bool) {
+	l.endpoints++
+	if !sends {
+		return
+	}
+	l.rate += 1 / interval.Seconds()
+	if l.from == 0 || from < l.from {
+		l.from = from
+	}
+}
+
+// interval returns the mean time between two calls of this entry, 0 if it may send none.
+func (l *limitSummary) interval() time.Duration {
+	if l.rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / l.rate)
+}
+
+// candidates returns the endpoints that are eligible for a call, and those that are not only for
+// their limits. They are valid until the next call for the same target.
+func (p *Placer) candidates(now time.Duration, t *targetState, r Request) ([]candidate, limitSummary) {
 	eligible := t.scratch[:0]
+	var limited limitSummary
 	unreachable := p.unreachableDomains(now)
 	oldest := p.oldestUsable(now, r.Model)
 	for i := range t.members {
@@ -402,6 +444,10 @@
 		if cold && !p.maySendCold(m) {
 			continue
 		}
+		if from, interval, sends := p.limitedFrom(m); !sends || now < from {
+			limited.add(from, interval, sends)
+			continue
+		}
 		byEntries := p.suspectedByEntries(now, m)
 		eligible = append(eligible, candidate{
 			member: m, weights: weights, cold: cold, suspectedByEntries: byEntries,
@@ -409,7 +455,7 @@
 		})
 	}
 	t.scratch = eligible
-	return eligible
+	return eligible, limited
 }
 
 // oldestUsable returns the lowest version of a model's weights on which a call may still
--- a/bluebell/bluebellqueue/refusal.go
+++ b/bluebell/bluebellqueue/refusal.go
@@ -2,6 +2,20 @@
 
 import "time"
 
+// Limit is the share of this entry in the limits of a target's endpoints that take no further call
+// for now, because they name a limit of calls a second.
+type Limit struct {
+	// From is when the entry may send the next call, and Interval the mean time between further
+	// ones. Interval is 0 if it may send none.
+	From, Interval time.Duration
+}
+
+// Allows reports whether a call with a number of calls ahead of it is sent by a time. A call for
+// which that is not so is refused at once.
+func (l Limit) Allows(ahead int, by time.Duration) bool {
+	return l.Interval > 0 && l.From+time.Duration(ahead)*l.Interval <= by
+}
+
 const (
 	// minRetryAfter is the shortest retry time given to a refused caller, unless its
 	// deadline is near. Endpoints whose connections failed are tried again after
--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -155,6 +155,8 @@
 // Stop closes the listener and all connections at once, as a crash does.
 func (e *Endpoint) Stop() {
 	_ = e.server.Close()
+	// The server does not know the listener yet if it has only just started.
+	_ = e.listener.Close()
 	<-e.done
 }
 
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -280,7 +280,7 @@
 	defer g.mu.Unlock()
 	endpoints := g.registry.Endpoints()
 	fleet := bluebellplacement.Fleet{
-		Endpoints: endpoints, DomainsOut: g.deployment.GetDomainsOut(), Loading: g.follower.Loading(),
+		At: g.now(), Endpoints: endpoints, DomainsOut: g.deployment.GetDomainsOut(), Loading: g.follower.Loading(),
 		NamedVersions: make(map[string][]bluebellplacement.NamedVersion, len(g.namedVersions)), Entries: g.follower.Entries(),
 		ColdRates: map[string]float64{}, TokenCapacity: map[string]int{}, UseByOthers: g.updateOtherUses(), RegistrationsLive: g.follower.FreshSources() > 0,
 		SilentSince: g.follower.SilentSince(),
@@ -317,7 +317,7 @@
 	var list []bluebellfeed.Use
 	for id, u := range g.placer.Uses(g.now()) {
 		list = append(list, bluebellfeed.Use{
-			Endpoint: id, Calls: u.Calls, Tokens: u.Tokens, Unread: u.PrefillTokens, Failing: u.Failing, AnsweredAt: u.AnsweredAt,
+			Endpoint: id, Calls: u.Calls, Tokens: u.Tokens, Unread: u.PrefillTokens, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit,
 		})
 	}
 	// Fetches from cache stores are reported in the same way, with the address of the store
@@ -343,7 +343,7 @@
 	for _, u := range g.follower.UsesOfOthers() {
 		fetches[u.Endpoint] = bluebelltier.Load{Tokens: u.Unread, LargeFetches: u.Calls, Overdue: u.Waited}
 		uses[u.Endpoint] = bluebellplacement.EndpointUse{
-			Calls: u.Calls, Tokens: u.Tokens, PrefillTokens: u.Unread, Failing: u.Failing, AnsweredAt: u.AnsweredAt,
+			Calls: u.Calls, Tokens: u.Tokens, PrefillTokens: u.Unread, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit,
 		}
 	}
 	g.otherFetches.Store(&fetches)
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -78,6 +78,10 @@
 	return resultFinal
 }
 
+// maxRateLimit is the number of calls a second from which on a limit is none: one endpoint cannot
+// take as many.
+const maxRateLimit = 1e6
+
 // recordRateLimit records the limit that an answer names, or that it names none.
 func (c *activeCall) recordRateLimit(choice bluebellplacement.Choice, l bluebellplatform.RateLimit) {
 	cfg := &c.relay.cfg
@@ -86,8 +90,9 @@
 		cfg.Logger.Warn("endpoint limit ignored", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Limit", l.Malformed)
 		return
 	}
-	if cfg.Placer.RecordRateLimit(choice, bluebellplacement.RateLimit{Named: l.Named, PerSecond: l.PerSecond, At: cfg.Now()}) {
-		cfg.Logger.Info("endpoint limit changed", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Limited", l.Named, "PerSecond", l.PerSecond)
+	limited := l.Named && l.PerSecond < maxRateLimit
+	if cfg.Placer.RecordRateLimit(choice, bluebellplacement.RateLimit{Named: limited, PerSecond: l.PerSecond, At: cfg.Now()}) {
+		cfg.Logger.Info("endpoint limit changed", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Limited", limited, "PerSecond", l.PerSecond)
 	}
 }
 
--- a/bluebellgate/internal/bluebellrelay/finish.go
+++ b/bluebellgate/internal/bluebellrelay/finish.go
@@ -41,6 +41,7 @@
 func (c *activeCall) refuse() {
 	inTime := c.request.Route.Objective - (c.relay.cfg.Now() - c.start)
 	after := bluebellqueue.RetryAfter(time.Until(c.request.Deadline), inTime, c.relay.cfg.Random())
+	after = max(after, c.allowedAt-c.relay.cfg.Now())
 	var quarantined *QuarantinedError
 	if errors.As(c.cause, &quarantined) {
 		after = quarantined.Verdict.Until - c.relay.cfg.Now()
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -101,6 +101,8 @@
 	// begun is set at begunAt, once the current attempt has had an event or a whole answer.
 	begun   atomic.Bool
 	begunAt time.Duration
+	// allowedAt is when the limits of the endpoints allow the next call, 0 if not known.
+	allowedAt time.Duration
 	// subjects are the parts of the call that may be in quarantine.
 	subjects []bluebellquarantine.Subject
 	// errorAnswer is an answer with an error status, which is delivered if no later attempt
@@ -231,6 +233,9 @@
 		return resultFinal
 	}
 	choice, result := c.selectEndpoint(ctx)
+	if result == bluebellplacement.AllLimited {
+		c.allowedAt = choice.AllowedAt
+	}
 	if result != bluebellplacement.Picked {
 		c.cause = errors.Join(c.cause, errors.New("no endpoint selected: "+result.String()))
 		return resultFinal
--- a/bluebellgate/internal/bluebellrelay/waitqueue.go
+++ b/bluebellgate/internal/bluebellrelay/waitqueue.go
@@ -46,12 +46,14 @@
 	admittedAt time.Duration
 	// polling is set while poll runs.
 	polling bool
+	// limit is set while endpoints take no call for the limits that they name.
+	limit *bluebellqueue.Limit
 }
 
 // wait returns an endpoint for a call, or why none is available by the end of its wait.
 func (q *waitQueue) wait(ctx context.Context, call *waitingCall, until time.Duration) (bluebellplacement.Choice, bluebellplacement.PickResult) {
-	if q.selectOrEnqueue(call) {
-		return call.choice, bluebellplacement.Picked
+	if q.selectOrEnqueue(call, until) {
+		return call.choice, call.result
 	}
 	for _, at := range []time.Duration{min(call.unfitUntil, until), until} {
 		select {
@@ -76,8 +78,9 @@
 }
 
 // selectOrEnqueue selects an endpoint for the call if no other call waits. If that is not
-// possible, it adds the call to the queue. It reports whether it selected an endpoint.
-func (q *waitQueue) selectOrEnqueue(call *waitingCall) bool {
+// possible, it adds the call to the queue, unless the limits that endpoints name rule out that it is
+// sent by the time until. It reports whether the call has its result.
+func (q *waitQueue) selectOrEnqueue(call *waitingCall, until time.Duration) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	call.selected = make(chan struct{})
@@ -86,6 +89,10 @@
 			return true
 		}
 	}
+	if q.limit != nil && !q.limit.Allows(len(q.calls), until) {
+		call.result = bluebellplacement.AllLimited
+		return true
+	}
 	q.calls = append(q.calls, call)
 	if !q.polling {
 		q.polling = true
@@ -132,6 +139,10 @@
 	now := q.now()
 	call.request.HomesOnly, call.request.FirstEventBy = now < call.homesOnlyUntil, bluebellqueue.FirstEventBy(call.waiter, now, len(q.calls))
 	call.choice, call.result = q.trySelect(call.request)
+	q.limit = nil
+	if call.result == bluebellplacement.AllLimited {
+		q.limit = &bluebellqueue.Limit{From: call.choice.AllowedAt, Interval: call.choice.AllowedInterval}
+	}
 	return call.result == bluebellplacement.Picked
 }
 
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -31,6 +32,8 @@
 	// the deployment counts as serving.
 	servedPerGate = 10
 	callerCount   = 8
+	// releaseTimeout bounds the wait for the address of an endpoint that has stopped.
+	releaseTimeout = time.Second
 	// settleTime is how long endpoints may still begin a late call after all callers have stopped.
 	settleTime = time.Second
 	secret     = "the secret of a drill on loopback"
@@ -266,7 +269,7 @@
 	if target == "llm" {
 		weights["m0"] = 1
 	}
-	e, err := bluebellstub.Start(bluebellstub.Config{
+	e, err := startStub(bluebellstub.Config{
 		ID: fmt.Sprintf("i-%d-%d", b.index, b.starts), Target: target, FailureDomain: fmt.Sprint("domain-", b.index%3),
 		Listen: b.listen, Advertise: b.advertisedAddress(), Weights: weights, ProcessingTime: 4 * time.Millisecond, StartUnixMillis: time.Now().UnixMilli(),
 		Crashes: b.crashes, OnCrash: b.onCrash,
@@ -281,6 +284,20 @@
 	return nil
 }
 
+// startStub starts an endpoint at an address that its previous incarnation may have used until now.
+// A process that is being started holds a copy of that listener between its fork and its exec, so
+// the address may be in use for a moment longer.
+func startStub(cfg bluebellstub.Config) (*bluebellstub.Endpoint, error) {
+	deadline := time.Now().Add(releaseTimeout)
+	for {
+		e, err := bluebellstub.Start(cfg)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return e, err
+		}
+		time.Sleep(releaseTimeout / 100)
+	}
+}
+
 // advertisedAddress returns the address of the proxy, which is in group 3 as the endpoint is in
 // group 4.
 func (b *backend) advertisedAddress() string {
