Take no stream for complete that ends with its connection before an event

What callers saw: a replica may send an answer with neither a length nor chunks, which ends with the connection. If the replica crashed before the first event, the caller got an empty stream with status 200, and resumable streams were not sent elsewhere; the crash counted as a complete answer and would clear the block that caused it.

Cause: the end of a connection was taken for the end of the answer, whatever had arrived.

Evidence: TestUnframedStreamWithoutEventsIsNotAnswered got 200 instead of 502 before.

Change: such a stream without an event is broken off, unless it resumes one that the caller has. An answer that ended with its connection clears its subjects only once the endpoint has answered a call that was sent later.

--- a/bluebell/bluebellquarantine/guard.go
+++ b/bluebell/bluebellquarantine/guard.go
@@ -14,6 +14,8 @@
 	// whose last answer it remembers.
 	MaxSubjects = 512
 	maxServed   = 4096
+	// maxEnded bounds the endpoints, and the answers of each, that ended with their connections.
+	maxEnded = 64
 	// maxReported bounds the subjects in one report.
 	maxReported = 64
 	// stillRunning is within what time after a crash an answer shows that the endpoint has not
@@ -35,6 +37,8 @@
 	suspects map[Key]Suspect
 	// served holds the time of the last complete answer by subject.
 	served map[Key]time.Duration
+	// ended holds the answers that ended with their connection, by incarnation of the endpoint.
+	ended map[uint64][]endedAnswer
 	// listed holds the subjects that any entry suspects.
 	listed   map[Key]bool
 	verdicts map[Key]Verdict
@@ -45,6 +49,12 @@
 	watchNext uint64
 }
 
+// endedAnswer is an answer that was complete if its endpoint goes on.
+type endedAnswer struct {
+	at       time.Duration
+	subjects []Subject
+}
+
 type watch struct {
 	subjects []Subject
 	withdraw func()
@@ -53,7 +63,7 @@
 // NewGuard returns a guard without evidence and verdicts.
 func NewGuard() *Guard {
 	return &Guard{
-		suspects: map[Key]Suspect{}, served: map[Key]time.Duration{}, listed: map[Key]bool{}, verdicts: map[Key]Verdict{}, watched: map[uint64]watch{},
+		suspects: map[Key]Suspect{}, served: map[Key]time.Duration{}, ended: map[uint64][]endedAnswer{}, listed: map[Key]bool{}, verdicts: map[Key]Verdict{}, watched: map[uint64]watch{},
 	}
 }
 
@@ -67,6 +77,7 @@
 func (g *Guard) RecordCrash(now time.Duration, incarnation uint64, subjects []Subject) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	delete(g.ended, incarnation)
 	for _, s := range subjects {
 		suspect, known := g.suspects[s.Key]
 		if !known {
@@ -104,16 +115,43 @@
 func (g *Guard) RecordServed(now time.Duration, subjects []Subject) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.recordServed(now, subjects)
+}
+
+// recordServed clears the subjects of the crashes until now. g.mu must be held.
+func (g *Guard) recordServed(now time.Duration, subjects []Subject) {
 	for _, s := range subjects {
-		delete(g.suspects, s.Key)
+		if suspect := g.suspects[s.Key].withServed(now); len(suspect.Crashes) == 0 {
+			delete(g.suspects, s.Key)
+		} else {
+			g.suspects[s.Key] = suspect
+		}
 		if _, known := g.served[s.Key]; !known && len(g.served) >= maxServed {
 			for key := range g.served {
 				delete(g.served, key)
 				break
 			}
 		}
-		g.served[s.Key] = now
+		g.served[s.Key] = max(now, g.served[s.Key])
+	}
+}
+
+// RecordEnded records that the answer to a call with these subjects ended with its connection. It
+// was complete if the endpoint answers calls that are sent later.
+func (g *Guard) RecordEnded(now time.Duration, incarnation uint64, subjects []Subject) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	answers := g.ended[incarnation]
+	if len(subjects) == 0 || len(answers) >= maxEnded {
+		return
+	}
+	if len(answers) == 0 && len(g.ended) >= maxEnded {
+		for other := range g.ended {
+			delete(g.ended, other)
+			break
+		}
 	}
+	g.ended[incarnation] = append(answers, endedAnswer{at: now, subjects: subjects})
 }
 
 // RecordAnswer records that an incarnation of an endpoint has begun to answer a call that was sent
@@ -121,6 +159,16 @@
 func (g *Guard) RecordAnswer(now, sentAt time.Duration, incarnation uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.ended[incarnation] = slices.DeleteFunc(g.ended[incarnation], func(a endedAnswer) bool {
+		if a.at >= sentAt {
+			return false
+		}
+		g.recordServed(a.at, a.subjects)
+		return true
+	})
+	if len(g.ended[incarnation]) == 0 {
+		delete(g.ended, incarnation)
+	}
 	wasNoCrash := func(c Crash) bool { return c.Endpoint == incarnation && c.At < sentAt && now-c.At < stillRunning }
 	for key, s := range g.suspects {
 		if !slices.ContainsFunc(s.Crashes, wasNoCrash) {
--- a/bluebell/bluebellquarantine/quarantine_test.go
+++ b/bluebell/bluebellquarantine/quarantine_test.go
@@ -226,3 +226,19 @@
 	}
 	require.NotEqual(t, quarantine.Call("a", "b", "c", nil, []byte("d")).Key, quarantine.Call("ab", "", "c", nil, []byte("d")).Key)
 }
+
+// An answer that ends with its connection clears its subjects only once the endpoint has answered a
+// later call.
+func TestAnswerEndedByConnectionClearsLater(t *testing.T) {
+	subject := block("subject", 1)
+	g := quarantine.NewGuard()
+	g.RecordCrash(second, 1, []quarantine.Subject{subject})
+	g.RecordEnded(2*second, 2, []quarantine.Subject{subject})
+	require.Len(t, g.Report(2*second), 1)
+	g.RecordCrash(3*second, 2, []quarantine.Subject{block("other", 1)})
+	g.RecordAnswer(5*second, 4*second, 2)
+	require.Len(t, g.Report(5*second), 2, "the endpoint has crashed since")
+	g.RecordEnded(6*second, 3, []quarantine.Subject{subject})
+	g.RecordAnswer(8*second, 7*second, 3)
+	require.Len(t, g.Report(8*second), 1)
+}
--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -65,6 +65,11 @@
 	Unidentified
 	// Commenting sends only comments, now and then, without end.
 	Commenting
+	// UnframedStream sends streams without a length or chunks, and ends them by closing the
+	// connection.
+	UnframedStream
+	// UnframedEmptyStream does the same before the first event.
+	UnframedEmptyStream
 )
 
 const (
@@ -455,6 +460,13 @@
 		first = last + 1
 	}
 	h.Set("Content-Type", "text/event-stream")
+	if b == UnframedStream || b == UnframedEmptyStream {
+		var text strings.Builder
+		for n := first; n <= StreamEvents && b == UnframedStream; n++ {
+			text.WriteString(Event(run.Call.CallID, n))
+		}
+		return writeRawAnswer(w, h, text.String(), Unframed)
+	}
 	writeHeader(w, h, http.StatusOK)
 	controller := http.NewResponseController(w)
 	for n := first; n <= StreamEvents; n++ {
--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -495,3 +495,22 @@
 		require.True(t, r.Finished)
 	}
 }
+
+// A stream without framing that ends with its connection is complete after an event, and broken off
+// before the first one.
+func TestUnframedStreamWithoutEventsIsNotAnswered(t *testing.T) {
+	e := startEntry(t, 3)
+	e.behave(bluebellstub.UnframedStream)
+	c := e.do(http.MethodPost, "/stream/x", "")
+	require.Equal(t, http.StatusOK, c.status)
+	require.Equal(t, bluebellstub.StreamEvents, strings.Count(c.body, "data:"))
+	e.behave(bluebellstub.UnframedEmptyStream)
+	require.Equal(t, http.StatusBadGateway, e.do(http.MethodPost, "/stream/x", "").status)
+	e.behave(bluebellstub.Normal)
+	e.endpoints[0].SetBehaviour(bluebellstub.UnframedEmptyStream)
+	for range 6 {
+		c = e.do(http.MethodPost, "/stream/again/x", "")
+		require.Equal(t, http.StatusOK, c.status)
+		require.Equal(t, bluebellstub.StreamEvents, strings.Count(c.body, "data:"), "resumable streams go on elsewhere")
+	}
+}
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -31,6 +31,10 @@
 // answer to an earlier call on the same connection.
 var errUnidentifiedAnswer = errors.New("answer on a reused connection has no call ID")
 
+// errEmptyStream is the cause of an attempt whose stream ended with its connection before the first
+// event.
+var errEmptyStream = &bluebelltransport.Error{Stage: bluebelltransport.ReadingAnswer, MaybeSent: true, Err: io.ErrUnexpectedEOF}
+
 // refusalApplies reports whether a refusal can be taken as the answer to this call. A
 // refusal without a call ID on a reused connection may be a late answer to the previous
 // call. This does not matter for calls that may run more than once.
@@ -43,6 +47,7 @@
 // is complete.
 func (c *activeCall) handleAnswer(ctx context.Context, choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, retryable bool) attemptResult {
 	a := bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header())
+	c.unframed = exchange.Unframed()
 	c.recordRateLimit(choice, a.RateLimit)
 	if a.NotRun && c.refusalApplies(a, exchange) {
 		return c.handleNotRun(choice, exchange, a)
@@ -167,6 +172,10 @@
 	progressBy := time.Now().Add(firstEventTimeout(c.request.Route, choice, c.timeLeft(), retryable))
 	for {
 		event, err := exchange.NextEvent(progressBy)
+		if errors.Is(err, io.EOF) && !c.begun.Load() && exchange.Unframed() && c.lastEvent == "" {
+			c.endAttempt(choice, bluebellplacement.InvalidAnswer, errEmptyStream)
+			return resultRetry
+		}
 		if errors.Is(err, io.EOF) {
 			c.endAttempt(choice, bluebellplacement.Answered, nil)
 			c.beginAnswer(exchange.Status(), exchange.Header())
--- a/bluebellgate/internal/bluebellrelay/quarantine.go
+++ b/bluebellgate/internal/bluebellrelay/quarantine.go
@@ -73,6 +73,8 @@
 	cfg := &c.relay.cfg
 	now := cfg.Now()
 	switch {
+	case outcome == bluebellplacement.Answered && c.unframed:
+		cfg.Guard.RecordEnded(now, incarnation(choice), c.subjects)
 	case outcome == bluebellplacement.Answered || outcome == bluebellplacement.Errored:
 		cfg.Guard.RecordServed(now, c.subjects)
 	case outcome != bluebellplacement.Abandoned && isCrash(err) && (!c.begun.Load() || now-c.begunAt < justBegun):
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -101,6 +101,8 @@
 	// begun is set at begunAt, once the current attempt has had an event or a whole answer.
 	begun   atomic.Bool
 	begunAt time.Duration
+	// unframed is set if the answer of the current attempt ends with its connection.
+	unframed bool
 	// allowedAt is when the limits of the endpoints allow the next call, 0 if not known.
 	allowedAt time.Duration
 	// subjects are the parts of the call that may be in quarantine.
@@ -247,6 +249,7 @@
 	}
 	c.sends++
 	c.begun.Store(false)
+	c.unframed = false
 	c.tried = append(c.tried, choice.Endpoint.ID)
 	cfg := &c.relay.cfg
 	cfg.Logger.Info("endpoint selected", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Address", choice.Endpoint.Address,
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -182,6 +182,12 @@
 // Status returns the status code of the response.
 func (x *Exchange) Status() int { return x.response.StatusCode }
 
+// Unframed reports whether the response has neither a length nor chunks, so that only the end of the
+// connection ends it. Such an end does not tell a complete response from a crash.
+func (x *Exchange) Unframed() bool {
+	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
+}
+
 // Header returns the header of the response.
 func (x *Exchange) Header() http.Header { return x.response.Header }
 
@@ -275,7 +281,7 @@
 	x.conn.unlimitHead()
 	cancelled := !x.stopCancel()
 	reusable := !cancelled && x.complete && !x.response.Close && x.conn.reader.Buffered() == 0 &&
-		(x.response.ContentLength >= 0 || len(x.response.TransferEncoding) > 0) && x.waitWritten()
+		!x.Unframed() && x.waitWritten()
 	if !reusable || errors.Join(x.conn.SetDeadline(time.Time{}), x.conn.setAckTimeout(defaultAckTimeout)) != nil {
 		_ = x.conn.Close()
 		return
