Send limits of endpoints only for those that name one

The table of loads that an entry receives five times a second had two more columns for all endpoints (about 2 bytes each, 1.8 kB at 340 x 920). Rows that the table does not have are rejected as malformed (TestMalformedLoadsAreIgnored).

--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -275,8 +275,10 @@
 		t.Names, t.Calls, t.Failing = append(t.Names, uint32(i)), append(t.Calls, uint32(max(u.Calls, 0))), append(t.Failing, uint32(max(u.Failing, 0)))
 		t.Tokens, t.Unread = append(t.Tokens, uint64(max(u.Tokens, 0))), append(t.Unread, uint64(max(u.Unread, 0)))
 		t.AnsweredMillis, t.WaitedMillis = append(t.AnsweredMillis, answered), append(t.WaitedMillis, uint64(max(u.Waited, 0).Milliseconds()))
-		thousandths, millis := encodeLimit(u.Limit, now)
-		t.LimitThousandths, t.LimitMillis = append(t.LimitThousandths, thousandths), append(t.LimitMillis, millis)
+		if thousandths, millis := encodeLimit(u.Limit, now); thousandths > 0 {
+			t.LimitRows = append(t.LimitRows, uint32(len(t.Names)-1))
+			t.LimitThousandths, t.LimitMillis = append(t.LimitThousandths, thousandths), append(t.LimitMillis, millis)
+		}
 	}
 	encoded, err := proto.Marshal(t)
 	if err != nil {
--- a/bluebell/bluebellfeed/use.go
+++ b/bluebell/bluebellfeed/use.go
@@ -120,7 +120,7 @@
 		return nil, fmt.Errorf("%w: %w", errMalformedTable, err)
 	}
 	n := len(t.Names)
-	for _, length := range []int{len(t.Calls), len(t.Tokens), len(t.Unread), len(t.Failing), len(t.AnsweredMillis), len(t.WaitedMillis), len(t.LimitThousandths), len(t.LimitMillis)} {
+	for _, length := range []int{len(t.Calls), len(t.Tokens), len(t.Unread), len(t.Failing), len(t.AnsweredMillis), len(t.WaitedMillis)} {
 		if length != n {
 			return nil, fmt.Errorf("%w: columns of %d and %d elements", errMalformedTable, n, length)
 		}
@@ -133,11 +133,24 @@
 		uses[i] = Use{
 			Endpoint: names[name], Calls: int(t.Calls[i]), Tokens: int(t.Tokens[i]), Unread: int(t.Unread[i]), Failing: int(t.Failing[i]),
 			Waited: time.Duration(t.WaitedMillis[i]) * time.Millisecond,
-			Limit:  decodeLimit(t.LimitThousandths[i], t.LimitMillis[i], now),
 		}
 		if millis := t.AnsweredMillis[i]; millis > 0 {
 			uses[i].AnsweredAt = timeOfAnswer(now, time.Duration(millis-1)*time.Millisecond)
 		}
 	}
-	return uses, nil
+	return uses, decodeLimits(uses, &t, now)
+}
+
+// decodeLimits sets the limits that a table has.
+func decodeLimits(uses []Use, t *pb.UseTable, now time.Duration) error {
+	if len(t.LimitThousandths) != len(t.LimitRows) || len(t.LimitMillis) != len(t.LimitRows) {
+		return fmt.Errorf("%w: %d limits with %d values", errMalformedTable, len(t.LimitRows), len(t.LimitThousandths))
+	}
+	for i, row := range t.LimitRows {
+		if int(row) >= len(uses) {
+			return fmt.Errorf("%w: limit of row %d of %d", errMalformedTable, row, len(uses))
+		}
+		uses[row].Limit = decodeLimit(t.LimitThousandths[i], t.LimitMillis[i], now)
+	}
+	return nil
 }
