Clear a call that was broken off when it is answered elsewhere

By reading: a call's own subject is computed only while whole calls are suspect, so the call that made it suspect did not clear itself with the answer to its retry. A popular call of a plain service whose endpoints end three times within five minutes, each time before another such call is answered, would have been refused for ten minutes.

Change: the subjects of a call include the call itself from its first crash on. TestAnswerClearsCallThatWasBrokenOff fails without the change. TestQuarantinedCallIsRefused pins the status, the Retry-After and that nothing reaches an endpoint.

--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -61,6 +62,9 @@
 	address   string
 	endpoints []*bluebellstub.Endpoint
 	placer    *bluebellplacement.Placer
+	guard     *bluebellquarantine.Guard
+	// now returns the time on the entry's clock.
+	now func() time.Duration
 	// d is the deployment in force.
 	d     atomic.Pointer[bluebelldeployment.Deployment]
 	stop  context.CancelFunc
@@ -80,7 +84,9 @@
 	t.Helper()
 	started := time.Now()
 	now := func() time.Duration { return time.Since(started) + time.Second }
-	e := &entry{placer: bluebellplacement.New(bluebellplacement.Config{Self: "e1"}), ended: make(chan error, 1)}
+	e := &entry{
+		placer: bluebellplacement.New(bluebellplacement.Config{Self: "e1"}), guard: bluebellquarantine.NewGuard(), now: now, ended: make(chan error, 1),
+	}
 	e.d.Store(deployment(t))
 	fleet := bluebellplacement.Fleet{Entries: []string{"e1"}}
 	for i := range endpoints {
@@ -99,7 +105,7 @@
 			Stores: func() []bluebelldeployment.Store { return nil }, Directory: func() *bluebelldirectory.View { return nil },
 			OtherLoads: func() map[string]bluebelltier.Load { return nil }, Now: now,
 		}),
-		RetryLimits: limits, Guard: bluebellquarantine.NewGuard(),
+		RetryLimits: limits, Guard: e.guard,
 		Now: now, Random: func() float64 { return 0 }, CountEvent: func(string, string) {},
 		RecordFirstEvent: func(string, time.Duration) {}, RecordWait: func(string, time.Duration) {}, Logger: log.New(io.Discard),
 	})
@@ -514,3 +520,31 @@
 		require.Equal(t, bluebellstub.StreamEvents, strings.Count(c.body, "data:"), "resumable streams go on elsewhere")
 	}
 }
+
+// A call that an endpoint breaks off is suspect until it is answered elsewhere.
+func TestAnswerClearsCallThatWasBrokenOff(t *testing.T) {
+	e := startEntry(t, 2)
+	e.endpoints[0].SetBehaviour(bluebellstub.Truncating)
+	for len(e.endpoints[0].Runs()) == 0 {
+		require.Equal(t, http.StatusOK, e.do(http.MethodGet, "/read/x", "").status)
+	}
+	require.Empty(t, e.guard.Report(e.now()))
+	e.endpoints[1].SetBehaviour(bluebellstub.Truncating)
+	require.Equal(t, http.StatusBadGateway, e.do(http.MethodPost, "/once/x", "order").status)
+	require.Len(t, e.guard.Report(e.now()), 1)
+}
+
+// A call in quarantine is refused at once as not run, with the rest of the term as Retry-After, and
+// reaches no endpoint. Other calls are served.
+func TestQuarantinedCallIsRefused(t *testing.T) {
+	e := startEntry(t, 1)
+	subject := bluebellquarantine.Call("c", "h.example", "/once/x", nil, []byte("order"))
+	e.guard.SetVerdicts(e.now(), []bluebellquarantine.Verdict{{Subject: subject, Until: e.now() + time.Minute}})
+	c := e.do(http.MethodPost, "/once/x", "order")
+	require.Equal(t, http.StatusServiceUnavailable, c.status)
+	retryAfter, err := strconv.ParseFloat(c.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.InDelta(t, 60, retryAfter, 2)
+	require.Empty(t, e.runs())
+	require.Equal(t, http.StatusOK, e.do(http.MethodPost, "/once/x", "another order").status)
+}
--- a/bluebellgate/internal/bluebellrelay/quarantine.go
+++ b/bluebellgate/internal/bluebellrelay/quarantine.go
@@ -79,7 +79,9 @@
 		cfg.Guard.RecordServed(now, c.subjects)
 	case outcome != bluebellplacement.Abandoned && isCrash(err) && (!c.begun.Load() || now-c.begunAt < justBegun):
 		cfg.CountEvent("endpoint_crashes", c.request.Target.Name)
-		cfg.Guard.RecordCrash(now, incarnation(choice), c.relay.subjects(c.request, true))
+		// From now on the whole call is suspect, and a later answer to it clears it.
+		c.subjects = c.relay.subjects(c.request, true)
+		cfg.Guard.RecordCrash(now, incarnation(choice), c.subjects)
 	}
 }
 
