Round named limits in one way, and regard endless ones as none

By reading: a limit with more than three decimals, which reports to other entries round, counted as changed each time it was heard again, and so did an endless one beside none: a log line for each answer. TestLimitHeardAgainIsNoChange fails without the change (4.35678 against 4.357).

--- a/bluebell/bluebellfeed/use.go
+++ b/bluebell/bluebellfeed/use.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -90,7 +91,7 @@
 	case !l.Named:
 		return 1, millisSince(l.At, now)
 	}
-	return 2 + uint64(min(max(1000*l.PerSecond, 0), maxLimitThousandths)), millisSince(l.At, now)
+	return 2 + uint64(math.Round(min(max(1000*l.PerSecond, 0), maxLimitThousandths))), millisSince(l.At, now)
 }
 
 // decodeLimit decodes the result of encodeLimit.
--- a/bluebell/bluebellplacement/ratelimit.go
+++ b/bluebell/bluebellplacement/ratelimit.go
@@ -1,6 +1,7 @@
 package bluebellplacement
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -16,6 +17,9 @@
 	// spareCalls is the number of calls by which the senders of a limited endpoint may exceed its
 	// limit in a few seconds at any limit, since each may send one at once.
 	spareCalls = 3
+	// limitPrecision is the number of parts of a call a second to which limits are rounded, as in
+	// reports to other entries.
+	limitPrecision = 1000
 	// limitReportedFor is how long the end of a limit is reported to other entries.
 	limitReportedFor = 10 * time.Second
 )
@@ -46,6 +50,10 @@
 // RecordRateLimit records what an answer of a choice's endpoint says about its limit. It reports
 // whether that differs from what the endpoint said before to any entry.
 func (p *Placer) RecordRateLimit(c Choice, l RateLimit) (changed bool) {
+	if !l.Named {
+		l.PerSecond = 0
+	}
+	l.PerSecond = math.Round(l.PerSecond*limitPrecision) / limitPrecision
 	c.withState(func(_ *targetState, s *endpointState) {
 		changed = !l.same(s.limit)
 		s.limitEnded = s.limitEnded || s.limit.Named && !l.Named
--- a/bluebell/bluebellplacement/ratelimit_test.go
+++ b/bluebell/bluebellplacement/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -169,3 +170,18 @@
 	}
 	require.Equal(t, 5, sharing)
 }
+
+// A limit that another entry has reported, rounded, and an endless one are no changes when they are
+// heard again.
+func TestLimitHeardAgainIsNoChange(t *testing.T) {
+	p := placer(config, fleet(1))
+	choice, result := p.Pick(second, prompt("doc"))
+	require.Equal(t, bluebellplacement.Picked, result)
+	require.True(t, p.RecordRateLimit(choice, bluebellplacement.RateLimit{Named: true, PerSecond: 4.35678, At: second}))
+	f := fleet(1)
+	f.At, f.UseByOthers = 2*second, map[string]bluebellplacement.EndpointUse{"i-0": {Limit: bluebellplacement.RateLimit{Named: true, PerSecond: 4.357, At: 2 * second}}}
+	p.Update(f)
+	require.False(t, p.RecordRateLimit(choice, bluebellplacement.RateLimit{Named: true, PerSecond: 4.35678, At: 3 * second}))
+	require.True(t, p.RecordRateLimit(choice, bluebellplacement.RateLimit{PerSecond: math.Inf(1), At: 4 * second}))
+	require.False(t, p.RecordRateLimit(choice, bluebellplacement.RateLimit{At: 5 * second}))
+}
