Propose a refused verdict again only after a pause

While 256 subjects are in quarantine the state refuses further ones; the leader proposed them again every 0.35 s, each time with a command of the log and a line. It waits for 5 s now.

--- a/bluebellcore/internal/bluebellcorenode/quarantine.go
+++ b/bluebellcore/internal/bluebellcorenode/quarantine.go
@@ -18,6 +18,8 @@
 	confirmTime = 350 * time.Millisecond
 	// verdictTimeout bounds the agreement on one verdict; the next round tries again.
 	verdictTimeout = time.Second
+	// refusedPause is how long a verdict that was refused is not proposed again.
+	refusedPause = 5 * time.Second
 )
 
 // judge proposes quarantines, and lifts those that an answer has refuted, while this process leads.
@@ -53,6 +55,9 @@
 			cancel()
 			j.logger.Warn("quarantine proposed", "Key", bluebellquarantine.Key(verdict.Key), "Depth", verdict.Depth, "Lifted", verdict.Lifted,
 				"Reason", verdict.Reason, "Verdict", result.GetVerdict(), "Text", result.GetText(), "Error", err)
+			if err == nil && result.Verdict != pb.Verdict_Accepted {
+				j.accusedSince[bluebellquarantine.Key(verdict.Key)] = j.now() + refusedPause
+			}
 		}
 	}
 }
