Let entries convict alone while no core process knows a leader

What callers could see, by reading: in a failure domain that is cut off with a minority of the core processes, entries had fresh sources, so they left verdicts to a leader that did not exist there, and a block crashed that side's endpoints until the partition healed.

--- a/bluebell/bluebellfeed/feed_test.go
+++ b/bluebell/bluebellfeed/feed_test.go
@@ -372,3 +372,17 @@
 	require.Len(t, e1.Entries(), 3)
 	require.Empty(t, e1.UsesOfOthers(), "uses must not be returned without a source")
 }
+
+// An entry of a cut-off domain follows core processes that know no leader.
+func TestEntryKnowsWhetherSourcesHaveLeader(t *testing.T) {
+	d := newDeployment("c1", "c2")
+	leaderless := func(r *pb.FollowReply) { r.Leaderless = true }
+	d.cores["c1"].alter, d.cores["c2"].alter = leaderless, leaderless
+	cutOff := d.follow(t, "e1", "c1", "c2")
+	eventually(t, "both sources answer", func() bool { return cutOff.FreshSources() == 2 })
+	require.False(t, cutOff.KnowsLeader())
+	d = newDeployment("c1", "c2")
+	d.cores["c1"].alter = leaderless
+	e := d.follow(t, "e1", "c1", "c2")
+	eventually(t, "one source knows a leader", e.KnowsLeader)
+}
--- a/bluebell/bluebellfeed/follower.go
+++ b/bluebell/bluebellfeed/follower.go
@@ -89,6 +89,8 @@
 	// registrations.
 	loading []string
 	ages    map[string]time.Duration
+	// leaderless is set if the source knew no leader at its last reply.
+	leaderless bool
 	// names are the names that the source has sent in its epoch. uses and entries are from
 	// the last reply as a primary source, without what this process had reported.
 	names          []string
@@ -157,6 +159,18 @@
 	return fresh
 }
 
+// KnowsLeader reports whether a source that has answered within maxReplyAge knows a leader.
+func (f *Follower) KnowsLeader() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.sources {
+		if f.isFresh(s) && !s.leaderless {
+			return true
+		}
+	}
+	return false
+}
+
 // Revision returns the revision of the last deployment that was passed to OnDeployment.
 func (f *Follower) Revision() uint64 {
 	f.mu.Lock()
@@ -439,7 +453,7 @@
 	if !f.isFresh(s) {
 		s.answersSince = now
 	}
-	s.lastReplyAt, s.loading = now, reply.Loading
+	s.lastReplyAt, s.loading, s.leaderless = now, reply.Loading, reply.Leaderless
 	s.ages = make(map[string]time.Duration, len(reply.Ages))
 	for _, age := range reply.Ages {
 		s.ages[age.ID] = now - time.Duration(age.Millis)*time.Millisecond
--- a/bluebell/bluebellfeed/source.go
+++ b/bluebell/bluebellfeed/source.go
@@ -83,6 +83,8 @@
 	PeerLoads func() []PeerLoads
 	// Suspects receives what entries report of calls that may crash endpoints. It may be nil.
 	Suspects *bluebellquarantine.Ledger
+	// HasLeader reports whether a leader of the core processes is known. It may be nil.
+	HasLeader func() bool
 	// Now returns the time of a monotonic clock. After is time.After, or a fake in tests.
 	Now   func() time.Duration
 	After func(d time.Duration) <-chan time.Time
@@ -189,6 +191,7 @@
 	}
 	now := s.cfg.Now()
 	reply := &pb.FollowReply{Epoch: s.cfg.Epoch, Cores: s.cfg.Cores()}
+	reply.Leaderless = s.cfg.HasLeader != nil && !s.cfg.HasLeader()
 	s.addRegistrations(reply, r, cursor, now)
 	s.addCoreDomains(reply)
 	if r.Entry && r.Primary {
--- a/bluebell/bluebellquarantine/doc.go
+++ b/bluebell/bluebellquarantine/doc.go
@@ -23,8 +23,8 @@
 // term, if a call with the subject is answered all the same, or when an operator lifts it. After
 // the term a single crash convicts the subject again, for twice the term.
 //
-// An entry that reaches no core process keeps the verdicts that it knows and convicts by its own
-// evidence.
+// An entry that reaches no core process with a leader keeps the verdicts that it knows and convicts
+// by its own evidence.
 //
 // The evidence of an entry is bounded by MaxSubjects and that of a core process by the number of
 // entries; a flood of subjects that never repeat evicts the oldest.
--- a/bluebell/bluebellquarantine/guard.go
+++ b/bluebell/bluebellquarantine/guard.go
@@ -42,7 +42,7 @@
 	// listed holds the subjects that any entry suspects.
 	listed   map[Key]bool
 	verdicts map[Key]Verdict
-	// alone is set while no core process answers.
+	// alone is set while no core process that knows a leader answers.
 	alone bool
 	// watched holds the calls that are withdrawn when one of their subjects is convicted.
 	watched   map[uint64]watch
@@ -251,7 +251,8 @@
 	return added
 }
 
-// SetAlone sets whether no core process answers, so that this entry decides by itself.
+// SetAlone sets whether no core process that knows a leader answers, so that this entry decides by
+// itself.
 func (g *Guard) SetAlone(alone bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -117,6 +117,7 @@
 	n.source = bluebellfeed.NewSource(bluebellfeed.SourceConfig{
 		Registry: n.registry, Directory: directory, Epoch: rand.Uint64(), Cores: n.recentCores, Domain: n.domainOf,
 		PeerLoads: func() []bluebellfeed.PeerLoads { return n.follower.PeerLoads() }, Suspects: suspects, Now: n.now, After: time.After,
+		HasLeader: func() bool { return n.voter.Status().Leader != "" },
 	})
 	if err := n.openVoter(s); err != nil {
 		return nil, err
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -297,7 +297,7 @@
 		}
 	}
 	g.placer.Update(fleet)
-	g.guard.SetAlone(!fleet.RegistrationsLive)
+	g.guard.SetAlone(!g.follower.KnowsLeader())
 	addresses := make(map[string]bool, len(endpoints))
 	for _, e := range endpoints {
 		addresses[e.Address] = true
