Convict a block after one further crash once a call with it is convicted

What callers saw: a caller repeats a call that has failed, so the call can be convicted before the block that crashes engines. Its crashes then counted against the block only after two further crashes of other calls at different moments.

Change: one further crash is enough. An answer to any call with the block in between clears it of all earlier crashes, so a sound block of a convicted call still needs three of its own (TestRepeatedCallIsConvictedBeforeItsBlocks, which failed before with one further crash, now has that case too).

--- a/bluebell/bluebellquarantine/judge.go
+++ b/bluebell/bluebellquarantine/judge.go
@@ -10,9 +10,6 @@
 	Strikes = 3
 	// doubtFactor multiplies Strikes while most crashes have other causes.
 	doubtFactor = 2
-	// furtherCrashes is the number of crashes by other calls after which the crashes of a convicted
-	// call count against its blocks.
-	furtherCrashes = 2
 	// EvidenceRetention is how long a crash counts.
 	EvidenceRetention = 5 * time.Minute
 )
@@ -80,11 +77,12 @@
 }
 
 // unexplained returns the suspect without the explained crashes. Crashes of a convicted call count
-// against its blocks again once other calls with a block have crashed endpoints too.
+// against a block of it again once another call with that block has crashed an endpoint, and none has
+// been answered in between.
 func (e explanation) unexplained(s Suspect) Suspect {
 	s = s.withoutCrashes(func(c Crash) bool { return slices.ContainsFunc(e.byBlocks, c.same) })
 	rest := s.withoutCrashes(func(c Crash) bool { return slices.ContainsFunc(e.byCalls, c.same) })
-	if s.Depth != CallDepth && moments(rest.Crashes) >= furtherCrashes {
+	if s.Depth != CallDepth && len(rest.Crashes) > 0 {
 		return s
 	}
 	return rest
--- a/bluebell/bluebellquarantine/quarantine_test.go
+++ b/bluebell/bluebellquarantine/quarantine_test.go
@@ -115,8 +115,8 @@
 	require.Empty(t, g.Report(11*second))
 }
 
-// A call that is repeated is convicted, and not its blocks; once other calls with one of its blocks
-// crash engines, the block is.
+// A call that is repeated is convicted, and not its blocks; once another call with one of its blocks
+// crashes an engine, the block is, unless calls with it are answered.
 func TestRepeatedCallIsConvictedBeforeItsBlocks(t *testing.T) {
 	poisoned := block("poisoned", 1)
 	call := quarantine.Call("customer", "h", "/x", []string{"poisoned", "own"}, nil)
@@ -127,10 +127,12 @@
 	require.Equal(t, []quarantine.Subject{call}, d.judge(4*second, nil))
 	history := map[quarantine.Key]quarantine.Record{call.Key: {Active: true, Since: 4 * second}}
 	require.Empty(t, d.judge(5*second, history))
-	for n := range 2 {
-		d.crash(second*time.Duration(n+6), uint64(n+6), []quarantine.Subject{poisoned, quarantine.Call("customer", "h", "/x", []string{"poisoned", fmt.Sprint(n)}, nil)})
-	}
-	require.Equal(t, []quarantine.Subject{poisoned}, d.judge(8*second, history))
+	other := []quarantine.Subject{poisoned, quarantine.Call("customer", "h", "/x", []string{"poisoned", "other"}, nil)}
+	d.crash(6*second, 6, other)
+	require.Equal(t, []quarantine.Subject{poisoned}, d.judge(7*second, history))
+	d.guards[0].RecordServed(8*second, []quarantine.Subject{poisoned})
+	d.crash(9*second, 9, other)
+	require.Empty(t, d.judge(10*second, history), "calls with the block are answered, so the call was the cause")
 }
 
 // After the term of a verdict one new crash is enough, after a verdict that was lifted it is not.
