Share the start of soak runs, and the type of listed quarantines

The three kinds of soak runs started and stopped their deployments with the same 25 lines each (whileServing now), and bluebellctl had a copy of the type that core processes list. No behaviour changes; the tests of the soak, the control interface and the command line pass.

--- a/bluebellcore/internal/bluebellcontrol/control_test.go
+++ b/bluebellcore/internal/bluebellcontrol/control_test.go
@@ -18,6 +18,7 @@
 	"bluebellhaven.org/bluebell/bluebelldeployment"
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebell/bluebellstate"
 	"bluebellhaven.org/bluebellcore/internal/bluebellcontrol"
 	"bluebellhaven.org/platform/bluebellplatform"
@@ -223,16 +224,16 @@
 		UnixNanos: time.Now().UnixNano(), Body: &pb.Command_SetQuarantine{SetQuarantine: &pb.SetQuarantine{Key: 0xabc, Depth: 2, Reason: "crashes endpoints"}},
 	})
 	require.NoError(t, err)
-	list := func() []bluebellcontrol.Quarantine {
-		response, err := http.Get(f.url + bluebellcontrol.QuarantinePath)
+	list := func() []bluebellquarantine.Listing {
+		response, err := http.Get(f.url + bluebellquarantine.ListPath)
 		require.NoError(t, err)
 		defer func() { _ = response.Body.Close() }()
-		var all []bluebellcontrol.Quarantine
+		var all []bluebellquarantine.Listing
 		require.NoError(t, json.NewDecoder(response.Body).Decode(&all))
 		return all
 	}
 	lift := func(key string) int {
-		r, err := http.NewRequest(http.MethodDelete, f.url+bluebellcontrol.QuarantinePath+"/"+key, nil)
+		r, err := http.NewRequest(http.MethodDelete, f.url+bluebellquarantine.ListPath+"/"+key, nil)
 		require.NoError(t, err)
 		response, err := http.DefaultClient.Do(r)
 		require.NoError(t, err)
--- a/bluebellcore/internal/bluebellcontrol/quarantine.go
+++ b/bluebellcore/internal/bluebellcontrol/quarantine.go
@@ -13,25 +13,9 @@
 	"bluebellhaven.org/bluebell/bluebellquarantine"
 )
 
-// QuarantinePath lists the quarantines with GET. With DELETE and a key behind a slash it lifts one.
-// It is no part of the platform's interface.
-const QuarantinePath = "/quarantines"
-
-// Quarantine is a listed quarantine.
-type Quarantine struct {
-	Key string
-	// WholeCall is set if the subject is a call and not a block of a prompt.
-	WholeCall    bool
-	Since, Until time.Time
-	InForce      bool
-	// Count is the number of quarantines of the subject since one was last lifted.
-	Count  uint32
-	Reason string
-}
-
-// answerQuarantine answers a call of QuarantinePath. It reports false for other paths.
+// answerQuarantine answers a call of bluebellquarantine.ListPath. It reports false for other paths.
 func (s *Server) answerQuarantine(ctx context.Context, method, path string) (reply, bool) {
-	rest, ok := strings.CutPrefix(path, QuarantinePath)
+	rest, ok := strings.CutPrefix(path, bluebellquarantine.ListPath)
 	switch {
 	case ok && method == fasthttp.MethodGet && rest == "":
 		return s.listQuarantines(), true
@@ -42,10 +26,10 @@
 }
 
 func (s *Server) listQuarantines() reply {
-	list := []Quarantine{}
+	list := []bluebellquarantine.Listing{}
 	deployment, _ := s.cfg.Deployment()
 	for _, q := range deployment.GetQuarantines() {
-		list = append(list, Quarantine{
+		list = append(list, bluebellquarantine.Listing{
 			Key: bluebellquarantine.Key(q.Key).String(), WholeCall: q.Depth == bluebellquarantine.CallDepth,
 			Since: time.Unix(0, q.Since).UTC(), Until: time.Unix(0, q.Until).UTC(), InForce: time.Now().UnixNano() < q.Until, Count: q.Count, Reason: q.Reason,
 		})
--- a/bluebellctl/quarantine.go
+++ b/bluebellctl/quarantine.go
@@ -10,10 +10,9 @@
 	"strings"
 	"text/tabwriter"
 	"time"
-)
 
-// quarantinePath is the path of the control interface of a core process that lists quarantines.
-const quarantinePath = "/quarantines"
+	"bluebellhaven.org/bluebell/bluebellquarantine"
+)
 
 // quarantineTimeout bounds one call. A core process answers within a second.
 const quarantineTimeout = 2 * time.Second
@@ -32,33 +31,23 @@
 	Key string `arg:"positional,required" help:"key of the quarantine, as listed"`
 }
 
-// quarantine is a listed quarantine.
-type quarantine struct {
-	Key          string
-	WholeCall    bool
-	Since, Until time.Time
-	InForce      bool
-	Count        uint32
-	Reason       string
-}
-
 func (q *quarantineCommand) run() error {
 	switch {
 	case q.List != nil:
 		return q.list()
 	case q.Lift != nil:
-		_, err := q.call(http.MethodDelete, quarantinePath+"/"+q.Lift.Key)
+		_, err := q.call(http.MethodDelete, bluebellquarantine.ListPath+"/"+q.Lift.Key)
 		return err
 	}
 	return errNoCommand
 }
 
 func (q *quarantineCommand) list() error {
-	body, err := q.call(http.MethodGet, quarantinePath)
+	body, err := q.call(http.MethodGet, bluebellquarantine.ListPath)
 	if err != nil {
 		return err
 	}
-	var list []quarantine
+	var list []bluebellquarantine.Listing
 	if err := json.Unmarshal(body, &list); err != nil {
 		return fmt.Errorf("decode the quarantines: %w", err)
 	}
--- a/bluebellsoak/bluebellchaos/limit.go
+++ b/bluebellsoak/bluebellchaos/limit.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -32,86 +33,82 @@
 // cfg.Duration: one of the engines, or all of them. With restartProcesses, gates and core
 // processes are killed meanwhile.
 func RunLimited(ctx context.Context, cfg Config, limit string, all, restartProcesses bool) (LimitReport, error) {
-	r := &poisonRun{deployment: newDeployment(cfg), refused: map[string]bool{}}
-	defer r.stopAll()
-	if err := r.startAll(); err != nil {
+	r := &limitRun{deployment: newDeployment(cfg), limit: limit, all: all, restartProcesses: restartProcesses}
+	prepare := func(*backend) error { return nil }
+	if err := r.whileServing(ctx, prepare, r.run); err != nil {
 		return LimitReport{}, err
 	}
-	var load conc.WaitGroup
-	loadCtx, stopLoad := context.WithCancel(ctx)
-	defer stopLoad()
-	for _, b := range r.backends {
-		load.Go(func() { r.keepRegistered(loadCtx, b) })
-	}
-	defer load.Wait()
-	defer stopLoad()
-	if !r.waitUntilServing(ctx, startTimeout, true) {
-		return LimitReport{}, fmt.Errorf("calls are not served within %v of the start; see the logs in %s", startTimeout, cfg.DataFolder)
-	}
-	if err := r.disableBootstrap(); err != nil {
-		return LimitReport{}, err
-	}
-	return r.runLimited(ctx, limit, all, restartProcesses), nil
+	return r.report, nil
 }
 
-// runLimited makes calls to the engines for the configured time.
-func (r *poisonRun) runLimited(ctx context.Context, limit string, all, restartProcesses bool) LimitReport {
-	var report LimitReport
+// limitRun is a deployment whose engines name a limit.
+type limitRun struct {
+	*deployment
+	limit                 string
+	all, restartProcesses bool
+
+	mu     sync.Mutex
+	report LimitReport
+}
+
+// run makes calls to the engines for the configured time.
+func (r *limitRun) run(ctx context.Context) {
 	ctx, stop := context.WithTimeout(ctx, r.cfg.Duration)
 	defer stop()
 	var calls conc.WaitGroup
-	if restartProcesses {
+	if r.restartProcesses {
 		calls.Go(func() { killInTurn(ctx, r.deployment) })
 	}
-	calls.Go(func() {
-		r.makeLimitedCalls(ctx, func(at time.Time, o outcome) {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			if report.LimitedAt.IsZero() || at.Before(report.LimitedAt) || !report.FreeAt.IsZero() {
-				return
-			}
-			report.Calls++
-			switch o.status {
-			case http.StatusOK:
-				report.Served++
-			case http.StatusServiceUnavailable:
-				report.Refusals = append(report.Refusals, time.Since(at))
-			}
-		})
-	})
-	set := func(text string, at *time.Time) {
-		for _, b := range r.limited(all) {
-			b.endpoint().SetRateLimit(text)
-		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		*at = time.Now()
-	}
+	calls.Go(func() { r.makeCalls(ctx) })
 	time.Sleep(poisonWarmup)
-	set(limit, &report.LimitedAt)
+	r.setLimit(r.limit, &r.report.LimitedAt)
 	time.Sleep(r.cfg.Duration - 3*poisonWarmup)
-	set("", &report.FreeAt)
+	r.setLimit("", &r.report.FreeAt)
 	calls.Wait()
-	for _, b := range r.limited(all) {
-		report.Arrivals = append(report.Arrivals, b.endpoint().ArrivalTimes())
+	for _, b := range r.limited() {
+		r.report.Arrivals = append(r.report.Arrivals, b.endpoint().ArrivalTimes())
+	}
+}
+
+// setLimit makes the engines name a limit, or none, and notes when.
+func (r *limitRun) setLimit(text string, at *time.Time) {
+	for _, b := range r.limited() {
+		b.endpoint().SetRateLimit(text)
 	}
-	return report
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*at = time.Now()
 }
 
 // limited returns the engines that name a limit: one, or all.
-func (r *poisonRun) limited(all bool) []*backend {
+func (r *limitRun) limited() []*backend {
 	var engines []*backend
 	for _, b := range r.backends {
-		if b.index%2 == 1 && (all || len(engines) == 0) {
+		if b.index%2 == 1 && (r.all || len(engines) == 0) {
 			engines = append(engines, b)
 		}
 	}
 	return engines
 }
 
-// makeLimitedCalls makes calls to engines through random gates until ctx ends, and passes on when
-// each began and how it ended.
-func (r *poisonRun) makeLimitedCalls(ctx context.Context, record func(at time.Time, o outcome)) {
+// record counts a call that was made while limits were named.
+func (r *limitRun) record(at time.Time, o outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.report.LimitedAt.IsZero() || at.Before(r.report.LimitedAt) || !r.report.FreeAt.IsZero() {
+		return
+	}
+	r.report.Calls++
+	switch o.status {
+	case http.StatusOK:
+		r.report.Served++
+	case http.StatusServiceUnavailable:
+		r.report.Refusals = append(r.report.Refusals, time.Since(at))
+	}
+}
+
+// makeCalls makes calls to engines through random gates until ctx ends.
+func (r *limitRun) makeCalls(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(r.cfg.Seed, 3))
 	client := &http.Client{Timeout: clientTimeout}
 	defer client.CloseIdleConnections()
@@ -123,7 +120,7 @@
 		shared := append(slices.Clone(usualBlocks), bluebellplatform.Block{ID: fmt.Sprintf("50b%d", rng.IntN(24)), Tokens: 150})
 		calls.Go(func() {
 			at := time.Now()
-			record(at, call(client, gate, fmt.Sprint("limited-", n), resumablePath, shared))
+			r.record(at, call(client, gate, fmt.Sprint("limited-", n), resumablePath, shared))
 		})
 		time.Sleep(time.Duration(rng.Int64N(int64(2 * limitedInterval))))
 	}
--- a/bluebellsoak/bluebellchaos/poison.go
+++ b/bluebellsoak/bluebellchaos/poison.go
@@ -48,8 +48,8 @@
 // poisonRun is a deployment with calls whose prompts have a poisoned block.
 type poisonRun struct {
 	*deployment
-	// disturb, if not nil, injects further faults until its context ends.
-	disturb func(ctx context.Context, d *deployment)
+	// restartProcesses is set if gates and core processes are killed during the run.
+	restartProcesses bool
 
 	mu       sync.Mutex
 	report   PoisonReport
@@ -61,35 +61,14 @@
 // crashes engines. No two of them are alike. They share their customer and their other blocks
 // with sound calls. With restartProcesses, gates and core processes are killed meanwhile.
 func RunPoisoned(ctx context.Context, cfg Config, restartProcesses bool) (PoisonReport, error) {
-	r := &poisonRun{deployment: newDeployment(cfg), refused: map[string]bool{}}
-	if restartProcesses {
-		r.disturb = killInTurn
-	}
-	defer r.stopAll()
-	if err := r.startAll(); err != nil {
-		return PoisonReport{}, err
-	}
-	var load conc.WaitGroup
-	loadCtx, stopLoad := context.WithCancel(ctx)
-	defer stopLoad()
-	for _, b := range r.backends {
-		if err := r.makeCrashable(b); err != nil {
-			return PoisonReport{}, err
-		}
-		load.Go(func() { r.keepRegistered(loadCtx, b) })
-	}
-	if !r.waitUntilServing(ctx, startTimeout, true) {
-		stopLoad()
-		load.Wait()
-		return PoisonReport{}, fmt.Errorf("calls are not served within %v of the start; see the logs in %s", startTimeout, cfg.DataFolder)
-	}
-	if err := r.disableBootstrap(); err != nil {
+	r := &poisonRun{deployment: newDeployment(cfg), restartProcesses: restartProcesses, refused: map[string]bool{}}
+	err := r.whileServing(ctx, r.makeCrashable, func(ctx context.Context) {
+		r.makeCalls(ctx)
+		r.restarts.Wait()
+	})
+	if err != nil {
 		return PoisonReport{}, err
 	}
-	r.makeCalls(ctx)
-	r.restarts.Wait()
-	stopLoad()
-	load.Wait()
 	return r.result(), nil
 }
 
@@ -126,8 +105,8 @@
 	defer stop()
 	var calls conc.WaitGroup
 	defer calls.Wait()
-	if r.disturb != nil {
-		calls.Go(func() { r.disturb(ctx, r.deployment) })
+	if r.restartProcesses {
+		calls.Go(func() { killInTurn(ctx, r.deployment) })
 	}
 	poisonedFrom := time.Now().Add(poisonWarmup)
 	calls.Go(func() {
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -113,31 +113,49 @@
 // that the deployment could not be set up or served no calls; violations are in Report.Findings.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	d := newDeployment(cfg)
+	prepare := func(*backend) error { return nil }
+	if err := d.whileServing(ctx, prepare, func(ctx context.Context) { d.runUnderFaults(ctx) }); err != nil {
+		return Report{}, err
+	}
+	return d.report(), nil
+}
+
+// whileServing starts the deployment, prepares its endpoints, calls f once calls are served, and
+// stops the deployment.
+func (d *deployment) whileServing(ctx context.Context, prepare func(b *backend) error, f func(ctx context.Context)) error {
 	defer d.stopAll()
 	if err := d.startAll(); err != nil {
-		return Report{}, err
+		return err
 	}
 	var load conc.WaitGroup
-	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer load.Wait()
+	ctx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	for _, b := range d.backends {
-		load.Go(func() { d.keepRegistered(loadCtx, b) })
+		if err := prepare(b); err != nil {
+			return err
+		}
+		load.Go(func() { d.keepRegistered(ctx, b) })
 	}
 	if !d.waitUntilServing(ctx, startTimeout, true) {
-		stopLoad()
-		load.Wait()
-		return Report{}, fmt.Errorf("calls are not served within %v of the start; see the logs in %s", startTimeout, cfg.DataFolder)
+		return fmt.Errorf("calls are not served within %v of the start; see the logs in %s", startTimeout, d.cfg.DataFolder)
 	}
 	if err := d.disableBootstrap(); err != nil {
-		return Report{}, err
+		return err
 	}
-	callCtx, stopCalls := context.WithCancel(loadCtx)
+	f(ctx)
+	return nil
+}
+
+// runUnderFaults makes calls and changes while it injects faults.
+func (d *deployment) runUnderFaults(ctx context.Context) {
+	callCtx, stopCalls := context.WithCancel(ctx)
 	defer stopCalls()
 	var calls conc.WaitGroup
 	for n := range callerCount {
-		calls.Go(func() { d.callers.run(callCtx, n, cfg.Seed) })
+		calls.Go(func() { d.callers.run(callCtx, n, d.cfg.Seed) })
 	}
-	calls.Go(func() { d.operator.run(callCtx, cfg.Seed) })
+	calls.Go(func() { d.operator.run(callCtx, d.cfg.Seed) })
 	d.inject(ctx)
 	if !d.waitUntilServing(ctx, recoveryTimeout, false) {
 		d.findings = append(d.findings, fmt.Sprintf("calls are not served within %v of the last fault", recoveryTimeout))
@@ -146,9 +164,6 @@
 	calls.Wait()
 	time.Sleep(settleTime)
 	d.readDeclarationBack()
-	stopLoad()
-	load.Wait()
-	return d.report(), nil
 }
 
 func newDeployment(cfg Config) *deployment {
