--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -38,6 +38,7 @@
 	"bluebellhaven.org/bluebell/bluebellwal"
 	"bluebellhaven.org/bluebellcore/internal/bluebellcontrol"
 	"bluebellhaven.org/bluebellcore/internal/bluebellinventory"
+	"bluebellhaven.org/bluebellcore/internal/bluebelljudge"
 	"bluebellhaven.org/bluebellcore/internal/bluebellorder"
 )
 
@@ -89,7 +90,7 @@
 	inventory *bluebellinventory.Inventory
 	control   *bluebellcontrol.Server
 	metrics   *bluebellmetrics.Metrics
-	judge     *judge
+	judge     *bluebelljudge.Judge
 
 	mu        sync.Mutex
 	processes map[string]bluebellmember.Process
@@ -130,9 +131,9 @@
 		OnPeerSuspicions: func(core string, list []bluebellquarantine.Suspect) { suspects.RecordPeer(core, n.now(), list) },
 		Now:              n.now, Logger: cfg.Logger,
 	})
-	n.judge = &judge{
-		ledger: suspects, deployment: n.source.Deployment, isLeader: n.isLeader, propose: n.propose, now: n.now, wallClock: time.Now, logger: cfg.Logger,
-	}
+	n.judge = bluebelljudge.New(bluebelljudge.Config{
+		Ledger: suspects, Deployment: n.source.Deployment, IsLeader: n.isLeader, Propose: n.propose, Now: n.now, WallClock: time.Now, Logger: cfg.Logger,
+	})
 	n.orderer = bluebellorder.New(bluebellorder.Config{
 		Holder: n.address, Lease: millis(s.GetBounds().GetOrderLeaseMillis()),
 		Registry: n.registry, Deployment: n.source.Deployment, SetLoading: n.source.SetLoading,
