Pass the verdict to the calls that it withdraws

By reading: when a verdict came, a waiting call looked its own subjects up again from the goroutine of the follower, while its attempt could be changing them after a crash (a data race), and a verdict that had just ended would have made a nil error the cause of the refusal, which panics. The guard passes the verdict now. TestVerdictWithdrawsCallFromEndpoint covers the withdrawal: 502 for a call that may have run, 503 at once for the next one, and the endpoint sees the connection close.

--- a/bluebell/bluebellquarantine/guard.go
+++ b/bluebell/bluebellquarantine/guard.go
@@ -57,7 +57,7 @@
 
 type watch struct {
 	subjects []Subject
-	withdraw func()
+	withdraw func(v Verdict)
 }
 
 // NewGuard returns a guard without evidence and verdicts.
@@ -240,8 +240,8 @@
 		if len(added) == 0 {
 			break
 		}
-		if _, blocked := g.blocked(now, w.subjects); blocked {
-			withdraw = append(withdraw, w.withdraw)
+		if v, blocked := g.blocked(now, w.subjects); blocked {
+			withdraw = append(withdraw, func() { w.withdraw(v) })
 		}
 	}
 	g.mu.Unlock()
@@ -259,9 +259,9 @@
 	g.alone = alone
 }
 
-// Watch calls withdraw when one of the subjects is convicted, until the returned function is
-// called.
-func (g *Guard) Watch(subjects []Subject, withdraw func()) (unwatch func()) {
+// Watch calls withdraw with the verdict when one of the subjects is convicted, until the returned
+// function is called. A call of withdraw that has begun may still go on then.
+func (g *Guard) Watch(subjects []Subject, withdraw func(v Verdict)) (unwatch func()) {
 	if len(subjects) == 0 {
 		return func() {}
 	}
--- a/bluebell/bluebellquarantine/quarantine_test.go
+++ b/bluebell/bluebellquarantine/quarantine_test.go
@@ -175,7 +175,10 @@
 	g := quarantine.NewGuard()
 	withdrawn := map[string]int{}
 	for _, id := range []string{"a", "b", "ended"} {
-		unwatch := g.Watch([]quarantine.Subject{block("first", 0), block(id, 1)}, func() { withdrawn[id]++ })
+		unwatch := g.Watch([]quarantine.Subject{block("first", 0), block(id, 1)}, func(v quarantine.Verdict) {
+			require.Equal(t, block(id, 1), v.Subject)
+			withdrawn[id]++
+		})
 		if id == "ended" {
 			unwatch()
 		}
--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -142,8 +142,18 @@
 	return e.doKey(method, path, body, "k")
 }
 
+// doBlocks sends a call whose prompt has the given blocks.
+func (e *entry) doBlocks(method, path string, blocks []bluebellplatform.Block) call {
+	return e.send(method, path, "", bluebellplatform.Call{Key: "k", Blocks: blocks})
+}
+
 // doKey sends a call with the given key and reads its response.
 func (e *entry) doKey(method, path, body, key string) call {
+	return e.send(method, path, body, bluebellplatform.Call{Key: key})
+}
+
+// send sends a call with a new ID and reads its response.
+func (e *entry) send(method, path, body string, header bluebellplatform.Call) call {
 	c := call{id: fmt.Sprintf("call-%d", e.calls.Add(1))}
 	r, err := http.NewRequest(method, "http://"+e.address+path, strings.NewReader(body))
 	if err != nil {
@@ -151,7 +161,8 @@
 		return c
 	}
 	r.Host = "h.example"
-	r.Header = bluebellplatform.CallerHeader(bluebellplatform.Call{ID: c.id, Key: key, TimeLeft: 2 * time.Second})
+	header.ID, header.TimeLeft = c.id, 2*time.Second
+	r.Header = bluebellplatform.CallerHeader(header)
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
 		c.err = err
@@ -548,3 +559,20 @@
 	require.Empty(t, e.runs())
 	require.Equal(t, http.StatusOK, e.do(http.MethodPost, "/once/x", "another order").status)
 }
+
+// A call whose answer has not begun is withdrawn from its endpoint when a block of it is put in
+// quarantine. It may have run, so it is not refused as not run.
+func TestVerdictWithdrawsCallFromEndpoint(t *testing.T) {
+	e := startEntry(t, 1)
+	e.behave(bluebellstub.Unresponsive)
+	answered := make(chan call, 1)
+	blocks := []bluebellplatform.Block{{ID: "first", Tokens: 10}, {ID: "own", Tokens: 10}}
+	go func() { answered <- e.doBlocks(http.MethodPost, "/stream/x", blocks) }()
+	require.Eventually(t, func() bool { return len(e.runs()) == 1 }, testTimeout, time.Millisecond)
+	e.guard.SetVerdicts(e.now(), []bluebellquarantine.Verdict{{Subject: bluebellquarantine.Block("", "first", 0), Until: e.now() + time.Minute}})
+	c := <-answered
+	require.Equal(t, http.StatusBadGateway, c.status)
+	require.Eventually(t, func() bool { return e.endpoints[0].ActiveCalls() == 0 }, testTimeout, time.Millisecond, "the endpoint drops the call")
+	require.Equal(t, http.StatusServiceUnavailable, e.doBlocks(http.MethodPost, "/stream/x", blocks).status)
+	require.Len(t, e.runs(), 1)
+}
--- a/bluebellgate/internal/bluebellrelay/quarantine.go
+++ b/bluebellgate/internal/bluebellrelay/quarantine.go
@@ -61,9 +61,9 @@
 // watchQuarantine withdraws the call from its queue or endpoint when one of its subjects is put in
 // quarantine, unless its answer has begun.
 func (c *activeCall) watchQuarantine(cancel context.CancelCauseFunc) (unwatch func()) {
-	return c.relay.cfg.Guard.Watch(c.subjects, func() {
+	return c.relay.cfg.Guard.Watch(c.subjects, func(v bluebellquarantine.Verdict) {
 		if !c.begun.Load() {
-			cancel(c.quarantined())
+			cancel(&QuarantinedError{Verdict: v})
 		}
 	})
 }
