Refuse no call for a limit that only the waiting calls have to keep

What callers could see: a retry has tried the other endpoints of its target, so only an endpoint that names a limit may be left for it, and it waits for its turn. New calls then were not tried, since another call waited, and were refused at once for the limit that the retry had met (503), although an endpoint without a limit was idle.

Cause: the limit that one call met was taken for that of the target.

Evidence: TestRetryAtLimitedEndpointDoesNotRefuseOtherCalls got 503 for another call in each of three runs before.

Change: while the call that was tried last met limits, a new call is tried itself.

--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -576,3 +576,27 @@
 	require.Equal(t, http.StatusServiceUnavailable, e.doBlocks(http.MethodPost, "/stream/x", blocks).status)
 	require.Len(t, e.runs(), 1)
 }
+
+// A retry that waits for the turn of a limited endpoint does not make the entry refuse calls that
+// another endpoint can take.
+func TestRetryAtLimitedEndpointDoesNotRefuseOtherCalls(t *testing.T) {
+	e := startEntry(t, 2)
+	limited, free := e.endpoints[0], e.endpoints[1]
+	limited.SetRateLimit("4")
+	for limited.Arrivals() == 0 {
+		require.Equal(t, http.StatusOK, e.do(http.MethodGet, "/read/x", "").status)
+	}
+	for range 10 {
+		free.SetBehaviour(bluebellstub.Failing)
+		ran := len(free.Runs())
+		retried := make(chan call, 1)
+		go func() { retried <- e.do(http.MethodGet, "/read/x", "") }()
+		// The call goes to the limited endpoint if its turn has come.
+		require.Eventually(t, func() bool { return len(free.Runs()) > ran || len(retried) == 1 }, testTimeout, time.Millisecond)
+		free.SetBehaviour(bluebellstub.Normal)
+		for range 5 {
+			require.Equal(t, http.StatusOK, e.do(http.MethodGet, "/read/y", "").status)
+		}
+		<-retried
+	}
+}
--- a/bluebellgate/internal/bluebellrelay/waitqueue.go
+++ b/bluebellgate/internal/bluebellrelay/waitqueue.go
@@ -46,7 +46,8 @@
 	admittedAt time.Duration
 	// polling is set while poll runs.
 	polling bool
-	// limit is set while endpoints take no call for the limits that they name.
+	// limit is set if the call that was tried last found only endpoints that take no call for the
+	// limits that they name.
 	limit *bluebellqueue.Limit
 }
 
@@ -77,22 +78,19 @@
 	return call.result == bluebellplacement.AllUnfit || call.result == bluebellplacement.NoEndpoint
 }
 
-// selectOrEnqueue selects an endpoint for the call if no other call waits. If that is not
-// possible, it adds the call to the queue, unless the limits that endpoints name rule out that it is
-// sent by the time until. It reports whether the call has its result.
+// selectOrEnqueue selects an endpoint for the call, unless other calls wait for more than the turns
+// of limited endpoints. If that is not possible, it adds the call to the queue, unless the limits rule
+// out that it is sent by the time until. It reports whether the call has its result.
 func (q *waitQueue) selectOrEnqueue(call *waitingCall, until time.Duration) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	call.selected = make(chan struct{})
-	if len(q.calls) == 0 {
-		if q.try(call) {
+	// Other calls may wait for limits because they have tried the other endpoints.
+	if len(q.calls) == 0 || q.limit != nil {
+		if q.try(call) || q.limit != nil && !q.limit.Allows(len(q.calls), until) {
 			return true
 		}
 	}
-	if q.limit != nil && !q.limit.Allows(len(q.calls), until) {
-		call.result = bluebellplacement.AllLimited
-		return true
-	}
 	q.calls = append(q.calls, call)
 	if !q.polling {
 		q.polling = true
