Add failing tests for endpoints that are silent for a second

A caller's stream is broken off, without an answer or refusal, when its endpoint sends nothing for longer than twice the allowed gap and the call cannot go elsewhere: the retry budget is used up, there is no other endpoint, or the other endpoint declines. Reads get 502 in the same cases. The endpoint would have gone on after a second.

--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -70,6 +70,9 @@
 	UnframedStream
 	// UnframedEmptyStream does the same before the first event.
 	UnframedEmptyStream
+	// Pausing is silent for PauseTime before the answer, or in the middle of a stream, and then
+	// completes it.
+	Pausing
 )
 
 const (
@@ -79,6 +82,8 @@
 	StreamPathPrefix = "/stream/"
 	// registerTimeout bounds one registration.
 	registerTimeout = time.Second
+	// PauseTime is how long Pausing is silent.
+	PauseTime = time.Second
 	// commentInterval is the time between the comments of Stalling and Commenting.
 	commentInterval = 30 * time.Millisecond
 )
@@ -379,8 +384,12 @@
 	if len(r.URL.Path) >= len(StreamPathPrefix) && r.URL.Path[:len(StreamPathPrefix)] == StreamPathPrefix {
 		return e.writeStream(w, r, run, header, b)
 	}
+	processing := e.processingTime()
+	if b == Pausing {
+		processing += PauseTime
+	}
 	select {
-	case <-time.After(e.processingTime()):
+	case <-time.After(processing):
 	case <-r.Context().Done():
 		return r.Context().Err()
 	}
@@ -470,8 +479,12 @@
 	writeHeader(w, h, http.StatusOK)
 	controller := http.NewResponseController(w)
 	for n := first; n <= StreamEvents; n++ {
+		processing := e.processingTime()
+		if b == Pausing && n == StreamEvents/2+1 {
+			processing += PauseTime
+		}
 		select {
-		case <-time.After(e.processingTime()):
+		case <-time.After(processing):
 		case <-r.Context().Done():
 			return r.Context().Err()
 		}
--- /dev/null
+++ b/bluebellgate/internal/bluebellfrontend/silent_test.go
@@ -0,0 +1,56 @@
+package bluebellfrontend_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebellfake/bluebellstub"
+	"bluebellhaven.org/bluebellgate/internal/bluebellrelay"
+)
+
+// An endpoint that is silent for a second and then goes on is sound. A call that it runs must not
+// end without its answer because the call cannot be sent elsewhere.
+func TestSilentEndpointEndsNoAnswer(t *testing.T) {
+	noRetries := bluebellrelay.RetryLimits{Window: 10 * time.Second}
+	ample := bluebellrelay.RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}
+	for name, c := range map[string]struct {
+		path      string
+		endpoints int
+		limits    bluebellrelay.RetryLimits
+	}{
+		"StreamWithoutRetryBudget":   {"/stream/again/x", 2, noRetries},
+		"StreamWithoutOtherEndpoint": {"/stream/again/x", 1, ample},
+		"ReadWithoutRetryBudget":     {"/read/x", 2, noRetries},
+		"ReadWithoutOtherEndpoint":   {"/read/x", 1, ample},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEntryWithRetryLimits(t, c.endpoints, c.limits)
+			e.behave(bluebellstub.Pausing)
+			got := e.do(http.MethodPost, c.path, "prompt")
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status)
+			if c.path == "/read/x" {
+				require.Equal(t, bluebellstub.AnswerBody(got.id), got.body)
+			} else {
+				require.Equal(t, eventsText(got.id, bluebellstub.StreamEvents), got.body)
+			}
+			require.Len(t, e.runs(), 1)
+		})
+	}
+}
+
+// If the endpoint to which a silent stream is moved declines it, the stream must not end either: the
+// endpoint that was left may go on.
+func TestSilentEndpointIsTriedAgainAfterDecline(t *testing.T) {
+	e := startEntry(t, 2)
+	e.endpoints[0].SetBehaviour(bluebellstub.Pausing)
+	e.endpoints[1].SetBehaviour(bluebellstub.Declining)
+	for range 2 {
+		got := e.do(http.MethodPost, "/stream/again/x", "prompt")
+		require.NoError(t, got.err)
+		require.Equal(t, eventsText(got.id, bluebellstub.StreamEvents), got.body)
+	}
+}
