Leave a silent endpoint only for another one

What callers saw: a whole call got neither an answer nor a refusal. A stream was broken off when its endpoint had sent nothing for twice the allowed gap (0.6 s where 300 ms are allowed), and reads got 502 after 0.2 to 0.4 s, although the endpoint was sound and went on after a second.

Cause: silence was taken for a failure. The entry closed the connection to the endpoint first, and only then found out that the call could not go elsewhere: the retry budget was used up (all calls of a silent engine leave it together), no other endpoint took the call, or the other endpoint declined it.

Change: at the timeout the call reserves another endpoint and a retry of the budget, and leaves only with both; otherwise it stays and looks again every 100 ms, up to its deadline. In the middle of a stream it looks after 1.2 s at the earliest. If the other endpoint declines the call, the one that was left may be tried again. The rest of a large body no longer has the read timeout as its write deadline, since the call may stay longer than that.

--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -70,7 +70,7 @@
 	UnframedStream
 	// UnframedEmptyStream does the same before the first event.
 	UnframedEmptyStream
-	// Pausing is silent for PauseTime before the answer, or in the middle of a stream, and then
+	// Pausing is silent for a second, or as SetPauseTime demands, before the answer, or in the middle of a stream, and then
 	// completes it.
 	Pausing
 )
@@ -82,8 +82,8 @@
 	StreamPathPrefix = "/stream/"
 	// registerTimeout bounds one registration.
 	registerTimeout = time.Second
-	// PauseTime is how long Pausing is silent.
-	PauseTime = time.Second
+	// defaultPauseTime is how long Pausing is silent.
+	defaultPauseTime = time.Second
 	// commentInterval is the time between the comments of Stalling and Commenting.
 	commentInterval = 30 * time.Millisecond
 )
@@ -131,7 +131,9 @@
 	mu        sync.Mutex
 	behaviour Behaviour
 	// processing replaces Config.ProcessingTime if it is not 0.
-	processing  time.Duration
+	processing time.Duration
+	// pause replaces defaultPauseTime if it is not 0.
+	pause       time.Duration
 	runs        []*Run
 	sequence    uint64
 	state       bluebellfleet.State
@@ -341,6 +343,22 @@
 	e.processing = d
 }
 
+// SetPauseTime sets how long Pausing is silent.
+func (e *Endpoint) SetPauseTime(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pause = d
+}
+
+func (e *Endpoint) pauseTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.pause > 0 {
+		return e.pause
+	}
+	return defaultPauseTime
+}
+
 func (e *Endpoint) processingTime() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -386,7 +404,7 @@
 	}
 	processing := e.processingTime()
 	if b == Pausing {
-		processing += PauseTime
+		processing += e.pauseTime()
 	}
 	select {
 	case <-time.After(processing):
@@ -481,7 +499,7 @@
 	for n := first; n <= StreamEvents; n++ {
 		processing := e.processingTime()
 		if b == Pausing && n == StreamEvents/2+1 {
-			processing += PauseTime
+			processing += e.pauseTime()
 		}
 		select {
 		case <-time.After(processing):
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -52,7 +52,7 @@
 	if a.NotRun && c.refusalApplies(a, exchange) {
 		return c.handleNotRun(choice, exchange, a)
 	}
-	c.runs++
+	c.countRun()
 	if a.NotRun {
 		c.endAttempt(choice, bluebellplacement.InvalidAnswer, errUnidentifiedRefusal)
 		return resultRetry
@@ -105,12 +105,12 @@
 func (c *activeCall) readErrorOutcome(ctx context.Context, err error) bluebellplacement.Outcome {
 	var failure *bluebelltransport.Error
 	switch {
-	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case callerLeft(ctx):
 		return bluebellplacement.Abandoned
 	case errors.Is(err, bluebelltransport.ErrBufferFull):
 		// The limit is this entry's own; the endpoint must not become suspect for it.
 		return bluebellplacement.Abandoned
-	case errors.As(err, &failure) && failure.Timeout:
+	case errors.As(err, &failure) && failure.Timeout, ctx.Err() != nil:
 		return bluebellplacement.TimedOut
 	}
 	return bluebellplacement.InvalidAnswer
@@ -118,8 +118,7 @@
 
 // handleNotRun processes a refusal that guarantees that the call has not run.
 func (c *activeCall) handleNotRun(choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, a bluebellplatform.Answer) attemptResult {
-	// Reading the rest of the answer lets the connection be reused.
-	_, err := exchange.ReadAll(maxAnswerBytes, time.Now().Add(minTimeLeft))
+	err := exchange.Discard(maxAnswerBytes, time.Now().Add(minTimeLeft))
 	outcome := bluebellplacement.Declined
 	if a.WrongEndpoint {
 		outcome = bluebellplacement.Misdirected
@@ -165,8 +164,8 @@
 	cfg.RecordFirstEvent(c.request.Target.Name, cfg.Now()-c.start)
 }
 
-// stream forwards events as they arrive. If the stream breaks or stalls, the next attempt
-// resumes it at another endpoint after the last event that the caller received. Only events
+// stream forwards events as they arrive. If the stream breaks, or stalls while another endpoint takes
+// the call, the next attempt resumes it after the last event that the caller received. Only events
 // with data are progress: a stalled endpoint may go on sending comments.
 func (c *activeCall) stream(ctx context.Context, choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, retryable bool) attemptResult {
 	progressBy := time.Now().Add(firstEventTimeout(c.request.Route, choice, c.timeLeft(), retryable))
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,10 +85,15 @@
 
 	// sends counts the attempts, runs those in which the endpoint may have run the call.
 	sends, runs int
+	// runCounted is set if runs includes the current attempt.
+	runCounted bool
 	// received counts the attempts in which the endpoint may have received the call.
 	received int
-	// tried holds the IDs of the endpoints of all attempts.
-	tried []string
+	// tried holds the IDs of the endpoints of all attempts, and silent those of them that were left
+	// because they sent nothing.
+	tried, silent []string
+	// reserved is the endpoint that is reserved for the next attempt, or nil.
+	reserved *bluebellplacement.Choice
 	// headerSent is set once the header has been sent to the caller.
 	headerSent bool
 	// cachePlan names the cached blocks that the endpoint fetches and saves in the current
@@ -136,6 +142,7 @@
 	r.recordCall(request.Target.Name)
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-answerMargin))
 	defer cancel()
+	defer c.releaseReserved()
 	ctx, withdraw := context.WithCancelCause(ctx)
 	defer withdraw(nil)
 	defer c.watchQuarantine(withdraw)()
@@ -148,7 +155,7 @@
 	switch {
 	case errors.As(context.Cause(ctx), &quarantined):
 		c.cause = quarantined
-	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case callerLeft(ctx):
 		c.finish("caller left", 0)
 		return
 	}
@@ -158,10 +165,10 @@
 // mayRetry reports whether the call may be sent to another endpoint. It takes a retry from
 // the target's budget if an endpoint may have received the call.
 func (c *activeCall) mayRetry() bool {
-	if c.sends >= maxSends || c.runs >= c.request.Route.Attempts || c.timeLeft() < minTimeLeft {
-		return false
+	if c.reserved != nil {
+		return true
 	}
-	if c.runs > 0 && (c.sentEventWithoutID || !c.request.Route.Repeatable()) {
+	if !c.retryAllowed(c.runs) {
 		return false
 	}
 	if c.received > 0 && !c.relay.takeRetry(c.request.Target.Name) {
@@ -172,18 +179,49 @@
 	return true
 }
 
+// retryAllowed reports whether the call may be sent once more after the given number of runs, as
+// far as the call itself is concerned.
+func (c *activeCall) retryAllowed(runs int) bool {
+	if c.sends >= maxSends || runs >= c.request.Route.Attempts || c.timeLeft() < minTimeLeft {
+		return false
+	}
+	return runs == 0 || !c.sentEventWithoutID && c.request.Route.Repeatable()
+}
+
 // timeLeft returns the time that remains for attempts.
 func (c *activeCall) timeLeft() time.Duration { return time.Until(c.request.Deadline) - answerMargin }
 
-// selectEndpoint waits for an endpoint that can take the call.
-func (c *activeCall) selectEndpoint(ctx context.Context) (bluebellplacement.Choice, bluebellplacement.PickResult) {
+// nextEndpoint returns the endpoint for the next attempt. If no other endpoint takes the call, one that
+// was left because it was silent may have gone on since.
+func (c *activeCall) nextEndpoint(ctx context.Context) (bluebellplacement.Choice, bluebellplacement.PickResult) {
+	if c.reserved != nil {
+		choice := *c.reserved
+		c.reserved = nil
+		return choice, bluebellplacement.Picked
+	}
+	choice, result := c.selectEndpoint(ctx, c.tried)
+	if result == bluebellplacement.Picked || len(c.silent) == 0 {
+		return choice, result
+	}
+	return c.selectEndpoint(ctx, slices.DeleteFunc(slices.Clone(c.tried), func(id string) bool { return slices.Contains(c.silent, id) }))
+}
+
+// placementRequest describes the call to the placer.
+func (c *activeCall) placementRequest(tried []string) bluebellplacement.Request {
 	cfg := &c.relay.cfg
-	r := bluebellplacement.Request{Target: c.request.Target.Name, Tried: c.tried}
+	r := bluebellplacement.Request{Target: c.request.Target.Name, Tried: tried}
 	if c.request.Target.Engine != nil {
 		r.Model = c.request.Call.Model
 		describePrompt(&r, c.request.Call)
 		r.FetchTime = cfg.CachePlanner.FetchTime(c.sharedBlocks(cfg.Placer.NewestVersion(r.Model), cfg.Placer.FailureDomain()))
 	}
+	return r
+}
+
+// selectEndpoint waits for an endpoint that can take the call and is not among those tried.
+func (c *activeCall) selectEndpoint(ctx context.Context, tried []string) (bluebellplacement.Choice, bluebellplacement.PickResult) {
+	cfg := &c.relay.cfg
+	r := c.placementRequest(tried)
 	now := cfg.Now()
 	w := bluebellqueue.Waiter{
 		Priority: c.request.priority(), Arrived: now, ObjectiveEnd: c.start + c.request.Route.Objective, Deadline: now + c.timeLeft(),
@@ -191,10 +229,10 @@
 	}
 	until := bluebellqueue.WaitUntil(w)
 	call := &waitingCall{waiter: w, request: r, unfitUntil: until}
-	if len(c.tried) > 0 && !w.MayHaveRun {
+	if len(tried) > 0 && !w.MayHaveRun {
 		call.unfitUntil = min(until, now+registrationWait)
 	}
-	if r.SharedTokens >= minHomeWaitTokens && len(c.tried) == 0 {
+	if r.SharedTokens >= minHomeWaitTokens && len(tried) == 0 {
 		call.homesOnlyUntil = bluebellqueue.HomesOnlyUntil(w)
 	}
 	choice, result := c.relay.waitQueue(r.Target).wait(ctx, call, until)
@@ -234,7 +272,7 @@
 		c.cause = quarantined
 		return resultFinal
 	}
-	choice, result := c.selectEndpoint(ctx)
+	choice, result := c.nextEndpoint(ctx)
 	if result == bluebellplacement.AllLimited {
 		c.allowedAt = choice.AllowedAt
 	}
@@ -249,7 +287,7 @@
 	}
 	c.sends++
 	c.begun.Store(false)
-	c.unframed = false
+	c.unframed, c.runCounted = false, false
 	c.tried = append(c.tried, choice.Endpoint.ID)
 	cfg := &c.relay.cfg
 	cfg.Logger.Info("endpoint selected", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Address", choice.Endpoint.Address,
@@ -263,7 +301,7 @@
 		Address: choice.Endpoint.Address, Method: c.request.Method, URI: c.request.URI, Host: c.request.Host, Body: c.request.Body,
 		Header:         c.requestHeader(choice, timeLeft),
 		MatchResponse:  c.matchResponse,
-		ConnectTimeout: connectTimeout(c.request.Route),
+		ConnectTimeout: min(connectTimeout(c.request.Route), timeLeft),
 		HeaderDeadline: time.Now().Add(timeout),
 		ExtendDeadline: c.extendDeadline(choice, timeout),
 		AckTimeout:     ackTimeout(timeLeft, retryable),
@@ -317,19 +355,27 @@
 	}
 	outcome := bluebellplacement.ConnectionFailed
 	switch {
-	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case callerLeft(ctx):
 		outcome = bluebellplacement.Abandoned
-	case failure.Timeout && failure.MaybeSent:
+	case (failure.Timeout || ctx.Err() != nil) && failure.MaybeSent:
 		outcome = bluebellplacement.TimedOut
 	}
 	c.endAttempt(choice, outcome, err)
 	if failure.MaybeSent {
 		c.received++
-		c.runs++
+		c.countRun()
 	}
 	return resultRetry
 }
 
+// countRun counts that the endpoint of the current attempt may have run the call.
+func (c *activeCall) countRun() { c.runs, c.runCounted = c.runs+1, true }
+
+// callerLeft reports whether the call was canceled for another reason than its deadline.
+func callerLeft(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
 // endAttempt records the outcome of an attempt.
 func (c *activeCall) endAttempt(choice bluebellplacement.Choice, outcome bluebellplacement.Outcome, err error) {
 	cfg := &c.relay.cfg
--- a/bluebellgate/internal/bluebellrelay/timeouts.go
+++ b/bluebellgate/internal/bluebellrelay/timeouts.go
@@ -17,9 +17,11 @@
 	// expectedTimeFactor times the expected time to the first event is a lower bound of its
 	// timeout.
 	expectedTimeFactor = 4
-	// maxEventGapFactor times the route's longest gap between events is how long a stream
-	// may send nothing before it is resumed elsewhere.
+	// maxEventGapFactor times the route's longest gap between events, and at least
+	// minEventTimeout, is how long a stream may send nothing before it is resumed elsewhere. A
+	// sound endpoint may be silent for about a second.
 	maxEventGapFactor = 2
+	minEventTimeout   = 1200 * time.Millisecond
 	// typicalTimeFactor times the mean time to the first event over the target's endpoints
 	// is a lower bound of the timeout of the first event. When all endpoints are busy,
 	// early retries only add load.
@@ -59,25 +61,6 @@
 	return timeout
 }
 
-// extendDeadline returns a function that is called when the endpoint has sent nothing by the
-// deadline. The function returns the next deadline, or the zero time to give up. The call
-// keeps waiting while the endpoint answers other calls, but not beyond
-// activeEndpointFactor*timeout.
-func (c *activeCall) extendDeadline(choice bluebellplacement.Choice, timeout time.Duration) func() time.Time {
-	placer, now := c.relay.cfg.Placer, c.relay.cfg.Now
-	giveUpAt := min(now()+activeEndpointFactor*timeout, now()+c.timeLeft())
-	return func() time.Time {
-		at := now()
-		stays := at < giveUpAt && placer.AnsweredSince(choice, at-timeout)
-		c.relay.cfg.Logger.Info("answer timeout reached", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Stays", stays,
-			"Timeout", timeout.Round(time.Millisecond), "Typical", choice.Typical.Round(time.Millisecond), "Attempt", c.sends)
-		if !stays {
-			return time.Time{}
-		}
-		return time.Now().Add(min(timeout, giveUpAt-at))
-	}
-}
-
 // nextEventTimeout returns how long a stream may send nothing between two events.
 func nextEventTimeout(r *bluebelldeployment.Route, timeLeft time.Duration, retryable bool) time.Duration {
 	if !retryable {
@@ -87,7 +70,7 @@
 	if maxGap <= 0 {
 		maxGap = defaultMaxEventGap
 	}
-	return min(maxEventGapFactor*maxGap, timeLeft)
+	return min(max(maxEventGapFactor*maxGap, minEventTimeout), timeLeft)
 }
 
 // ackTimeout returns how long a connection may receive no acknowledgement, or 0 for the
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -42,9 +42,8 @@
 	AckTimeout time.Duration
 	// HeaderDeadline is the time by which the header of the response must have arrived.
 	HeaderDeadline time.Time
-	// ExtendDeadline is called when a read deadline expires before the first event, or before
-	// the end of a response that is no stream. It returns the new deadline, or a time in the
-	// past to fail the read. It may be nil.
+	// ExtendDeadline is called when a read deadline expires. It returns the new deadline, or a time
+	// in the past to fail the read. It may be nil.
 	ExtendDeadline func() time.Time
 }
 
@@ -93,7 +92,7 @@
 	if !x.conn.reused {
 		ackTimeout = r.AckTimeout
 	}
-	if err := errors.Join(x.conn.SetDeadline(r.HeaderDeadline), x.conn.setAckTimeout(ackTimeout)); err != nil {
+	if err := errors.Join(x.conn.SetReadDeadline(r.HeaderDeadline), x.conn.SetWriteDeadline(r.HeaderDeadline), x.conn.setAckTimeout(ackTimeout)); err != nil {
 		return x.failUnsent(err)
 	}
 	header := encodeHeader(r)
@@ -111,6 +110,10 @@
 	if n, err := x.conn.Write(header); err != nil && n == 0 {
 		return x.failUnsent(err)
 	}
+	// The endpoint may be slow to read the body; the call is canceled at its own deadline.
+	if err := x.conn.SetWriteDeadline(time.Time{}); err != nil {
+		return x.fail(Sending, err)
+	}
 	opened, written := x.conn, x.written
 	go func() {
 		// If the write fails, reading the response fails too.
@@ -205,6 +208,14 @@
 	return body, nil
 }
 
+// Discard reads the rest of a response that is not needed, so that the connection can be reused. It
+// fails like ReadAll, and does not extend the deadline.
+func (x *Exchange) Discard(limit int64, deadline time.Time) error {
+	x.conn.extendDeadline = nil
+	_, err := x.ReadAll(limit, deadline)
+	return err
+}
+
 // Event is one server-sent event of a stream.
 type Event struct {
 	// Text is the event as received, with the blank line at its end.
@@ -249,9 +260,6 @@
 		}
 		e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data:"))
 		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(e.Text) > len(line) {
-			if e.HasData {
-				x.conn.extendDeadline = nil
-			}
 			return e, nil
 		}
 	}
