Break no begun stream off before its time limit

What callers saw: a stream that had begun ended without its last event 10 ms before the caller's time limit or the route's timeout.

Cause: the entry reserves 10 ms of a call's time to return an answer, and canceled everything at that moment. Once a stream has begun, no other answer can follow, so the reserve only cuts it.

Change: begun streams last until the limit itself; choosing an endpoint, connecting, waiting for an answer to begin and reading buffered answers still end 10 ms before it.

--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -29,8 +29,12 @@
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
-// testTimeout limits each wait of a test.
-const testTimeout = 10 * time.Second
+const (
+	// testTimeout limits each wait of a test.
+	testTimeout = 10 * time.Second
+	// callTimeLimit is how long a caller waits.
+	callTimeLimit = 2 * time.Second
+)
 
 // deployment returns a deployment with one target, one customer with the key "k" and a route for
 // each kind of work.
@@ -161,7 +165,7 @@
 		return c
 	}
 	r.Host = "h.example"
-	header.ID, header.TimeLeft = c.id, 2*time.Second
+	header.ID, header.TimeLeft = c.id, callTimeLimit
 	r.Header = bluebellplatform.CallerHeader(header)
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
--- a/bluebellgate/internal/bluebellfrontend/silent_test.go
+++ b/bluebellgate/internal/bluebellfrontend/silent_test.go
@@ -64,3 +64,14 @@
 	require.NoError(t, got.err)
 	require.Equal(t, eventsText(got.id, bluebellstub.StreamEvents), got.body)
 }
+
+// A stream that has begun can get no other answer. It must not be broken off before its time limit.
+func TestBegunStreamIsNotCutBeforeItsLimit(t *testing.T) {
+	e := startEntry(t, 1)
+	e.behave(bluebellstub.Stalling)
+	started := time.Now()
+	got := e.do(http.MethodPost, "/stream/x", "prompt")
+	require.Error(t, got.err)
+	require.GreaterOrEqual(t, time.Since(started), callTimeLimit)
+	require.Less(t, time.Since(started), callTimeLimit+500*time.Millisecond)
+}
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -69,7 +69,7 @@
 	if good && c.request.Route.Work == bluebelldeployment.Stream {
 		return c.stream(ctx, choice, exchange, retryable)
 	}
-	body, err := exchange.ReadAll(maxAnswerBytes, c.request.Deadline)
+	body, err := exchange.ReadAll(maxAnswerBytes, c.request.Deadline.Add(-answerMargin))
 	if err != nil {
 		c.endAttempt(choice, c.readErrorOutcome(ctx, err), err)
 		return resultRetry
@@ -190,7 +190,7 @@
 				c.recordFirstEvent(choice)
 				c.beginAnswer(exchange.Status(), exchange.Header())
 			}
-			progressBy = time.Now().Add(nextEventTimeout(c.request.Route, c.timeLeft(), retryable))
+			progressBy = time.Now().Add(nextEventTimeout(c.request.Route, time.Until(c.request.Deadline), retryable))
 		}
 		if c.begun.Load() {
 			c.forward(choice, event)
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -140,7 +140,7 @@
 		subjects: r.subjects(request, r.cfg.Guard.NeedsCalls()),
 	}
 	r.recordCall(request.Target.Name)
-	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-answerMargin))
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	defer c.releaseReserved()
 	ctx, withdraw := context.WithCancelCause(ctx)
--- a/bluebellgate/internal/bluebellrelay/silence.go
+++ b/bluebellgate/internal/bluebellrelay/silence.go
@@ -23,7 +23,7 @@
 	return func() time.Time {
 		at, begun := now(), c.begun.Load()
 		decision, wait := "stuck", silentPollInterval
-		switch left := c.timeLeft(); {
+		switch left := c.silenceLimit(begun); {
 		case left <= 0:
 			return time.Time{}
 		case !begun && at < giveUpAt && placer.AnsweredSince(choice, at-timeout):
@@ -46,6 +46,15 @@
 	}
 }
 
+// silenceLimit returns how much longer the call may wait for its endpoint. A stream that has begun
+// may use the answerMargin too, since no other answer can follow it.
+func (c *activeCall) silenceLimit(begun bool) time.Duration {
+	if begun && c.headerSent {
+		return time.Until(c.request.Deadline)
+	}
+	return c.timeLeft()
+}
+
 // reserveRetry reserves another endpoint, and a retry of the target's budget, for the next attempt of
 // a call that is at an endpoint. It reports whether both are available.
 func (c *activeCall) reserveRetry() bool {
