Add failing tests for calls that end without their answer

Found by reading the frontend, the relay and the transport for paths on which a whole call ends without an answer or refusal.

- A call on a connection that was opened before a stopping entry closed its listener is read, and the connection is closed without an answer (unexpected EOF).

--- /dev/null
+++ b/bluebellgate/internal/bluebellfrontend/stop_test.go
@@ -0,0 +1,45 @@
+package bluebellfrontend_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// acceptStopsAfter exceeds the time after which a stopping entry accepts no more connections.
+const acceptStopsAfter = 3 * time.Second
+
+// A connection that was opened before the listener closed gets an answer to the call that it sends
+// later. Otherwise the entry has read a whole call and the caller learns nothing.
+func TestCallOnConnectionOpenedBeforeStopIsAnswered(t *testing.T) {
+	e := startEntry(t, 1)
+	used := e.sendRaw(t, head("/read/x", "first")+"Content-Length: 0\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(used), nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	e.stop()
+	stopped := time.Now()
+	time.Sleep(acceptStopsAfter - 500*time.Millisecond)
+	conn, err := net.Dial("tcp", e.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	time.Sleep(time.Until(stopped.Add(acceptStopsAfter)))
+	_, err = io.WriteString(conn, head("/once/x", "late")+"Content-Length: 5\r\n\r\norder")
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(testTimeout)))
+	response, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err, "the call was read, so it is answered")
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.True(t, response.Close)
+	require.NoError(t, <-e.ended)
+	require.Less(t, time.Since(stopped), 8*time.Second)
+	for _, r := range e.runs() {
+		require.NotEqual(t, "late", r.Call.CallID)
+	}
+}
