Break off the answer of a caller that has left

A caller that closed its half of the connection after its call, which HTTP allows, was told "200 OK" with an empty body, a success that no endpoint had made. If its stream had begun, the stream ended with its last chunk in the middle, as if it were complete.

The HTTP server cancels the context of a call when the connection can no longer be read, also when the caller can still read. The relay then returned without a word, and the server completes the response of a handler that returns: with an implicit 200, or with the last chunk. The same would follow from any other error in the server's background read.

The relay now aborts such a response, unless it has been completed. The caller sees a connection that is closed without an answer, or a stream that is cut, which promise nothing.

--- a/bluebellgate/internal/bluebellrelay/finish.go
+++ b/bluebellgate/internal/bluebellrelay/finish.go
@@ -20,10 +20,9 @@
 	return bluebelldirectory.Scope(isolated, c.request.Call.Model, weights)
 }
 
-// sendFinalAnswer answers the caller after the last attempt, unless the call has ended.
+// sendFinalAnswer answers the caller after the last attempt.
 func (c *activeCall) sendFinalAnswer() {
 	switch {
-	case c.ended:
 	case c.headerSent:
 		c.abort()
 	case c.errorAnswer != nil:
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -153,11 +153,13 @@
 	}
 	var quarantined *QuarantinedError
 	switch {
+	case c.ended:
+		return
 	case errors.As(context.Cause(ctx), &quarantined):
 		c.cause = quarantined
 	case callerLeft(ctx):
 		c.finish("caller left", 0)
-		return
+		c.sink.Abort()
 	}
 	c.sendFinalAnswer()
 }
--- a/bluebellgate/internal/bluebellrelay/request.go
+++ b/bluebellgate/internal/bluebellrelay/request.go
@@ -51,7 +51,7 @@
 	Begin func(status int, h http.Header)
 	// Write sends a part of the body without buffering it.
 	Write func(part []byte) error
-	// Abort breaks the answer off, so that the caller sees that it is incomplete. It does
-	// not return.
+	// Abort breaks the answer off, also one that has not begun, so that the caller sees that
+	// it is incomplete. It does not return.
 	Abort func()
 }
