Write the body of a call for as long as its response may take

Calls with large bodies failed at sound endpoints: one that answers before it has read the body, or that is silent for a while in the middle of it, got only a part of the body and waited for the rest in vain.

Now the body is written without a deadline; the end of the exchange closes the connection and with it the write.

An error in the middle of the header is no longer passed over: the body would now follow a part of the header.

--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -97,18 +97,18 @@
 	}
 	header := encodeHeader(r)
 	if len(r.Body) <= maxInlineBodyBytes {
-		n, err := x.conn.Write(append(header, r.Body...))
-		if err != nil && n == 0 {
-			return x.failUnsent(err)
-		}
-		if err != nil {
-			return x.fail(Sending, err)
+		if err := x.write(append(header, r.Body...)); err != nil {
+			return err
 		}
 		close(x.written)
 		return nil
 	}
-	if n, err := x.conn.Write(header); err != nil && n == 0 {
-		return x.failUnsent(err)
+	if err := x.write(header); err != nil {
+		return err
+	}
+	// The endpoint may read the body as late as it completes its response.
+	if err := x.conn.SetWriteDeadline(time.Time{}); err != nil {
+		return x.fail(Sending, err)
 	}
 	// The endpoint may be slow to read the body; the call is canceled at its own deadline.
 	if err := x.conn.SetWriteDeadline(time.Time{}); err != nil {
@@ -124,6 +124,18 @@
 	return nil
 }
 
+// write writes b, and closes the exchange if that fails.
+func (x *Exchange) write(b []byte) error {
+	n, err := x.conn.Write(b)
+	switch {
+	case err == nil:
+		return nil
+	case n == 0:
+		return x.failUnsent(err)
+	}
+	return x.fail(Sending, err)
+}
+
 func encodeHeader(r Request) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
