Answer calls that a stopping entry reads after it closed its listener

A call on a connection that was opened just before the listener of a stopping entry closed, and arrived just after, was read and its connection closed without an answer or a refusal. Its caller does not know that the call has not run, and may not send it again. The same could happen on an idle connection on which a call arrived while the entry closed it.

The cause is http.Server.Shutdown: from then on the server closes each connection on which it has read a call, before the handler, and it counts a connection as idle until the header of its next call is complete.

The entry now closes the listener itself, and goes on answering (503, not run, with Connection: close) until no connection is left. Idle connections are ended by their read deadline: either the call is still unread when the server closes the connection, or it was read and is answered.

TestCallOnConnectionOpenedBeforeStopIsAnswered failed before (unexpected EOF) and passes.

--- a/bluebellgate/internal/bluebellfrontend/frontend.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend.go
@@ -62,6 +62,8 @@
 	// stopMargin is the last part of the stop timeout, in which calls that are still open are
 	// aborted.
 	stopMargin = 500 * time.Millisecond
+	// stopPollInterval is how often a stopping entry closes the connections that have become idle.
+	stopPollInterval = 10 * time.Millisecond
 	// readyTimeout limits reading the header of a health check.
 	readyTimeout = 2 * time.Second
 )
@@ -95,6 +97,8 @@
 	cfg     Config
 	callers *http.Server
 	health  *http.Server
+	// connections are those of callers.
+	connections *connections
 	// stopping is set when a planned stop begins: the health check fails and connections close
 	// after their next response. closed is set when new calls are refused as well.
 	stopping, closed atomic.Bool
@@ -102,11 +106,11 @@
 
 // New returns a Frontend that does not serve yet.
 func New(cfg Config) *Frontend {
-	f := &Frontend{cfg: cfg}
+	f := &Frontend{cfg: cfg, connections: newConnections()}
 	errorLog := cfg.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
 	f.callers = &http.Server{
 		Handler: http.HandlerFunc(f.serveCall), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, DisableGeneralOptionsHandler: true,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, DisableGeneralOptionsHandler: true, ConnState: f.connections.track,
 	}
 	f.health = &http.Server{
 		Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: readyTimeout, ErrorLog: errorLog,
@@ -121,12 +125,12 @@
 	servers.Go(func() error { return ignoreClosed(f.callers.Serve(callers)) })
 	servers.Go(func() error { return ignoreClosed(f.health.Serve(health)) })
 	<-ctx.Done()
-	err := f.stop()
+	err := f.stop(callers)
 	return errors.Join(err, f.health.Close(), servers.Wait())
 }
 
 func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -135,19 +139,22 @@
 // stop performs a planned stop. The failing health check and the closing of each connection after
 // its next response move callers to other entries. Accepted calls are finished; those that are
 // not finished by StopTimeout less stopMargin are aborted.
-func (f *Frontend) stop() error {
+func (f *Frontend) stop(callers net.Listener) error {
 	f.stopping.Store(true)
 	f.cfg.Logger.Info("planned stop started", "Within", f.cfg.StopTimeout)
 	delay := min(stopAcceptDelay, f.cfg.StopTimeout/2)
+	stopBy := time.Now().Add(f.cfg.StopTimeout - stopMargin)
 	time.Sleep(delay)
 	f.closed.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), f.cfg.StopTimeout-delay-stopMargin)
-	defer cancel()
-	if err := f.callers.Shutdown(ctx); err != nil {
-		f.cfg.Logger.Warn("stop timeout expired; aborting open calls", "Error", err)
-		return f.callers.Close()
+	err := callers.Close()
+	open := f.connections.closeIdle()
+	for ; open > 0 && time.Now().Before(stopBy); open = f.connections.closeIdle() {
+		time.Sleep(stopPollInterval)
 	}
-	return nil
+	if open > 0 {
+		f.cfg.Logger.Warn("stop timeout expired; aborting open calls", "Connections", open)
+	}
+	return errors.Join(err, ignoreClosed(f.callers.Close()))
 }
 
 // serveReady answers the load balancer's health check.
