Handle a SIGHUP that arrives while a process starts

A process that got a SIGHUP in its first moments, as when a restart and a change of the settings overlap, ended by itself: the signal was handled only once the settings had been read, and ends the process otherwise. It is handled from the start of Main now; the file is read again when watching begins.

--- a/bluebell/bluebellprocess/process.go
+++ b/bluebell/bluebellprocess/process.go
@@ -95,13 +95,10 @@
 	return true, nil
 }
 
-// Watch reloads the file on SIGHUP and every settingsPollInterval until ctx is done. It
+// watch reloads the file on each hangup and every settingsPollInterval until ctx is done. It
 // logs each new error of an unreadable or invalid file once, and the current settings stay
 // in force.
-func (s *SettingsFile[T]) Watch(ctx context.Context, logger *log.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func (s *SettingsFile[T]) watch(ctx context.Context, hangups <-chan os.Signal, logger *log.Logger) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	var lastError string
@@ -145,6 +142,9 @@
 // Main runs the program until SIGTERM or SIGINT, and reloads the settings file when it
 // changes.
 func (p Program[T]) Main(args Arguments) error {
+	// An unhandled SIGHUP would end the process, also while it starts or stops.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	logger, closeLog, err := NewLogger(args.LogLevel)
 	if err != nil {
 		return err
@@ -157,9 +157,7 @@
 	ApplyLimits(p.Limits(settings.Current()))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// Watch continues after SIGTERM, since a planned stop takes a while and an unhandled SIGHUP
-	// would end the process.
-	go settings.Watch(context.WithoutCancel(ctx), logger)
+	go settings.watch(context.WithoutCancel(ctx), hangups, logger)
 	return p.Run(ctx, settings.Current, logger)
 }
 
