Go on accepting connections after an error of one

An entry on a VM that was out of memory or buffers for a moment took no connection any more until it was restarted, while its health check said that it was ready.

The HTTP server ends its loop at each error of accept(2) except EMFILE, ENFILE and EINTR, also at those that the manual page says to treat like EAGAIN, and Serve looks at the result only when it stops. Found by reading.

--- a/bluebellgate/internal/bluebellfrontend/frontend.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend.go
@@ -122,8 +122,8 @@
 // been answered or StopTimeout has passed.
 func (f *Frontend) Serve(ctx context.Context, callers, health net.Listener) error {
 	servers := pool.New().WithErrors()
-	servers.Go(func() error { return ignoreClosed(f.callers.Serve(callers)) })
-	servers.Go(func() error { return ignoreClosed(f.health.Serve(health)) })
+	servers.Go(func() error { return ignoreClosed(f.callers.Serve(retryingListener{callers, f.cfg.Logger})) })
+	servers.Go(func() error { return ignoreClosed(f.health.Serve(retryingListener{health, f.cfg.Logger})) })
 	<-ctx.Done()
 	err := f.stop(callers)
 	return errors.Join(err, f.health.Close(), servers.Wait())
--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -64,6 +64,7 @@
 // entry is a running Frontend with a relay to stub endpoints.
 type entry struct {
 	address   string
+	health    string
 	endpoints []*bluebellstub.Endpoint
 	placer    *bluebellplacement.Placer
 	guard     *bluebellquarantine.Guard
@@ -79,12 +80,26 @@
 // startEntry starts an entry with retry limits that these tests do not exhaust.
 func startEntry(t *testing.T, endpoints int) *entry {
 	t.Helper()
-	return startEntryWithRetryLimits(t, endpoints, bluebellrelay.RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50})
+	return startEntryWithRetryLimits(t, endpoints, ampleRetries)
+}
+
+// ampleRetries are retry limits that these tests do not exhaust.
+var ampleRetries = bluebellrelay.RetryLimits{Ratio: 0.2, Window: 10 * time.Second, Slack: 50}
+
+// startEntryOn starts an entry whose listeners are those that wrap returns.
+func startEntryOn(t *testing.T, endpoints int, wrap func(net.Listener) net.Listener) *entry {
+	t.Helper()
+	return startEntryWith(t, endpoints, ampleRetries, wrap)
 }
 
 // startEntryWithRetryLimits starts an entry with the given number of stub endpoints and the given
 // retry limits.
 func startEntryWithRetryLimits(t *testing.T, endpoints int, limits bluebellrelay.RetryLimits) *entry {
+	t.Helper()
+	return startEntryWith(t, endpoints, limits, func(l net.Listener) net.Listener { return l })
+}
+
+func startEntryWith(t *testing.T, endpoints int, limits bluebellrelay.RetryLimits, wrap func(net.Listener) net.Listener) *entry {
 	t.Helper()
 	started := time.Now()
 	now := func() time.Duration { return time.Since(started) + time.Second }
@@ -122,10 +137,10 @@
 	require.NoError(t, err)
 	health, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	e.address = callers.Addr().String()
+	e.address, e.health = callers.Addr().String(), health.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
-	go func() { e.ended <- frontend.Serve(ctx, callers, health) }()
+	go func() { e.ended <- frontend.Serve(ctx, wrap(callers), wrap(health)) }()
 	t.Cleanup(cancel)
 	return e
 }
