--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -110,10 +110,6 @@
 	if err := x.conn.SetWriteDeadline(time.Time{}); err != nil {
 		return x.fail(Sending, err)
 	}
-	// The endpoint may be slow to read the body; the call is canceled at its own deadline.
-	if err := x.conn.SetWriteDeadline(time.Time{}); err != nil {
-		return x.fail(Sending, err)
-	}
 	opened, written := x.conn, x.written
 	go func() {
 		// If the write fails, reading the response fails too.
