Refuse calls with an answer until a planned stop ends

What callers saw: connections to an entry that was finishing its last calls were refused or reset, so that a caller with a call that must not run twice could not tell whether it had run.

Cause: the listener closed 2.8 s after SIGTERM, while calls could last until 7.5 s.

Change: the listener stays open while accepted calls are being finished, and new calls are refused with 503, which says that they have not run, and Retry-After.

Evidence: TestNewConnectionIsRefusedWithAnswerWhileEntryStops failed before (connection refused) and passes.

--- a/bluebellgate/internal/bluebellfrontend/connections.go
+++ b/bluebellgate/internal/bluebellfrontend/connections.go
@@ -52,3 +52,16 @@
 	}
 	return len(c.open)
 }
+
+// active returns the number of connections that carry a call.
+func (c *connections) active() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, s := range c.open {
+		if s.state == http.StateActive {
+			n++
+		}
+	}
+	return n
+}
--- a/bluebellgate/internal/bluebellfrontend/frontend.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend.go
@@ -146,6 +146,13 @@
 	stopBy := time.Now().Add(f.cfg.StopTimeout - stopMargin)
 	time.Sleep(delay)
 	f.closed.Store(true)
+	// While calls are being finished, new connections are accepted and their calls refused, since the
+	// load balancer may have no other entry for them.
+	f.connections.closeIdle()
+	for f.connections.active() > 0 && time.Now().Before(stopBy) {
+		time.Sleep(stopPollInterval)
+		f.connections.closeIdle()
+	}
 	err := callers.Close()
 	open := f.connections.closeIdle()
 	for ; open > 0 && time.Now().Before(stopBy); open = f.connections.closeIdle() {
--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -49,11 +49,13 @@
 	}
 	public := route("public", "/public/", bluebelldeployment.Idempotent, 2)
 	public.Public = true
+	slow := route("slow", "/slow/", bluebelldeployment.NonIdempotent, 1)
+	slow.Timeout = testTimeout
 	d, findings := bluebelldeployment.New(bluebelldeployment.Declaration{
 		Version: 1, Targets: []bluebelldeployment.Target{{Name: "app"}},
 		Routes: []bluebelldeployment.Route{
 			route("once", "/once/", bluebelldeployment.NonIdempotent, 1), route("read", "/read/", bluebelldeployment.Idempotent, 2),
-			route("resumable", "/stream/again/", bluebelldeployment.Stream, 2), route("stream", "/stream/", bluebelldeployment.Stream, 2), public,
+			route("resumable", "/stream/again/", bluebelldeployment.Stream, 2), route("stream", "/stream/", bluebelldeployment.Stream, 2), public, slow,
 		},
 		Customers: []bluebelldeployment.Customer{{Name: "c", Keys: []string{"k"}}}, Limits: bluebelldeployment.Limits{MaxBodyBytes: 1 << 20},
 	})
@@ -180,7 +182,10 @@
 		return c
 	}
 	r.Host = "h.example"
-	header.ID, header.TimeLeft = c.id, callTimeLimit
+	header.ID = c.id
+	if header.TimeLeft == 0 {
+		header.TimeLeft = callTimeLimit
+	}
 	r.Header = bluebellplatform.CallerHeader(header)
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
--- a/bluebellgate/internal/bluebellfrontend/stop_test.go
+++ b/bluebellgate/internal/bluebellfrontend/stop_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebellfake/bluebellstub"
+	"bluebellhaven.org/platform/bluebellplatform"
 )
 
 // acceptStopsAfter exceeds the time after which a stopping entry accepts no more connections.
@@ -43,3 +46,30 @@
 		require.NotEqual(t, "late", r.Call.CallID)
 	}
 }
+
+// While a stopping entry finishes its last calls, the load balancer may still send new ones to it, if too
+// few others are left. They are refused as not run instead of meeting a closed port.
+func TestNewConnectionIsRefusedWithAnswerWhileEntryStops(t *testing.T) {
+	e := startEntry(t, 1)
+	e.behave(bluebellstub.Pausing)
+	e.endpoints[0].SetPauseTime(acceptStopsAfter + time.Second)
+	slow := make(chan call, 1)
+	go func() {
+		slow <- e.send(http.MethodPost, "/slow/x", "order", bluebellplatform.Call{Key: "k", TimeLeft: testTimeout})
+	}()
+	require.Eventually(t, func() bool { return len(e.runs()) == 1 }, testTimeout, time.Millisecond)
+	e.stop()
+	time.Sleep(acceptStopsAfter)
+	conn := e.sendRaw(t, head("/once/x", "late")+"Content-Length: 5\r\n\r\norder")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.True(t, response.Close)
+	c := <-slow
+	require.NoError(t, c.err)
+	require.Equal(t, http.StatusOK, c.status)
+	require.NoError(t, <-e.ended)
+	require.Len(t, e.runs(), 1)
+}
