--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -16,6 +16,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -141,6 +142,8 @@
 	arrivals    []time.Time
 	// rateLimit is the limit that answers name, "" for none.
 	rateLimit string
+	// said is added to the header of all answers.
+	said http.Header
 }
 
 // Start returns an endpoint that serves calls until Stop.
@@ -217,6 +220,13 @@
 	e.rateLimit = perSecond
 }
 
+// Say adds a header to all answers from now on, in place of that of an earlier call.
+func (e *Endpoint) Say(h http.Header) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.said = h
+}
+
 // NextRegistration increments the sequence number of the endpoint's registrations and
 // returns a registration with it.
 func (e *Endpoint) NextRegistration() bluebellfleet.Endpoint {
@@ -292,6 +302,7 @@
 			w.Header()[name] = values
 		}
 	}
+	maps.Copy(w.Header(), e.said)
 	e.mu.Unlock()
 	run, behaviour := e.beginRun(Run{Call: incoming, Method: r.Method, URI: r.RequestURI, Body: string(body)})
 	if run == nil {
