Send nothing more to an endpoint that says that it leaves

Callers whose calls went to an endpoint about to stop lost their answers when it stopped, until its registration said so too.

Cause: the header with which endpoints say in all answers that they leave was not read.

The entry that gets such an answer now sends nothing more to that incarnation, whatever later answers and registrations say: calls in flight are answered without the header. The statement outlives a gap in the registrations. Calls whose last endpoints leave are refused at once, also those that wait already; waiting calls that their endpoints' limits rule out are now withdrawn in the same way. Idle connections to leaving endpoints are closed.

--- a/bluebell/bluebellplacement/doc.go
+++ b/bluebell/bluebellplacement/doc.go
@@ -47,6 +47,11 @@
 // latest answer, or that has started again, has none; one that names very little still gets a call
 // every two seconds, from whose answer the end of the limit is known.
 //
+// # Leaving endpoints
+//
+// An endpoint that is about to stop states in its answers that it leaves. From then on the entry that
+// got the answer sends that incarnation no more calls, whatever later answers and registrations say.
+//
 // # Usage
 //
 //	placer := bluebellplacement.New(bluebellplacement.Config{Self: address})
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -130,6 +130,7 @@
 		p.entriesVersion++
 	}
 	p.fleet = f
+	p.updateStatements()
 	for _, t := range p.targets {
 		t.members = t.members[:0]
 	}
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -141,7 +141,7 @@
 	Picked
 	// NoEndpoint means that no endpoint is registered for the target.
 	NoEndpoint
-	// AllUnfit means that no endpoint is eligible: each one is draining, out of service,
+	// AllUnfit means that no endpoint is eligible: each one is leaving, out of service,
 	// about to load weights, without suitable weights, cold with its allowance used up, or
 	// already tried.
 	AllUnfit
@@ -157,6 +157,9 @@
 	// AllLimited means that endpoints could take the call but for the limits that they name.
 	// Choice.AllowedAt tells when one may.
 	AllLimited
+	// AllLeaving means that each endpoint is draining or has stated that it leaves, so that none of
+	// them takes a call again.
+	AllLeaving
 )
 
 // Saturated reports whether no endpoint was picked for lack of memory or time, which rules
@@ -164,7 +167,7 @@
 func (r PickResult) Saturated() bool { return r == AllFull || r == AllLate }
 
 func (r PickResult) String() string {
-	return [...]string{"Untried", "Present", "NoEndpoint", "AllUnfit", "AllSuspect", "AllFull", "AllLate", "AllLimited"}[r]
+	return [...]string{"Untried", "Present", "NoEndpoint", "AllUnfit", "AllSuspect", "AllFull", "AllLate", "AllLimited", "AllLeaving"}[r]
 }
 
 // targetState is the state of one target. Each has its own lock.
@@ -216,6 +219,7 @@
 	newestVersions map[string]uint64
 	// entriesVersion changes with Fleet.Entries. It is never 0.
 	entriesVersion uint64
+	statements     map[incarnation]*statement
 
 	// domainMu is acquired after the mutex of a targetState.
 	domainMu sync.Mutex
@@ -224,7 +228,9 @@
 
 // New returns a Placer without endpoints.
 func New(cfg Config) *Placer {
-	return &Placer{cfg: cfg, targets: map[string]*targetState{}, domains: map[string]*domainState{}, entriesVersion: 1}
+	return &Placer{
+		cfg: cfg, targets: map[string]*targetState{}, domains: map[string]*domainState{}, entriesVersion: 1, statements: map[incarnation]*statement{},
+	}
 }
 
 // candidate is an endpoint that is eligible for one call.
@@ -264,8 +270,11 @@
 	defer t.mu.Unlock()
 	candidates, limited := p.candidates(now, t, r)
 	if len(candidates) == 0 {
-		if limited.endpoints > 0 {
+		switch {
+		case limited.endpoints > 0:
 			return Choice{AllowedAt: limited.from, AllowedInterval: limited.interval()}, AllLimited
+		case limited.leaving == len(t.members):
+			return Choice{}, AllLeaving
 		}
 		return Choice{}, AllUnfit
 	}
@@ -394,10 +403,10 @@
 	return int(a.cost - b.cost)
 }
 
-// limitSummary tells which endpoints may get no call now for the limits that they name.
+// limitSummary tells which endpoints may get no call now for what they have stated.
 type limitSummary struct {
-	// endpoints is their number.
-	endpoints int
+	// leaving is the number of those that leave, endpoints that of those that name limits.
+	leaving, endpoints int
 	// from is the earliest time at which one may get a call of this entry, 0 if none may.
 	from time.Duration
 	// rate is the number of calls a second that this entry may send to them.
@@ -424,8 +433,8 @@
 	return time.Duration(float64(time.Second) / l.rate)
 }
 
-// candidates returns the endpoints that are eligible for a call, and those that are not only for
-// their limits. They are valid until the next call for the same target.
+// candidates returns the endpoints that are eligible for a call, and those that are not for what they
+// have stated. They are valid until the next call for the same target.
 func (p *Placer) candidates(now time.Duration, t *targetState, r Request) ([]candidate, limitSummary) {
 	eligible := t.scratch[:0]
 	var limited limitSummary
@@ -433,6 +442,10 @@
 	oldest := p.oldestUsable(now, r.Model)
 	for i := range t.members {
 		m := &t.members[i]
+		if m.endpoint.State == bluebellfleet.Draining || p.isLeaving(m.endpoint) {
+			limited.leaving++
+			continue
+		}
 		if !m.open || slices.Contains(r.Tried, m.endpoint.ID) {
 			continue
 		}
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -274,7 +274,7 @@
 }
 
 // updatePlacer passes the current state of the fleet to the placer, and closes idle
-// connections to endpoints that are gone.
+// connections to endpoints that are gone or leave.
 func (g *Gateway) updatePlacer() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -300,7 +300,7 @@
 	g.guard.SetAlone(!g.follower.KnowsLeader())
 	addresses := make(map[string]bool, len(endpoints))
 	for _, e := range endpoints {
-		addresses[e.Address] = true
+		addresses[e.Address] = !g.placer.IsLeaving(e)
 	}
 	g.client.PruneIdle(addresses)
 }
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -48,7 +48,7 @@
 func (c *activeCall) handleAnswer(ctx context.Context, choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, retryable bool) attemptResult {
 	a := bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header())
 	c.unframed = exchange.Unframed()
-	c.recordRateLimit(choice, a.RateLimit)
+	c.recordStatements(choice, a)
 	if a.NotRun && c.refusalApplies(a, exchange) {
 		return c.handleNotRun(choice, exchange, a)
 	}
@@ -83,24 +83,6 @@
 	return resultFinal
 }
 
-// maxRateLimit is the number of calls a second from which on a limit is none: one endpoint cannot
-// take as many.
-const maxRateLimit = 1e6
-
-// recordRateLimit records the limit that an answer names, or that it names none.
-func (c *activeCall) recordRateLimit(choice bluebellplacement.Choice, l bluebellplatform.RateLimit) {
-	cfg := &c.relay.cfg
-	if l.Malformed != "" {
-		cfg.CountEvent("malformed_limits", c.request.Target.Name)
-		cfg.Logger.Warn("endpoint limit ignored", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Limit", l.Malformed)
-		return
-	}
-	limited := l.Named && l.PerSecond < maxRateLimit
-	if cfg.Placer.RecordRateLimit(choice, bluebellplacement.RateLimit{Named: limited, PerSecond: l.PerSecond, At: cfg.Now()}) {
-		cfg.Logger.Info("endpoint limit changed", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Limited", limited, "PerSecond", l.PerSecond)
-	}
-}
-
 // readErrorOutcome classifies an error from reading an answer.
 func (c *activeCall) readErrorOutcome(ctx context.Context, err error) bluebellplacement.Outcome {
 	var failure *bluebelltransport.Error
--- a/bluebellgate/internal/bluebellrelay/waitqueue.go
+++ b/bluebellgate/internal/bluebellrelay/waitqueue.go
@@ -31,8 +31,12 @@
 	// unfitUntil is the time until which the call waits while no endpoint could take it,
 	// even an idle one.
 	unfitUntil time.Duration
-	// selected is closed once choice holds an endpoint.
-	selected chan struct{}
+	// until is the end of the wait.
+	until time.Duration
+	// selected is closed once choice holds an endpoint, or withdrawn is set because the call will
+	// get none in time.
+	selected  chan struct{}
+	withdrawn bool
 }
 
 // waitQueue holds the calls that wait for an endpoint of one target.
@@ -53,7 +57,8 @@
 
 // wait returns an endpoint for a call, or why none is available by the end of its wait.
 func (q *waitQueue) wait(ctx context.Context, call *waitingCall, until time.Duration) (bluebellplacement.Choice, bluebellplacement.PickResult) {
-	if q.selectOrEnqueue(call, until) {
+	call.until = until
+	if q.selectOrEnqueue(call) {
 		return call.choice, call.result
 	}
 	for _, at := range []time.Duration{min(call.unfitUntil, until), until} {
@@ -79,15 +84,15 @@
 }
 
 // selectOrEnqueue selects an endpoint for the call, unless other calls wait for more than the turns
-// of limited endpoints. If that is not possible, it adds the call to the queue, unless the limits rule
-// out that it is sent by the time until. It reports whether the call has its result.
-func (q *waitQueue) selectOrEnqueue(call *waitingCall, until time.Duration) bool {
+// of limited endpoints. If that is not possible, it adds the call to the queue, unless it is known that
+// it gets no endpoint in time. It reports whether the call has its result.
+func (q *waitQueue) selectOrEnqueue(call *waitingCall) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	call.selected = make(chan struct{})
 	// Other calls may wait for limits because they have tried the other endpoints.
 	if len(q.calls) == 0 || q.limit != nil {
-		if q.try(call) || q.limit != nil && !q.limit.Allows(len(q.calls), until) {
+		if q.try(call) || q.isHopeless(call, len(q.calls)) {
 			return true
 		}
 	}
@@ -144,8 +149,20 @@
 	return call.result == bluebellplacement.Picked
 }
 
-// admit selects endpoints for the waiting calls, in the order that bluebellqueue sets. q.mu
-// must be held.
+// isHopeless reports whether a call that was just tried gets no endpoint in time, with a number of
+// calls ahead of it that wait for limits. q.mu must be held.
+func (q *waitQueue) isHopeless(call *waitingCall, ahead int) bool {
+	switch call.result {
+	case bluebellplacement.AllLimited:
+		return !q.limit.Allows(ahead, call.until)
+	case bluebellplacement.AllLeaving:
+		return !call.waiter.MayHaveRun
+	}
+	return false
+}
+
+// admit selects endpoints for the waiting calls, in the order that bluebellqueue sets, and withdraws
+// those that get none in time. q.mu must be held.
 func (q *waitQueue) admit() {
 	if len(q.calls) == 0 {
 		return
@@ -157,16 +174,22 @@
 		// Admit skips only calls that are too large for the available memory.
 		call.result = bluebellplacement.AllFull
 	}
+	limited := 0
 	bluebellqueue.Admit(waiters, q.admittedAt, func(i int) bluebellqueue.TryResult {
 		call := q.calls[i]
 		switch {
 		case q.try(call):
 			close(call.selected)
 			return bluebellqueue.Placed
+		case q.isHopeless(call, limited):
+			call.withdrawn = true
+			close(call.selected)
+		case call.result == bluebellplacement.AllLimited:
+			limited++
 		case call.result.Saturated() && !call.request.HomesOnly:
 			return bluebellqueue.Full
 		}
 		return bluebellqueue.NotPlaced
 	})
-	q.calls = slices.DeleteFunc(q.calls, func(call *waitingCall) bool { return call.result == bluebellplacement.Picked })
+	q.calls = slices.DeleteFunc(q.calls, func(call *waitingCall) bool { return call.result == bluebellplacement.Picked || call.withdrawn })
 }
