--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -403,6 +403,7 @@
 		writeHeader(w, header, http.StatusInternalServerError)
 		return nil
 	case Unavailable:
+		time.Sleep(e.processingTime())
 		writeHeader(w, header, http.StatusServiceUnavailable)
 		return nil
 	case Unidentified:
