Send an endpoint nothing for the time that its refusal names

An endpoint that turned a call away with a time got calls as before in that time, up to 140 a second, and turned them away or ran them beside what it had asked for. Callers were told to return after 0.4 s while no endpoint wanted calls for 2 s.

Cause: Retry-After of endpoints' refusals was not read.

The entry that gets such a refusal sends that incarnation nothing until the time has passed. Entries return at different times, and each gradually: one call, then one more for each answer that begins. Without it, all calls that wait for the end of a pause would be sent at once. Calls that no endpoint takes in their waiting time are refused at once, with the end of the earliest pause and a random part as Retry-After. A time of more than ten minutes is checked twice, since it may be a mistake.

--- a/bluebell/bluebellplacement/doc.go
+++ b/bluebell/bluebellplacement/doc.go
@@ -52,6 +52,13 @@
 // An endpoint that is about to stop states in its answers that it leaves. From then on the entry that
 // got the answer sends that incarnation no more calls, whatever later answers and registrations say.
 //
+// # Pauses
+//
+// An endpoint that turns a call away may state for how long it wants no calls from this entry. It gets
+// none until then. Entries return to it at different times, each with few calls first. A pause of more
+// than ten minutes is shortened to that twice for an incarnation, since it may have been named by
+// mistake.
+//
 // # Usage
 //
 //	placer := bluebellplacement.New(bluebellplacement.Config{Self: address})
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -125,6 +125,8 @@
 	state       *endpointState
 	sharedBlock string
 	sentAt      time.Duration
+	// returning is the pause after which the call is one of the first, nil if there was none.
+	returning *pause
 	// prefilled is set once prefillTokens has been subtracted again. Copies of a Choice
 	// share it.
 	prefilled *bool
@@ -154,8 +156,8 @@
 	// AllLate means that endpoints have memory for the call but would begin the answer too
 	// late.
 	AllLate
-	// AllLimited means that endpoints could take the call but for the limits that they name.
-	// Choice.AllowedAt tells when one may.
+	// AllLimited means that endpoints could take the call but for the limits that they name, or that
+	// they want no calls for a time. Choice.AllowedAt tells when one may.
 	AllLimited
 	// AllLeaving means that each endpoint is draining or has stated that it leaves, so that none of
 	// them takes a call again.
@@ -236,6 +238,8 @@
 // candidate is an endpoint that is eligible for one call.
 type candidate struct {
 	*member
+	// said is what the endpoint has stated, nil for nothing.
+	said    *statement
 	weights uint64
 	cold    bool
 	suspect bool
@@ -275,6 +279,8 @@
 			return Choice{AllowedAt: limited.from, AllowedInterval: limited.interval()}, AllLimited
 		case limited.leaving == len(t.members):
 			return Choice{}, AllLeaving
+		case limited.leaving+limited.triedPauses == len(t.members):
+			return Choice{AllowedAt: limited.from}, AllLimited
 		}
 		return Choice{}, AllUnfit
 	}
@@ -297,7 +303,7 @@
 			Endpoint: *c.endpoint, Weights: c.weights, AtHome: c.home, HomeAddress: home.address, HomeDomain: home.domain,
 			Expected: c.expected, Predicted: t.slowdown.predict(now, c.expected), Typical: t.meanFirstEvent(), RegistrationAge: p.registrationAge(now, c.member), Candidates: count,
 			prefillTokens: c.prefillTokens, tokens: r.Tokens(), sharedBlock: r.SharedBlock, prefilled: new(bool),
-			target: t, state: c.state, ownTokens: ownTokens,
+			target: t, state: c.state, ownTokens: ownTokens, returning: c.startReturn(now),
 		}, Picked
 	}
 	switch {
@@ -313,6 +319,16 @@
 	return Choice{}, AllUnfit
 }
 
+// startReturn records that the candidate was picked. It returns its pause, if the entry returns to it
+// after one.
+func (c *candidate) startReturn(now time.Duration) *pause {
+	if c.said == nil || c.said.pause.until == 0 {
+		return nil
+	}
+	c.said.pause.sent(now)
+	return &c.said.pause
+}
+
 // isLate reports whether the answer of a candidate is expected to begin after
 // Request.FirstEventBy. An idle engine is never late.
 func (c *candidate) isLate(now time.Duration, t *targetState, r Request) bool {
@@ -405,14 +421,20 @@
 
 // limitSummary tells which endpoints may get no call now for what they have stated.
 type limitSummary struct {
-	// leaving is the number of those that leave, endpoints that of those that name limits.
-	leaving, endpoints int
+	// leaving is the number of those that leave, endpoints that of those that name limits or want no
+	// calls for a time, and triedPauses that of those of the latter that the call has tried.
+	leaving, endpoints, triedPauses int
 	// from is the earliest time at which one may get a call of this entry, 0 if none may.
 	from time.Duration
-	// rate is the number of calls a second that this entry may send to them.
-	rate float64
+	// rate is the number of calls a second that this entry may send to those that name limits, paused
+	// the number of the others.
+	rate   float64
+	paused int
 }
 
+// pausedCallInterval is the mean time between two calls that wait for the end of a pause.
+const pausedCallInterval = time.Millisecond
+
 // add adds an endpoint to which this entry may send calls from a time on, at an interval.
 func (l *limitSummary) add(from, interval time.Duration, sends bool) {
 	l.endpoints++
@@ -420,6 +442,22 @@
 		return
 	}
 	l.rate += 1 / interval.Seconds()
+	l.setFrom(from)
+}
+
+// addPause adds an endpoint that wants no calls until a time. One that the call has tried may get
+// the caller's next call.
+func (l *limitSummary) addPause(until time.Duration, tried bool) {
+	l.setFrom(until)
+	if tried {
+		l.triedPauses++
+		return
+	}
+	l.endpoints++
+	l.paused++
+}
+
+func (l *limitSummary) setFrom(from time.Duration) {
 	if l.from == 0 || from < l.from {
 		l.from = from
 	}
@@ -427,7 +465,10 @@
 
 // interval returns the mean time between two calls of this entry, 0 if it may send none.
 func (l *limitSummary) interval() time.Duration {
-	if l.rate == 0 {
+	switch {
+	case l.rate == 0 && l.paused > 0:
+		return pausedCallInterval
+	case l.rate == 0:
 		return 0
 	}
 	return time.Duration(float64(time.Second) / l.rate)
@@ -442,11 +483,19 @@
 	oldest := p.oldestUsable(now, r.Model)
 	for i := range t.members {
 		m := &t.members[i]
-		if m.endpoint.State == bluebellfleet.Draining || p.isLeaving(m.endpoint) {
+		said := p.statementOf(m.endpoint)
+		if m.endpoint.State == bluebellfleet.Draining || said != nil && said.leaving {
 			limited.leaving++
 			continue
 		}
-		if !m.open || slices.Contains(r.Tried, m.endpoint.ID) {
+		tried := slices.Contains(r.Tried, m.endpoint.ID)
+		if said != nil {
+			if from := said.pause.allowedFrom(now); now < from {
+				limited.addPause(from, tried)
+				continue
+			}
+		}
+		if !m.open || tried {
 			continue
 		}
 		weights, usable := usableWeights(m.endpoint, r.Model, oldest)
@@ -463,7 +512,7 @@
 		}
 		byEntries := p.suspectedByEntries(now, m)
 		eligible = append(eligible, candidate{
-			member: m, weights: weights, cold: cold, suspectedByEntries: byEntries,
+			member: m, said: said, weights: weights, cold: cold, suspectedByEntries: byEntries,
 			suspect: byEntries || m.state.suspect(now) || len(unreachable) > 0 && slices.Contains(unreachable, m.endpoint.FailureDomain),
 		})
 	}
--- a/bluebell/bluebellplacement/statement.go
+++ b/bluebell/bluebellplacement/statement.go
@@ -29,6 +29,8 @@
 type statement struct {
 	// leaving is set if the endpoint is about to stop. It takes no more calls.
 	leaving bool
+	// pause is protected by the lock of the target.
+	pause pause
 	// currentAt is when the statement was last known to concern a registered incarnation.
 	currentAt time.Duration
 }
@@ -53,14 +55,23 @@
 
 // isLeaving is IsLeaving with p.mu held.
 func (p *Placer) isLeaving(e *bluebellfleet.Endpoint) bool {
-	s := p.statements[incarnationOf(e)]
+	s := p.statementOf(e)
 	return s != nil && s.leaving
 }
 
+// statementOf returns the statement of an endpoint's incarnation, nil if there is none. p.mu must be
+// held.
+func (p *Placer) statementOf(e *bluebellfleet.Endpoint) *statement {
+	if len(p.statements) == 0 {
+		return nil
+	}
+	return p.statements[incarnationOf(e)]
+}
+
 // makeStatement returns the statement of an endpoint's incarnation, which it creates if there is none.
 // p.mu must be held for writing.
 func (p *Placer) makeStatement(e *bluebellfleet.Endpoint, now time.Duration) *statement {
-	s := p.statements[incarnationOf(e)]
+	s := p.statementOf(e)
 	if s == nil {
 		s = &statement{currentAt: now}
 		p.statements[incarnationOf(e)] = s
@@ -72,7 +83,7 @@
 func (p *Placer) updateStatements() {
 	for i := range p.fleet.Endpoints {
 		e := &p.fleet.Endpoints[i]
-		if s := p.statements[incarnationOf(e)]; s != nil && e.StartUnixMillis != 0 {
+		if s := p.statementOf(e); s != nil && e.StartUnixMillis != 0 {
 			s.currentAt = p.fleet.At
 		}
 	}
--- a/bluebell/bluebellplacement/use.go
+++ b/bluebell/bluebellplacement/use.go
@@ -68,6 +68,9 @@
 		t.speed.record(c.ownTokens, now-c.sentAt)
 		s.prefillTokens -= c.prefillTokens
 		s.recordFirstEvent(now, now-c.sentAt)
+		if c.returning != nil {
+			c.returning.answered(now, c.Endpoint.Slots)
+		}
 	})
 	p.recordReachability(now, c.Endpoint, Answered)
 }
@@ -76,6 +79,9 @@
 func (p *Placer) Done(c Choice, now time.Duration, o Outcome) {
 	c.withState(func(_ *targetState, s *endpointState) {
 		s.running--
+		if c.returning != nil {
+			c.returning.ended()
+		}
 		s.tokens -= c.tokens
 		if !*c.prefilled {
 			*c.prefilled = true
--- a/bluebell/bluebellqueue/refusal.go
+++ b/bluebell/bluebellqueue/refusal.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Limit is the share of this entry in the limits of a target's endpoints that take no further call
-// for now, because they name a limit of calls a second.
+// for now, because they name a limit of calls a second or want none for a time.
 type Limit struct {
 	// From is when the entry may send the next call, and Interval the mean time between further
 	// ones. Interval is 0 if it may send none.
@@ -42,3 +42,9 @@
 	}
 	return min(minRetryAfter+time.Duration(random*float64(spread)), latest)
 }
+
+// RetryAt returns when a caller may retry whose call was refused because no endpoint takes one until a
+// time. random is in [0, 1). Callers that are refused until the same time return at different ones.
+func RetryAt(allowedAt time.Duration, random float64) time.Duration {
+	return allowedAt + time.Duration(random*float64(retryAfterSpread))
+}
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -48,7 +48,7 @@
 func (c *activeCall) handleAnswer(ctx context.Context, choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, retryable bool) attemptResult {
 	a := bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header())
 	c.unframed = exchange.Unframed()
-	c.recordStatements(choice, a)
+	c.recordStatements(choice, exchange, a)
 	if a.NotRun && c.refusalApplies(a, exchange) {
 		return c.handleNotRun(choice, exchange, a)
 	}
--- a/bluebellgate/internal/bluebellrelay/finish.go
+++ b/bluebellgate/internal/bluebellrelay/finish.go
@@ -40,7 +40,9 @@
 func (c *activeCall) refuse() {
 	inTime := c.request.Route.Objective - (c.relay.cfg.Now() - c.start)
 	after := bluebellqueue.RetryAfter(time.Until(c.request.Deadline), inTime, c.relay.cfg.Random())
-	after = max(after, c.allowedAt-c.relay.cfg.Now())
+	if c.allowedAt > 0 {
+		after = max(after, bluebellqueue.RetryAt(c.allowedAt, c.relay.cfg.Random())-c.relay.cfg.Now())
+	}
 	var quarantined *QuarantinedError
 	if errors.As(c.cause, &quarantined) {
 		after = quarantined.Verdict.Until - c.relay.cfg.Now()
--- a/bluebellgate/internal/bluebellrelay/statement.go
+++ b/bluebellgate/internal/bluebellrelay/statement.go
@@ -1,14 +1,34 @@
 package bluebellrelay
 
 import (
+	"time"
+
 	"bluebellhaven.org/bluebell/bluebellplacement"
+	"bluebellhaven.org/bluebellgate/internal/bluebelltransport"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
 // recordStatements records what an endpoint states of itself in an answer of any kind.
-func (c *activeCall) recordStatements(choice bluebellplacement.Choice, a bluebellplatform.Answer) {
+func (c *activeCall) recordStatements(choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, a bluebellplatform.Answer) {
 	c.recordRateLimit(choice, a.RateLimit)
 	c.recordLeaving(choice, a.Leaving)
+	// On a reused connection, a refusal without a call ID may be the one of an earlier call.
+	if a.CallID != "" || !exchange.Reused() {
+		c.recordPause(choice, a.Pause)
+	}
+}
+
+// recordPause records that an endpoint that turned the call away wants none for a time.
+func (c *activeCall) recordPause(choice bluebellplacement.Choice, p bluebellplatform.Pause) {
+	cfg := &c.relay.cfg
+	if p.Malformed != "" {
+		cfg.CountEvent("malformed_pauses", c.request.Target.Name)
+		cfg.Logger.Warn("endpoint pause ignored", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Pause", p.Malformed)
+		return
+	}
+	if kept := cfg.Placer.RecordPause(choice, cfg.Now(), p.For); kept > 0 {
+		cfg.Logger.Info("endpoint wants no calls", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "For", p.For, "Kept", kept.Round(time.Millisecond))
+	}
 }
 
 // recordLeaving records that an endpoint leaves.
