Count refusals together with a very long time as one mistake

Calls in flight together that are turned away with a time of more than ten minutes used up both checks at once, so that the endpoint got no call again for the named time, which may be years.

The time is shortened without a further count while a pause is in force. The new test failed before (AllLimited after eleven minutes).

--- a/bluebell/bluebellplacement/pause.go
+++ b/bluebell/bluebellplacement/pause.go
@@ -46,10 +46,7 @@
 	defer c.target.mu.Unlock()
 	s := p.makeStatement(&c.Endpoint, now)
 	s.currentAt = now
-	if wanted > longestPause && s.pause.bounded < maxBoundedPauses {
-		s.pause.bounded++
-		wanted = longestPause
-	}
+	wanted = s.pause.bound(now, wanted)
 	until := now + wanted + p.returnOffset(c.Endpoint.ID, wanted)
 	if until <= s.pause.until {
 		return 0
@@ -58,6 +55,18 @@
 	return until - now
 }
 
+// bound returns the time without calls that is kept if an endpoint names one. The refusals of calls that
+// were in flight together count once.
+func (p *pause) bound(now, wanted time.Duration) time.Duration {
+	switch {
+	case wanted <= longestPause || now >= p.until && p.bounded >= maxBoundedPauses:
+		return wanted
+	case now >= p.until:
+		p.bounded++
+	}
+	return longestPause
+}
+
 // returnOffset returns how long after the end of a pause this entry returns to an endpoint. Entries
 // return at different times.
 func (p *Placer) returnOffset(endpoint string, wanted time.Duration) time.Duration {
--- a/bluebell/bluebellplacement/pause_test.go
+++ b/bluebell/bluebellplacement/pause_test.go
@@ -258,3 +258,19 @@
 		}
 	}
 }
+
+// Several calls that are turned away together with a very long time count as one mistake.
+func TestRefusalsTogetherAreOneMistake(t *testing.T) {
+	p := placer(config, fleet(1))
+	var choices []bluebellplacement.Choice
+	for range 5 {
+		choice, result := p.Pick(second, prompt("doc"))
+		require.Equal(t, bluebellplacement.Picked, result)
+		choices = append(choices, choice)
+	}
+	for i, choice := range choices {
+		p.RecordPause(choice, second+time.Duration(i)*10*time.Millisecond, 30_000*time.Hour)
+	}
+	_, result := p.Pick(11*time.Minute, prompt("doc"))
+	require.Equal(t, bluebellplacement.Picked, result)
+}
