Refuse registrations of endpoints that start in the future

A registration with a start time far ahead outdated all registrations of the endpoint with that ID, and of the one at its address, for good: their draining was acknowledged and ignored.

A later start replaces an earlier one, and nothing compared start times with the clock. The bound is long because a wrong time of day must not keep sound endpoints from registering.

--- a/bluebellcore/internal/bluebellcontrol/control.go
+++ b/bluebellcore/internal/bluebellcontrol/control.go
@@ -33,8 +33,11 @@
 	answerTimeout = 900 * time.Millisecond
 	// maxBodyBytes bounds a declaration: several times the size that callers may send.
 	maxBodyBytes = 32 << 20
-	readTimeout  = 10 * time.Second
-	idleTimeout  = 60 * time.Second
+	// maxClockDifference is how far the start of an endpoint may lie in the future. It is long,
+	// since a time of day that is wrong by minutes must not keep endpoints from registering.
+	maxClockDifference = 24 * time.Hour
+	readTimeout        = 10 * time.Second
+	idleTimeout        = 60 * time.Second
 )
 
 // Config sets up a Server.
@@ -47,6 +50,8 @@
 	// result.
 	Propose func(ctx context.Context, c *pb.Command) (*pb.Result, error)
 	Now     func() time.Duration
+	// WallClock returns the time of day.
+	WallClock func() time.Time
 	// ObserveCall records an answered call in the metrics.
 	ObserveCall func(verb string, status int, d time.Duration)
 	Logger      *log.Logger
@@ -152,6 +157,10 @@
 		s.cfg.Logger.Warn("invalid registration rejected", "ID", id, "Error", err)
 		return failure(fasthttp.StatusBadRequest, err)
 	}
+	if start := time.UnixMilli(e.StartUnixMillis); start.Sub(s.cfg.WallClock()) > maxClockDifference {
+		s.cfg.Logger.Warn("registration from the future rejected", "ID", id, "Start", start)
+		return failure(fasthttp.StatusBadRequest, errors.New("the endpoint has not started yet"))
+	}
 	switch s.cfg.Registry.Merge(e) {
 	case bluebellfleet.Changed:
 		s.cfg.Logger.Info("endpoint registration changed", "ID", id, "Target", e.Target, "Address", e.Address, "State", e.State,
--- a/bluebellcore/internal/bluebellcontrol/control_test.go
+++ b/bluebellcore/internal/bluebellcontrol/control_test.go
@@ -61,7 +61,7 @@
 	now := func() time.Duration { return time.Since(started) + time.Second }
 	f.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: now})
 	server := bluebellcontrol.New(bluebellcontrol.Config{
-		Registry: f.registry, Deployment: f.deployment, Propose: f.propose, Now: now,
+		Registry: f.registry, Deployment: f.deployment, Propose: f.propose, Now: now, WallClock: time.Now,
 		ObserveCall: func(string, int, time.Duration) {}, Logger: log.New(io.Discard),
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -147,7 +147,7 @@
 		Dial: cfg.Dial, Now: n.now, Logger: cfg.Logger,
 	})
 	n.control = bluebellcontrol.New(bluebellcontrol.Config{
-		Registry: n.registry, Deployment: n.source.Deployment, Propose: n.propose, Now: n.now, Logger: cfg.Logger,
+		Registry: n.registry, Deployment: n.source.Deployment, Propose: n.propose, Now: n.now, WallClock: time.Now, Logger: cfg.Logger,
 		ObserveCall: func(verb string, status int, d time.Duration) {
 			scope := n.metrics.Scope.Tagged(map[string]string{"verb": verb, "status": fmt.Sprint(status)})
 			scope.Counter("control_calls").Inc(1)
