Limit the number of registered endpoints

Registrations of very many IDs took memory of every core process and entry without a bound, and the reply to a new follower became too large for its poll, so that it never began to follow.

Nothing bounded the registry, and an endpoint that falls silent stays in it. A core process now holds 4096 endpoints, several times as many as the largest specified deployment has. When it is full, an endpoint that goes on to register keeps its place, the one that has been silent for the longest time, 10 s at least, is marked as gone, and others are answered 503.

TestManyIDsReplaceNoLiveEndpoint failed before (20001 endpoints) and passes, and so does TestSilentEndpointMakesRoom.

--- a/bluebell/bluebellfleet/fleet.go
+++ b/bluebell/bluebellfleet/fleet.go
@@ -36,6 +36,13 @@
 // registration can be delayed in transit.
 const goneRetention = 2 * time.Minute
 
+// minSilence is the age of a registration from which its endpoint makes room for others: several
+// heartbeats.
+const minSilence = 10 * time.Second
+
+// maxRecordsFactor times MaxEndpoints limits the records, including those of endpoints that are gone.
+const maxRecordsFactor = 4
+
 // State is the operating state that an endpoint reports.
 type State int
 
@@ -91,6 +98,8 @@
 type Config struct {
 	// Now returns the time of a monotonic clock, the clock of the registry.
 	Now func() time.Duration
+	// MaxEndpoints limits the endpoints that are not gone. 0 means no limit.
+	MaxEndpoints int
 }
 
 // MergeResult is the effect of a registration on a Registry.
@@ -104,6 +113,8 @@
 	Refreshed
 	// Changed means that the registration changed which calls may be sent to the endpoint.
 	Changed
+	// Full means that there is no room for the registration of another endpoint.
+	Full
 )
 
 // record is a registration with the cursor of its last change, and of the last one that
@@ -143,6 +154,9 @@
 	if old != nil && !supersedes(e, old.endpoint) {
 		return Stale
 	}
+	if old == nil && e.State != Gone && !r.makeRoom() {
+		return Full
+	}
 	if holder := r.records[r.idByAddress[e.Address]]; e.Address != "" && holder != nil && holder.endpoint.ID != e.ID {
 		if holder.endpoint.StartUnixMillis > e.StartUnixMillis {
 			return Stale
@@ -163,6 +177,39 @@
 	return Changed
 }
 
+// makeRoom reports whether there is room for another endpoint. If there are MaxEndpoints, it marks
+// the one that has been silent for the longest time as gone, which must be minSilence at least.
+func (r *Registry) makeRoom() bool {
+	limit := r.cfg.MaxEndpoints
+	if limit <= 0 || len(r.records) < limit {
+		return true
+	}
+	live := 0
+	var oldest *record
+	for _, current := range r.records {
+		if current.endpoint.State == Gone {
+			continue
+		}
+		live++
+		if oldest == nil || current.endpoint.ReceivedAt < oldest.endpoint.ReceivedAt {
+			oldest = current
+		}
+	}
+	now := r.cfg.Now()
+	switch {
+	case len(r.records) >= maxRecordsFactor*limit:
+		return false
+	case live < limit:
+		return true
+	case now-oldest.endpoint.ReceivedAt < minSilence:
+		return false
+	}
+	gone := oldest.endpoint.WithState(Gone)
+	gone.ReceivedAt = now
+	r.put(gone, true)
+	return true
+}
+
 // MarkGone records that an endpoint is gone. It reports whether the endpoint was registered.
 func (r *Registry) MarkGone(id string) bool {
 	r.mu.Lock()
--- a/bluebell/bluebellfleet/fleet_test.go
+++ b/bluebell/bluebellfleet/fleet_test.go
@@ -143,3 +143,27 @@
 		require.Equal(t, ids(registries[0]), ids(registries[2]), "seed %d", seed)
 	}
 }
+
+// When there are too many endpoints, those that go on to register keep their place, and one that has
+// been silent for long makes room.
+func TestSilentEndpointMakesRoom(t *testing.T) {
+	c := &clock{}
+	r := bluebellfleet.NewRegistry(bluebellfleet.Config{Now: func() time.Duration { return c.now }, MaxEndpoints: 2})
+	register := func(id string, sequence uint64) bluebellfleet.MergeResult {
+		e := endpoint(id, id+":1", 10, sequence)
+		e.ReceivedAt = c.now
+		return r.Merge(e)
+	}
+	require.Equal(t, bluebellfleet.Changed, register("i-1", 1))
+	require.Equal(t, bluebellfleet.Changed, register("i-2", 1))
+	c.now = 9 * time.Second
+	require.Equal(t, bluebellfleet.Refreshed, register("i-2", 2))
+	require.Equal(t, bluebellfleet.Full, register("i-3", 1))
+	c.now = 11 * time.Second
+	cursor, _ := r.LastRoutingChange()
+	require.Equal(t, bluebellfleet.Changed, register("i-3", 1))
+	require.Equal(t, []string{"i-2", "i-3"}, ids(r))
+	changes, _ := r.RoutingChangesSince(cursor)
+	require.Len(t, changes, 2, "followers learn of both")
+	require.Equal(t, bluebellfleet.Full, register("i-4", 1))
+}
--- a/bluebellcore/internal/bluebellcontrol/control.go
+++ b/bluebellcore/internal/bluebellcontrol/control.go
@@ -40,6 +40,10 @@
 	idleTimeout        = 60 * time.Second
 )
 
+// MaxEndpoints limits the endpoints that register. With all of them a reply to a follower takes less
+// than the timeout of a poll on the slowest specified link.
+const MaxEndpoints = 4096
+
 // Config sets up a Server.
 type Config struct {
 	Registry *bluebellfleet.Registry
@@ -165,6 +169,9 @@
 	case bluebellfleet.Changed:
 		s.cfg.Logger.Info("endpoint registration changed", "ID", id, "Target", e.Target, "Address", e.Address, "State", e.State,
 			"Born", e.StartUnixMillis, "Sequence", e.Sequence, "Cold", e.ColdUntil > now, "Weights", e.Weights, "Source", "endpoint")
+	case bluebellfleet.Full:
+		s.cfg.Logger.Warn("registration rejected: too many endpoints", "ID", id, "Limit", MaxEndpoints)
+		return failure(fasthttp.StatusServiceUnavailable, errors.New("too many endpoints"))
 	case bluebellfleet.Stale:
 		s.cfg.Logger.Debug("outdated registration ignored", "ID", id, "Born", e.StartUnixMillis, "Sequence", e.Sequence)
 	}
--- a/bluebellcore/internal/bluebellcontrol/control_test.go
+++ b/bluebellcore/internal/bluebellcontrol/control_test.go
@@ -59,7 +59,7 @@
 	f := &fixture{state: &state{machine: bluebellstate.New(), quorum: true}}
 	started := time.Now()
 	now := func() time.Duration { return time.Since(started) + time.Second }
-	f.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: now})
+	f.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: now, MaxEndpoints: bluebellcontrol.MaxEndpoints})
 	server := bluebellcontrol.New(bluebellcontrol.Config{
 		Registry: f.registry, Deployment: f.deployment, Propose: f.propose, Now: now, WallClock: time.Now,
 		ObserveCall: func(string, int, time.Duration) {}, Logger: log.New(io.Discard),
--- a/bluebellcore/internal/bluebellcontrol/registration_test.go
+++ b/bluebellcore/internal/bluebellcontrol/registration_test.go
@@ -17,6 +17,7 @@
 	"bluebellhaven.org/bluebell/bluebellfeed"
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebellcore/internal/bluebellcontrol"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
@@ -91,12 +92,12 @@
 func TestManyIDsReplaceNoLiveEndpoint(t *testing.T) {
 	f := start(t)
 	require.Equal(t, http.StatusOK, f.register(t, endpoint("i-1", 1)))
-	for n := range 20_000 {
+	for n := range bluebellcontrol.MaxEndpoints + 100 {
 		odd := endpoint(fmt.Sprint("odd-", n), 1)
 		odd.Address = fmt.Sprintf("10.%d.%d.1:80", 1+n/256, n%256)
 		f.registry.Merge(odd)
 	}
-	require.Less(t, len(f.registry.Endpoints()), 10_000)
+	require.Len(t, f.registry.Endpoints(), bluebellcontrol.MaxEndpoints)
 	require.Equal(t, http.StatusOK, f.register(t, endpoint("i-1", 2)))
 	e, found := f.registry.Endpoint("i-1")
 	require.True(t, found)
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -112,7 +112,7 @@
 		metrics: bluebellmetrics.New(bluebellmetrics.Config{Prefix: "bluebell_core", Logger: cfg.Logger}),
 	}
 	n.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: n.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
-	n.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: n.now})
+	n.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: n.now, MaxEndpoints: bluebellcontrol.MaxEndpoints})
 	directory := bluebelldirectory.New()
 	suspects := bluebellquarantine.NewLedger()
 	n.source = bluebellfeed.NewSource(bluebellfeed.SourceConfig{
