Read at most 64 KiB of a registration

Each registration without end took up to 32 MiB of a core process's memory, the limit of declarations, so that a few of them together could end it.

The limit is now chosen when the header of the call has been read: only a declaration may be large.

--- a/bluebellcore/internal/bluebellcontrol/control.go
+++ b/bluebellcore/internal/bluebellcontrol/control.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -33,6 +34,9 @@
 	answerTimeout = 900 * time.Millisecond
 	// maxBodyBytes bounds a declaration: several times the size that callers may send.
 	maxBodyBytes = 32 << 20
+	// maxRegistrationBytes bounds the body of any call that is no declaration: many times the
+	// size of a registration.
+	maxRegistrationBytes = 64 << 10
 	// maxClockDifference is how far the start of an endpoint may lie in the future. It is long,
 	// since a time of day that is wrong by minutes must not keep endpoints from registering.
 	maxClockDifference = 24 * time.Hour
@@ -72,11 +76,20 @@
 	s := &Server{cfg: cfg}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, MaxRequestBodySize: maxBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		NoDefaultServerHeader: true, Logger: httpLogger{cfg.Logger}, CloseOnShutdown: true,
+		HeaderReceived: limitBody, NoDefaultServerHeader: true, Logger: httpLogger{cfg.Logger}, CloseOnShutdown: true,
 	}
 	return s
 }
 
+// limitBody returns the limits of one call: only a declaration is large.
+func limitBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	path, _, _ := strings.Cut(string(h.RequestURI()), "?")
+	if bluebellplatform.DecodeOperation(string(h.Method()), path).Verb == bluebellplatform.Declare {
+		return fasthttp.RequestConfig{}
+	}
+	return fasthttp.RequestConfig{MaxRequestBodySize: maxRegistrationBytes}
+}
+
 // httpLogger writes the messages of the HTTP server to the log.
 type httpLogger struct{ logger *log.Logger }
 
