Skip odd events and blocks of a store

One event or block that could not be read ended the following of its store for good: each later read began at the same place and failed again, so that all its blocks were computed anew by the endpoints. An event with an unknown sign counted as a removal, and negative or huge numbers of tokens arrived at entries as others.

The decoders failed as a whole for one element. They now skip such an element and count it, for the log; an event that never arrives is tolerated in the same way. What is wrong with the whole answer is an error as before.

--- a/bluebellcore/internal/bluebellinventory/inventory.go
+++ b/bluebellcore/internal/bluebellinventory/inventory.go
@@ -174,7 +174,16 @@
 	if err != nil {
 		return bluebellplatform.StoreEvents{}, err
 	}
-	return bluebellplatform.DecodeEvents(body)
+	events, err := bluebellplatform.DecodeEvents(body)
+	f.logOdd(events)
+	return events, err
+}
+
+// logOdd logs that some elements of an answer could not be read.
+func (f *storeFollower) logOdd(e bluebellplatform.StoreEvents) {
+	if e.Odd > 0 {
+		f.inventory.cfg.Logger.Warn("elements of a store's answer skipped", "Store", f.address, "Skipped", e.Odd, "Read", len(e.Changes))
+	}
 }
 
 // listBlocks requests the full list of a store's blocks, after a new incarnation or a gap in
@@ -193,6 +202,7 @@
 	if err != nil {
 		return err
 	}
+	f.logOdd(stored)
 	var blocks []bluebelldirectory.Block
 	for _, c := range stored.Changes {
 		blocks = append(blocks, bluebelldirectory.Block{Key: bluebelldirectory.Key{Scope: c.Scope, ID: c.ID}, Tokens: c.Tokens})
