Add a failing test for entries that have lost their links to endpoints

An entry that is cut off from all endpoints refuses nearly all its calls or lets them time out, while callers, core processes and other entries still reach it. Other entries could run these calls.

The test runs two entries with a core process and six endpoints in one process and cuts one of them off: its connections are reset, hang, or live on while new ones are refused.

--- /dev/null
+++ b/bluebellgate/internal/bluebellgateway/lostlinks_test.go
@@ -0,0 +1,33 @@
+package bluebellgateway_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// contactTime is the time within which an entry has to find out what it cannot reach.
+const contactTime = 3 * time.Second
+
+// Callers of an entry that is cut off from all endpoints are served nearly as well as those of other
+// entries, which run its calls.
+func TestEntryWithoutLinksIsServedByOthers(t *testing.T) {
+	for _, k := range []cut{reset, hanging, refusing} {
+		t.Run(k.String(), func(t *testing.T) {
+			t.Parallel()
+			c := startCluster(t, 6)
+			a, b := c.startGate("a"), c.startGate("b")
+			a.setCut(k)
+			ofB := make(chan []call, 1)
+			go func() { ofB <- b.load(10*time.Millisecond, contactTime, contactTime+2*time.Second) }()
+			ofA := a.load(10*time.Millisecond, contactTime, contactTime+2*time.Second)
+			others := <-ofB
+			require.NotEmpty(t, ofA)
+			c.requireOnceOrTrue(append(ofA, others...))
+			servedA, servedB := float64(wholeAnswers(ofA))/float64(len(ofA)), float64(wholeAnswers(others))/float64(len(others))
+			require.GreaterOrEqual(t, servedB, 0.95)
+			require.GreaterOrEqual(t, servedA, 2./3*servedB)
+		})
+	}
+}
