Tell entries which targets other entries have lost

An entry reports to its primary source which targets it can open no connections to, and its failure domain. Every entry receives the states of all others: the failure domains with the list of entries, when that changes, and the entries that have lost a target as a bitmap over that list, in each reply.

The last known state is kept while no source answers, and an entry is kept for 5 s after it was last named, since a source that has restarted names few entries at first. Processes of earlier releases leave the new fields empty: their entries are then known without failure domain, and to have lost nothing.

--- a/bluebell/bluebellfeed/feed_test.go
+++ b/bluebell/bluebellfeed/feed_test.go
@@ -147,6 +147,20 @@
 	registry  *bluebellfleet.Registry
 	mu        sync.Mutex
 	revisions []uint64
+	lost      []string
+}
+
+// lose sets the targets that the entry has lost.
+func (e *entry) lose(targets ...string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lost = targets
+}
+
+func (e *entry) lostTargets() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lost
 }
 
 func (d *deployment) follow(t *testing.T, name string, seeds ...string) *entry {
@@ -172,7 +186,7 @@
 		Poll: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
 			return d.cores[source].poll(ctx, r)
 		},
-		Now: d.now, Logger: log.New(io.Discard),
+		LostTargets: e.lostTargets, Now: d.now, Logger: log.New(io.Discard),
 	})
 	run(t, e.Follower)
 	return e
--- a/bluebell/bluebellfeed/follower.go
+++ b/bluebell/bluebellfeed/follower.go
@@ -62,6 +62,9 @@
 	// Uses returns, for each endpoint, the calls that this entry has in flight and the
 	// failures that it has seen. It is nil in other processes.
 	Uses func() []Use
+	// LostTargets returns the targets to whose endpoints this entry can open no connection. It is
+	// nil in other processes.
+	LostTargets func() []string
 	// Suspicions returns what this entry has observed of calls that may crash endpoints, and
 	// OnSuspected is called with the subjects that entries suspect. Both are nil in other
 	// processes.
@@ -95,7 +98,7 @@
 	// the last reply as a primary source, without what this process had reported.
 	names          []string
 	uses           []Use
-	entries        []string
+	entries        []EntryState
 	entriesVersion uint64
 	directory      *bluebelldirectory.View
 }
@@ -128,7 +131,10 @@
 	entryNamedAt    map[string]time.Duration
 	entryList       []string
 	entriesListedAt time.Duration
-	revision        uint64
+	// known holds the other entries by address, and others those of them that are in use.
+	known    map[string]knownEntry
+	others   []EntryState
+	revision uint64
 }
 
 // NewFollower returns a follower without sources. Run starts polling.
@@ -136,6 +142,7 @@
 	return &Follower{
 		cfg: cfg, sources: map[string]*source{}, reports: map[uint64][]Use{}, coreNamedAt: map[string]time.Duration{},
 		coresChanged: make(chan struct{}, 1), coreDomains: map[string]string{}, entryNamedAt: map[string]time.Duration{},
+		known: map[string]knownEntry{},
 	}
 }
 
@@ -382,6 +389,7 @@
 	r := &pb.FollowRequest{
 		Process: f.cfg.Process, Entry: f.cfg.Entry, Epoch: at.epoch, Cursor: at.cursor, Primary: primary,
 		Revision: f.pollRevision(), Wait: durationpb.New(f.pollWait(primary)), DirectoryCursor: at.directoryCursor,
+		FailureDomain: f.cfg.FailureDomain,
 	}
 	if !primary {
 		return r
@@ -394,6 +402,9 @@
 	if f.cfg.Suspicions != nil {
 		r.Suspicions = encodeSuspicions(f.cfg.Suspicions(), f.cfg.Now())
 	}
+	if f.cfg.LostTargets != nil {
+		r.LostTargets = f.cfg.LostTargets()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reported++
--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -1,12 +1,9 @@
 package bluebellfeed
 
 import (
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	pb "bluebellhaven.org/bluebell/bluebellpb"
@@ -33,8 +30,9 @@
 
 // PeerLoads is what another core process has summed from the entries that report to it.
 type PeerLoads struct {
-	Uses    []Use
-	Entries []string
+	Uses []Use
+	// Entries are the entries that follow it, with the targets that they have lost.
+	Entries []EntryState
 }
 
 // loadSum is the sum of the uses of one endpoint by the entries that report to this process.
@@ -80,6 +78,13 @@
 	numberBefore uint64
 	names        []int
 	uses         []Use
+	lostTargets  []string
+}
+
+// seenEntry is when an entry last polled, with or without a report, and its failure domain.
+type seenEntry struct {
+	at     time.Duration
+	domain string
 }
 
 // loads sums reports. It is safe for concurrent use.
@@ -92,8 +97,7 @@
 	index   map[string]int
 	sums    []loadSum
 	reports map[string]*report
-	// seenAt holds when each entry last polled, with or without a report.
-	seenAt map[string]time.Duration
+	seen    map[string]seenEntry
 
 	// own holds the sums of this process, total those of all processes.
 	own, total         []byte
@@ -102,24 +106,12 @@
 	listedAt           time.Duration
 }
 
-// entryList is a sorted list of entries with a version, which is a hash.
-type entryList struct {
-	addresses []string
-	version   uint64
-}
-
-func newEntryList(addresses []string) entryList {
-	slices.Sort(addresses)
-	addresses = slices.Compact(addresses)
-	return entryList{addresses: addresses, version: xxhash.Sum64String(strings.Join(addresses, "\n"))}
-}
-
 func newLoads(now func() time.Duration, peers func() []PeerLoads) *loads {
 	if peers == nil {
 		peers = func() []PeerLoads { return nil }
 	}
 	return &loads{
-		now: now, peers: peers, index: map[string]int{}, reports: map[string]*report{}, seenAt: map[string]time.Duration{},
+		now: now, peers: peers, index: map[string]int{}, reports: map[string]*report{}, seen: map[string]seenEntry{},
 		builtAt: -time.Hour, listedAt: -time.Hour,
 	}
 }
@@ -139,19 +131,19 @@
 	return len(l.names) - 1
 }
 
-// seen records that an entry polls.
-func (l *loads) seen(process string) {
+// polled records that an entry polls.
+func (l *loads) polled(process, domain string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.seenAt[process] = l.now()
+	l.seen[process] = seenEntry{at: l.now(), domain: domain}
 }
 
 // record replaces the report of an entry.
-func (l *loads) record(process string, number uint64, uses []*pb.EndpointUse) {
+func (l *loads) record(process string, number uint64, uses []*pb.EndpointUse, lostTargets []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	next := &report{receivedAt: now, number: number}
+	next := &report{receivedAt: now, number: number, lostTargets: lostTargets[:min(len(lostTargets), maxLostTargets)]}
 	for _, m := range uses {
 		if i := l.nameIndex(m.Endpoint); i >= 0 {
 			u := decodeReport(m, now)
@@ -190,9 +182,9 @@
 			delete(l.reports, process)
 		}
 	}
-	for process, at := range l.seenAt {
-		if now-at > entryTimeout {
-			delete(l.seenAt, process)
+	for process, s := range l.seen {
+		if now-s.at > entryTimeout {
+			delete(l.seen, process)
 		}
 	}
 }
@@ -217,8 +209,9 @@
 	}
 	reply.Names = l.names[min(known, len(l.names)):]
 	reply.EntriesVersion = list.version
+	reply.LostTargets = list.lost
 	if r.EntriesVersion != list.version || r.Epoch != reply.Epoch {
-		reply.Entries = list.addresses
+		reply.Entries, reply.EntryDomainNames, reply.EntryDomains = list.addresses, list.domainNames, list.domains
 	}
 }
 
@@ -259,6 +252,7 @@
 		l.listedAt = now
 		l.buildLists(peers)
 	}
+	l.markLost(peers)
 }
 
 // encode encodes the sums that are not 0. l.mu must be held.
@@ -287,16 +281,3 @@
 	}
 	return encoded
 }
-
-// buildLists lists the entries of this process and of all. l.mu must be held.
-func (l *loads) buildLists(peers []PeerLoads) {
-	own := make([]string, 0, len(l.seenAt))
-	for process := range l.seenAt {
-		own = append(own, process)
-	}
-	all := slices.Clone(own)
-	for _, p := range peers {
-		all = append(all, p.Entries...)
-	}
-	l.ownList, l.totalList = newEntryList(own), newEntryList(all)
-}
--- a/bluebell/bluebellfeed/primary.go
+++ b/bluebell/bluebellfeed/primary.go
@@ -124,8 +124,13 @@
 	if len(s.names) == int(request.KnownNames) || reply.Epoch != request.Epoch {
 		s.names = append(s.names, reply.Names...)
 	}
+	before := s.entries
 	if reply.EntriesVersion != s.entriesVersion || reply.Epoch != request.Epoch {
-		s.entries, s.entriesVersion = reply.Entries, reply.EntriesVersion
+		before = nil
+	}
+	s.entries, s.entriesVersion = decodeEntries(reply, before), reply.EntriesVersion
+	if f.cfg.Entry {
+		f.recordOthers(s.entries, now)
 	}
 	uses, err := decodeTable(reply.Uses, s.names, now)
 	if err != nil {
@@ -200,8 +205,8 @@
 		return f.entryList
 	}
 	if s != nil {
-		for _, name := range s.entries {
-			f.entryNamedAt[name] = now
+		for _, e := range s.entries {
+			f.entryNamedAt[e.Address] = now
 		}
 	}
 	for name, at := range f.entryNamedAt {
--- a/bluebell/bluebellfeed/source.go
+++ b/bluebell/bluebellfeed/source.go
@@ -15,7 +15,7 @@
 // sums, the list of entries and the directory from it. Its other sources send it changes of
 // the deployment and of registrations only. Core processes exchange the sums of their entries.
 // What an entry receives thus grows with the endpoints in use, and little of it crosses
-// failure domains.
+// failure domains. In the same way, each entry learns to which targets others have lost their links.
 //
 // # Usage
 //
@@ -230,9 +230,9 @@
 	if !r.Entry {
 		return
 	}
-	s.loads.seen(r.Process)
+	s.loads.polled(r.Process, r.FailureDomain)
 	if r.Primary {
-		s.loads.record(r.Process, r.Report, r.Uses)
+		s.loads.record(r.Process, r.Report, r.Uses, r.LostTargets)
 		if now := s.cfg.Now(); s.cfg.Suspects != nil {
 			s.cfg.Suspects.Record(r.Process, now, decodeSuspicions(r.Suspicions, now))
 		}
