Tell entries the regions of failure domains

Calls and their bodies must not be handed over to entries of another region. Settings may now contain maps from text to values, which are checked like other fields.

--- a/bluebell/bluebellconfig/parse.go
+++ b/bluebell/bluebellconfig/parse.go
@@ -171,9 +171,34 @@
 	}
 }
 
-// checkField checks the value of a field, or each element if the field is a list.
+// checkMap checks that v is an object whose values have the kind of the map's values.
+func (d *document) checkMap(path string, v *hujson.Value, field protoreflect.FieldDescriptor) {
+	d.offsets[path] = v.StartOffset
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		d.addFindingAt(v.StartOffset, "%s must be an object", path)
+		return
+	}
+	seen := map[string]bool{}
+	for i := range object.Members {
+		member := &object.Members[i]
+		name := member.Name.Value.(hujson.Literal).String()
+		if seen[name] {
+			d.addFindingAt(member.Name.StartOffset, "field %q stands twice in %s", name, path)
+			continue
+		}
+		seen[name] = true
+		d.checkValue(joinPath(path, name), &member.Value, field.MapValue())
+	}
+}
+
+// checkField checks the value of a field, or each element if the field is a list or map.
 func (d *document) checkField(path string, v *hujson.Value, field protoreflect.FieldDescriptor) {
-	if !field.IsList() {
+	switch {
+	case field.IsMap():
+		d.checkMap(path, v, field)
+		return
+	case !field.IsList():
 		d.checkValue(path, v, field)
 		return
 	}
--- a/bluebell/bluebellconfig/process_test.go
+++ b/bluebell/bluebellconfig/process_test.go
@@ -18,7 +18,7 @@
 	text, err := os.ReadFile("../../deploy/" + name)
 	require.NoError(t, err)
 	values := map[string]string{
-		"{{seeds|json}}": `["10.0.0.1:8000"]`, "{{bootstrap|json}}": "true", "{{port_range.0}}": "7700",
+		"{{seeds|json}}": `["10.0.0.1:8000"]`, "{{zones|json}}": `{"a-1": "a", "b-1": "b"}`, "{{bootstrap|json}}": "true", "{{port_range.0}}": "7700",
 		"{{limits.cores}}": "1", "{{tolerate.machines}}": "2",
 	}
 	return []byte(regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(string(text), func(placeholder string) string {
@@ -39,6 +39,11 @@
 	require.True(t, findings.Empty(), findings.Error())
 	require.InDelta(t, 33.25, gate.Bounds.RetrySlack, 0)
 	require.InDelta(t, 33.25, gate.MemoryMB, 0)
+	require.Equal(t, map[string]string{"a-1": "a", "b-1": "b"}, gate.Regions)
+	for _, regions := range []string{`"a"`, `{"a": 1}`, `{"a": "x", "a": "y"}`} {
+		_, findings := bluebellconfig.ParseGateSettings("gate.jsonc", []byte(`{"Name": "n", "Address": "a", "CallerAddress": "c", "Secret": "s", "Regions": `+regions+`}`))
+		require.Len(t, findings, 1, regions)
+	}
 	core, findings := bluebellconfig.ParseCoreSettings("core.jsonc", filled(t, "core.jsonc"))
 	require.True(t, findings.Empty(), findings.Error())
 	require.InDelta(t, 33.25, core.Bounds.OrderLeaseMillis, 0)
