--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -302,5 +302,5 @@
 		_ = x.conn.Close()
 		return
 	}
-	x.client.pushIdle(x.conn, x.response.Header)
+	x.client.pushIdle(x.conn, idleTimeout(x.response.Header))
 }
--- a/bluebellgate/internal/bluebelltransport/pool.go
+++ b/bluebellgate/internal/bluebelltransport/pool.go
@@ -26,6 +26,9 @@
 	// defaultIdleTimeout is how long a connection is kept idle if the endpoint's response has no
 	// Keep-Alive timeout.
 	defaultIdleTimeout = 8 * time.Second
+	// unusedIdleTimeout is the same for a connection that has carried no call yet, so that the
+	// endpoint's timeout is not known.
+	unusedIdleTimeout = 2 * time.Second
 	// idleMargin is subtracted from the endpoint's Keep-Alive timeout, so that the endpoint does
 	// not close a connection that is being reused.
 	idleMargin     = 500 * time.Millisecond
@@ -38,6 +41,8 @@
 type Config struct {
 	// Dial opens connections. If nil, a net.Dialer with keep-alive and user timeout is used.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Authenticate is called with each new connection before its first call. It may be nil.
+	Authenticate func(ctx context.Context, conn net.Conn, address string) error
 	// OnConnect is called after each new connection. It may be nil.
 	OnConnect func(address string)
 	// MaxBuffered limits the bytes of all responses that are buffered at once. If 0, it is
@@ -139,12 +144,33 @@
 		}
 		_ = idle.Close()
 	}
+	return c.open(ctx, address, timeout)
+}
+
+// Open opens a connection without a call and keeps it idle.
+func (c *Client) Open(ctx context.Context, address string, timeout time.Duration) error {
+	opened, err := c.open(ctx, address, timeout)
+	if err != nil {
+		return err
+	}
+	c.pushIdle(opened, unusedIdleTimeout)
+	return nil
+}
+
+// open opens a new connection.
+func (c *Client) open(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	raw, err := c.cfg.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	if c.cfg.Authenticate != nil {
+		if err := c.cfg.Authenticate(ctx, raw, address); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+	}
 	if c.cfg.OnConnect != nil {
 		c.cfg.OnConnect(address)
 	}
@@ -189,8 +215,8 @@
 }
 
 // pushIdle adds a connection to the idle ones, or closes it if there are maxIdlePerAddress already.
-func (c *Client) pushIdle(added *conn, h http.Header) {
-	added.usableUntil = time.Now().Add(idleTimeout(h))
+func (c *Client) pushIdle(added *conn, usableFor time.Duration) {
+	added.usableUntil = time.Now().Add(usableFor)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[added.address]
