Keep lost links apart from failures of endpoints

While an entry checks its links to a target or has lost them, it reports no failures of the target's endpoints to other entries: a few such entries would make sound endpoints suspect for all. The placer picks no endpoint of a target whose links are lost, unless asked to, and forgets the failures of its endpoints once the links are back. Crashes that were recorded since the links began to fail can be forgotten, since lost connections look the same.

--- a/bluebell/bluebelllink/link.go
+++ b/bluebell/bluebelllink/link.go
@@ -151,6 +151,13 @@
 	return Linked
 }
 
+// Has reports whether a target has open endpoints.
+func (t *Tracker) Has(target string) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.targets[target] != nil
+}
+
 // Lost returns the sorted targets whose links are lost.
 func (t *Tracker) Lost() []string {
 	t.mu.RLock()
--- a/bluebell/bluebellplacement/endpointstate.go
+++ b/bluebell/bluebellplacement/endpointstate.go
@@ -168,6 +168,11 @@
 	return s.failed >= suspectMinCalls*suspectFailureRate && s.total >= suspectMinCalls && s.failed > suspectFailureRate*s.total
 }
 
+// forgetFailures forgets the failures and the back-off.
+func (s *endpointState) forgetFailures() {
+	s.failed, s.pause, s.pausedUntil, s.probeUntil, s.failedAt, s.disconnectedAt = 0, 0, 0, 0, 0, 0
+}
+
 // startPause starts a back-off that is twice as long as the last one, up to maxPause.
 func (s *endpointState) startPause(now time.Duration) {
 	s.pause = min(max(2*s.pause, minPause), maxPause)
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
+	"bluebellhaven.org/bluebell/bluebelllink"
 )
 
 // Update replaces the data on all endpoints at once, so that each choice is based on one
@@ -29,6 +30,9 @@
 	StaleAfter time.Duration
 	// SilentAfter is the age of a registration from which it is listed in Fleet.SilentSince.
 	SilentAfter time.Duration
+	// Links returns the state of this entry's links to the endpoints of a target. If nil, no links
+	// are ever lost.
+	Links func(target string) bluebelllink.State
 	// HealthChanged, if not nil, is called for each change of the health estimate of an
 	// endpoint or failure domain that affects the choice of endpoints.
 	HealthChanged func(HealthChange)
--- a/bluebell/bluebellplacement/health.go
+++ b/bluebell/bluebellplacement/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
+	"bluebellhaven.org/bluebell/bluebelllink"
 )
 
 // An entry detects a failed endpoint or failure domain once for all its calls. It also
@@ -73,6 +74,35 @@
 	return suspected
 }
 
+// links returns the state of the links to a target.
+func (p *Placer) links(target string) bluebelllink.State {
+	if p.cfg.Links == nil {
+		return bluebelllink.Linked
+	}
+	return p.cfg.Links(target)
+}
+
+// ForgetFailures forgets all failures of the endpoints of a target, which were failures of this
+// entry's links.
+func (p *Placer) ForgetFailures(target string) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	t := p.targets[target]
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p.domainMu.Lock()
+	defer p.domainMu.Unlock()
+	for id, s := range t.states {
+		s.forgetFailures()
+		for _, d := range p.domains {
+			delete(d.failed, id)
+		}
+	}
+}
+
 // healthChanged calls Config.HealthChanged if it is set.
 func (p *Placer) healthChanged(change HealthChange) {
 	if p.cfg.HealthChanged != nil {
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
+	"bluebellhaven.org/bluebell/bluebelllink"
 )
 
 const (
@@ -89,6 +90,8 @@
 	// HomesOnly restricts the choice to the prompt's home and alternate homes. It is set
 	// for as long as the call may wait for them.
 	HomesOnly bool
+	// IgnoreLinks picks an endpoint although the links to the target are lost.
+	IgnoreLinks bool
 }
 
 // Choice is the endpoint picked for a call, with the data that the choice was based on.
@@ -162,6 +165,8 @@
 	// AllLeaving means that each endpoint is draining or has stated that it leaves, so that none of
 	// them takes a call again.
 	AllLeaving
+	// LinksLost means that this entry can open no connection to any endpoint of the target.
+	LinksLost
 )
 
 // Saturated reports whether no endpoint was picked for lack of memory or time, which rules
@@ -169,7 +174,9 @@
 func (r PickResult) Saturated() bool { return r == AllFull || r == AllLate }
 
 func (r PickResult) String() string {
-	return [...]string{"Untried", "Present", "NoEndpoint", "AllUnfit", "AllSuspect", "AllFull", "AllLate", "AllLimited", "AllLeaving"}[r]
+	return [...]string{
+		"Untried", "Present", "NoEndpoint", "AllUnfit", "AllSuspect", "AllFull", "AllLate", "AllLimited", "AllLeaving", "LinksLost",
+	}[r]
 }
 
 // targetState is the state of one target. Each has its own lock.
@@ -270,6 +277,9 @@
 	if t == nil || len(t.members) == 0 {
 		return Choice{}, NoEndpoint
 	}
+	if !r.IgnoreLinks && p.links(r.Target) == bluebelllink.Lost {
+		return Choice{}, LinksLost
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	candidates, limited := p.candidates(now, t, r)
--- a/bluebell/bluebellplacement/use.go
+++ b/bluebell/bluebellplacement/use.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"bluebellhaven.org/bluebell/bluebelllink"
 )
 
 // The calls that this entry has in flight limit its next choices and are reported to other
@@ -24,10 +26,16 @@
 	p.mu.RLock()
 	defer p.mu.RUnlock()
 	uses := map[string]EndpointUse{}
-	for _, t := range p.targets {
+	for name, t := range p.targets {
+		linked := p.links(name) == bluebelllink.Linked
 		t.mu.Lock()
 		for id, s := range t.states {
-			if u := s.use(now); u != (EndpointUse{}) {
+			u := s.use(now)
+			if !linked {
+				// The failures say nothing about the endpoint.
+				u.Failing = 0
+			}
+			if u != (EndpointUse{}) {
 				uses[id] = u
 			}
 		}
