Know an endpoint that leaves from answers to other entries

An entry that hands a call over passes on the answer that the other entry got. If it says that its endpoint leaves, the entry may not send calls there either, but it knew nothing of it and went on once its links were back.

It now records the statement for the endpoint that the other entry names. Pauses and limits are left to the other entry, to which they were said.

--- a/bluebell/bluebellplacement/statement.go
+++ b/bluebell/bluebellplacement/statement.go
@@ -1,6 +1,7 @@
 package bluebellplacement
 
 import (
+	"slices"
 	"time"
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
@@ -46,6 +47,18 @@
 	return isNew
 }
 
+// RecordLeavingID is RecordLeaving for an endpoint to which another entry has sent a call of this one.
+func (p *Placer) RecordLeavingID(endpoint string, now time.Duration) bool {
+	p.mu.RLock()
+	i := slices.IndexFunc(p.fleet.Endpoints, func(e bluebellfleet.Endpoint) bool { return e.ID == endpoint })
+	var c Choice
+	if i >= 0 {
+		c.Endpoint = p.fleet.Endpoints[i]
+	}
+	p.mu.RUnlock()
+	return i >= 0 && p.RecordLeaving(c, now)
+}
+
 // IsLeaving reports whether an endpoint has stated to this entry that it leaves.
 func (p *Placer) IsLeaving(e bluebellfleet.Endpoint) bool {
 	p.mu.RLock()
--- a/bluebellgate/internal/bluebellfrontend/peers.go
+++ b/bluebellgate/internal/bluebellfrontend/peers.go
@@ -26,7 +26,7 @@
 // peers serves the calls of other entries.
 type peers struct {
 	server *http.Server
-	mu sync.Mutex
+	mu     sync.Mutex
 	// listener is nil before ServePeers.
 	listener net.Listener
 	// calls and bytes are those of the calls that are being run.
--- a/bluebellgate/internal/bluebellgateway/lostlinks_test.go
+++ b/bluebellgate/internal/bluebellgateway/lostlinks_test.go
@@ -1,10 +1,14 @@
 package bluebellgateway_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebellfake/bluebellstub"
+	"bluebellhaven.org/platform/bluebellplatform"
 )
 
 // contactTime is the time within which an entry has to find out what it cannot reach.
@@ -32,3 +36,28 @@
 		})
 	}
 }
+
+// An entry that passes on an answer that another entry got from an endpoint that leaves sends nothing to
+// that endpoint either, once its own links are back.
+func TestEndpointThatLeavesIsKnownThroughHelper(t *testing.T) {
+	c := startCluster(t, 3)
+	a := c.startGate("a")
+	c.startGate("b")
+	a.setCut(reset)
+	require.Eventually(t, func() bool { return a.do(http.MethodGet, "/read/x", "").status == http.StatusOK }, testTimeout, 20*time.Millisecond)
+	leaving := c.endpoints[1] // in the failure domain of the helper
+	leaving.Say(bluebellplatform.LeavingHeader("1"))
+	before := leaving.Arrivals()
+	require.Eventually(t, func() bool {
+		a.do(http.MethodGet, "/read/x", "")
+		return leaving.Arrivals() > before
+	}, testTimeout, time.Millisecond)
+	leaving.Say(nil)
+	arrivals := leaving.Arrivals()
+	for _, slow := range []*bluebellstub.Endpoint{c.endpoints[0], c.endpoints[2]} {
+		slow.SetProcessingTime(100 * time.Millisecond)
+	}
+	a.setCut(connected)
+	a.load(5*time.Millisecond, 0, contactTime)
+	require.Equal(t, arrivals, leaving.Arrivals())
+}
--- a/bluebellgate/internal/bluebellrelay/statement.go
+++ b/bluebellgate/internal/bluebellrelay/statement.go
@@ -10,6 +10,10 @@
 
 // recordStatements records what an endpoint states of itself in an answer of any kind.
 func (c *activeCall) recordStatements(choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, a bluebellplatform.Answer) {
+	if c.helper != "" {
+		c.recordLeavingAtHelper(a.Leaving)
+		return
+	}
 	c.recordRateLimit(choice, a.RateLimit)
 	c.recordLeaving(choice, a.Leaving)
 	// On a reused connection, a refusal without a call ID may be the one of an earlier call.
@@ -31,6 +35,19 @@
 	}
 }
 
+// recordLeavingAtHelper records that the endpoint that has answered a helper leaves: the answer is
+// passed on by this entry too. Everything else that an endpoint states concerns the helper.
+func (c *activeCall) recordLeavingAtHelper(l bluebellplatform.Leaving) {
+	cfg := &c.relay.cfg
+	if !l.Named || len(c.tried) == 0 {
+		return
+	}
+	endpoint := c.tried[len(c.tried)-1]
+	if cfg.Placer.RecordLeavingID(endpoint, cfg.Now()) {
+		cfg.Logger.Info("endpoint leaves", "Call", c.request.Call.ID, "Endpoint", endpoint, "Helper", c.helper)
+	}
+}
+
 // recordLeaving records that an endpoint leaves.
 func (c *activeCall) recordLeaving(choice bluebellplacement.Choice, l bluebellplatform.Leaving) {
 	cfg := &c.relay.cfg
