Believe no refusal without an ID on a reused connection

Callers were told "503, not run" for calls that an endpoint had run, when the endpoint wrote an earlier refusal once more on a kept connection, without an ID or as 421 without one.

Such a refusal was not believed for calls that may run once only. For the others it counted as true, since another run does no harm; but the final answer then promised that the call had not run. Now the attempt counts as one that may have run for all calls: it is retried as far as the route allows, and the last answer is 502.

--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -36,11 +36,10 @@
 // event.
 var errEmptyStream = &bluebelltransport.Error{Stage: bluebelltransport.ReadingAnswer, MaybeSent: true, Err: io.ErrUnexpectedEOF}
 
-// refusalApplies reports whether a refusal can be taken as the answer to this call. A
-// refusal without a call ID on a reused connection may be a late answer to the previous
-// call. This does not matter for calls that may run more than once.
-func (c *activeCall) refusalApplies(a bluebellplatform.Answer, exchange *bluebelltransport.Exchange) bool {
-	return a.CallID != "" || !exchange.Reused() || c.request.Route.Repeatable()
+// refusalApplies reports whether a refusal can be taken as the answer to this call. A refusal
+// without a call ID on a reused connection may be a copy of the answer to an earlier call.
+func refusalApplies(a bluebellplatform.Answer, exchange *bluebelltransport.Exchange) bool {
+	return a.CallID != "" || !exchange.Reused()
 }
 
 // handleAnswer processes an answer whose header has arrived. Only an answer that carries the
@@ -50,7 +49,7 @@
 	a := bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header())
 	c.unframed = exchange.Unframed()
 	c.recordStatements(choice, exchange, a)
-	if a.NotRun && c.helper == "" && c.refusalApplies(a, exchange) {
+	if a.NotRun && c.helper == "" && refusalApplies(a, exchange) {
 		return c.handleNotRun(choice, exchange, a)
 	}
 	c.countRun()
