--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -198,6 +198,11 @@
 	return c
 }
 
+// sendResuming sends a call for the events of a stream behind the one with an ID.
+func (e *entry) sendResuming(path, last string) call {
+	return e.send(http.MethodPost, path, "prompt", bluebellplatform.Call{Key: "k", ResumeAfter: last})
+}
+
 // runs returns the calls that the endpoints have run.
 func (e *entry) runs() []bluebellstub.Run {
 	var all []bluebellstub.Run
