Find the fields of events with long lines

A stream whose first event has 4 KiB of data or more arrived without that event, and looked complete. In a stream that had begun, long events did not count as progress, and had no ID to resume after.

Lines are read in pieces of 4 KiB, and fields were looked for in the last piece only. They are now looked for in the whole line, also the empty line that ends an event.

TestLargeEventIsForwarded failed before at 4,096 bytes and more and passes.

--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -244,9 +244,10 @@
 		x.eventReader = bufio.NewReader(x.response.Body)
 	}
 	var e Event
+	lineStart := 0
 	for {
-		line, err := x.eventReader.ReadSlice('\n')
-		e.Text = append(e.Text, line...)
+		piece, err := x.eventReader.ReadSlice('\n')
+		e.Text = append(e.Text, piece...)
 		switch {
 		case errors.Is(err, io.EOF) && len(e.Text) == 0:
 			x.complete = true
@@ -263,16 +264,26 @@
 		if err != nil {
 			continue
 		}
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			e.ID = string(bytes.TrimSpace(id))
-		}
-		e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data:"))
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && len(e.Text) > len(line) {
+		line := bytes.TrimRight(e.Text[lineStart:], "\r\n")
+		first := lineStart == 0
+		lineStart = len(e.Text)
+		switch {
+		case len(line) > 0:
+			e.addLine(line)
+		case !first:
 			return e, nil
 		}
 	}
 }
 
+// addLine sets the fields that a line of the event contains.
+func (e *Event) addLine(line []byte) {
+	if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		e.ID = string(bytes.TrimSpace(id))
+	}
+	e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data:"))
+}
+
 // waitWritten reports whether the whole call has been written within writeDoneTimeout. The
 // endpoint may read the call and respond before the writing goroutine is scheduled again to
 // close written.
