Pass on no text of a stream that is no event

Callers found text in the middle of their stream that belongs to no event: an error message, HTML, or the whole head of a refusal that an endpoint wrote once more on a connection whose end is the end of the stream.

Now each line has to be a comment or to have the name of a field, in small letters, and a colon; the status line of a response, HTML and JSON have none. The stream breaks off there, and is resumed elsewhere if its route allows it.

--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -234,8 +234,8 @@
 	HasData bool
 }
 
-// NextEvent returns the next event. It fails if the event has not arrived by the deadline, and
-// returns io.EOF at the end of a complete stream.
+// NextEvent returns the next event. It fails if the event has not arrived by the deadline or if other
+// text comes in its place, and returns io.EOF at the end of a complete stream.
 func (x *Exchange) NextEvent(deadline time.Time) (Event, error) {
 	if err := x.conn.SetReadDeadline(deadline); err != nil {
 		return Event{}, x.fail(ReadingAnswer, err)
@@ -268,20 +268,34 @@
 		first := lineStart == 0
 		lineStart = len(e.Text)
 		switch {
+		case len(line) > 0 && !e.addLine(line):
+			return Event{}, x.fail(ReadingAnswer, errNotEvent)
 		case len(line) > 0:
-			e.addLine(line)
 		case !first:
 			return e, nil
 		}
 	}
 }
 
-// addLine sets the fields that a line of the event contains.
-func (e *Event) addLine(line []byte) {
-	if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-		e.ID = string(bytes.TrimSpace(id))
+// addLine sets the fields that a line of the event contains. It reports whether the line belongs to an
+// event: it is a comment, or has the name of a field and a colon.
+func (e *Event) addLine(line []byte) bool {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !isFieldName(name) {
+		return false
+	}
+	switch string(name) {
+	case "id":
+		e.ID = string(bytes.TrimSpace(value))
+	case "data":
+		e.HasData = true
 	}
-	e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data:"))
+	return true
+}
+
+// isFieldName reports whether a field of an event may have a name. The name of a comment is empty.
+func isFieldName(name []byte) bool {
+	return len(bytes.Trim(name, "abcdefghijklmnopqrstuvwxyz-")) == 0
 }
 
 // waitWritten reports whether the whole call has been written within writeDoneTimeout. The
--- a/bluebellgate/internal/bluebelltransport/limit.go
+++ b/bluebellgate/internal/bluebelltransport/limit.go
@@ -32,6 +32,7 @@
 	errHeadTooLarge    = errors.New("header of the response is too large")
 	errBodyTooLarge    = errors.New("response body is larger than the limit")
 	errEventTooLarge   = errors.New("event is larger than 256 KiB")
+	errNotEvent        = errors.New("stream has a line that belongs to no event")
 	errSkippedTooLarge = errors.New("response to another call is too large")
 	ErrBufferFull      = errors.New("buffered responses exceed the limit of this process")
 )
