Resume a stream only with a stream

A stream that broke off ended as if it were complete when the endpoint that should resume it answered 200 with HTML or JSON, without content, or 204. A first answer of these kinds arrived without a part of its body.

Each success on a route of streams was read as a stream. The end of a body without an event then was the end of the stream, and text before the first event was left out. Now an answer of another media type is no stream: before the stream has begun it is passed on whole, like answers of other routes, and afterwards it is a failed attempt. So is a stream without an event. An answer that names no type counts as a stream, as before. An error of the resuming endpoint is no longer read to its end, which could hold up the next attempt.

--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -36,6 +36,18 @@
 // event.
 var errEmptyStream = &bluebelltransport.Error{Stage: bluebelltransport.ReadingAnswer, MaybeSent: true, Err: io.ErrUnexpectedEOF}
 
+// errNotResumed is the cause of an attempt whose answer does not continue the stream where it broke off.
+var errNotResumed = errors.New("answer does not continue the stream")
+
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
+// isStream reports whether a successful answer is a stream of events: its type says so, or nothing else.
+func (c *activeCall) isStream(exchange *bluebelltransport.Exchange) bool {
+	mediaType := exchange.MediaType()
+	return c.request.Route.Work == bluebelldeployment.Stream && (mediaType == eventStreamType || mediaType == "")
+}
+
 // refusalApplies reports whether a refusal can be taken as the answer to this call. A refusal
 // without a call ID on a reused connection may be a copy of the answer to an earlier call.
 func refusalApplies(a bluebellplatform.Answer, exchange *bluebelltransport.Exchange) bool {
@@ -66,9 +78,13 @@
 		c.endAttempt(choice, bluebellplacement.InvalidAnswer, errors.New("answer has no endpoint seal or has a content encoding"))
 		return resultRetry
 	}
-	if good && c.request.Route.Work == bluebelldeployment.Stream {
+	if good && c.isStream(exchange) {
 		return c.stream(ctx, choice, exchange, retryable)
 	}
+	if c.headerSent {
+		c.endAttempt(choice, bluebellplacement.InvalidAnswer, errNotResumed)
+		return resultRetry
+	}
 	body, err := exchange.ReadAll(maxAnswerBytes, c.request.Deadline.Add(-answerMargin))
 	if err != nil {
 		c.endAttempt(choice, c.readErrorOutcome(ctx, err), err)
@@ -155,9 +171,8 @@
 	progressBy := time.Now().Add(firstEventTimeout(c.request.Route, choice, c.timeLeft(), retryable))
 	for {
 		event, err := exchange.NextEvent(progressBy)
-		if errors.Is(err, io.EOF) && !c.begun.Load() && exchange.Unframed() && c.lastEvent == "" {
-			c.endAttempt(choice, bluebellplacement.InvalidAnswer, errEmptyStream)
-			return resultRetry
+		if errors.Is(err, io.EOF) && !c.begun.Load() {
+			err = c.emptyStreamError(exchange)
 		}
 		if errors.Is(err, io.EOF) {
 			c.endAttempt(choice, bluebellplacement.Answered, nil)
@@ -182,6 +197,18 @@
 	}
 }
 
+// emptyStreamError returns what the end of a stream without an event means: io.EOF if it may be the
+// whole answer.
+func (c *activeCall) emptyStreamError(exchange *bluebelltransport.Exchange) error {
+	switch {
+	case exchange.Unframed() && (c.headerSent || c.lastEvent == ""):
+		return errEmptyStream
+	case c.headerSent:
+		return errNotResumed
+	}
+	return io.EOF
+}
+
 // forward sends an event to the caller. It breaks the answer off if the caller has gone.
 func (c *activeCall) forward(choice bluebellplacement.Choice, event bluebelltransport.Event) {
 	if err := c.sink.Write(event.Text); err != nil {
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -199,6 +200,13 @@
 	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
 }
 
+// MediaType returns the media type of the response in small letters and without parameters, "" if it
+// names none.
+func (x *Exchange) MediaType() string {
+	mediaType, _, _ := strings.Cut(x.response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(mediaType))
+}
+
 // Header returns the header of the response.
 func (x *Exchange) Header() http.Header { return x.response.Header }
 
