Continue a stream only behind its last event

Callers got events of a stream twice, or lacked one, when the endpoint that resumed it started again at its first event, repeated the last one or left one out, and when an endpoint went back in the middle. A caller that resumed a stream by itself got events again that it had named as received.

IDs of events were passed on, but not compared. The first event of another run now has to have an ID behind the last one, and the next one if all IDs so far directly followed each other; otherwise its attempt has failed. A run that starts again is another one, whose later events do not belong to those before, so they are not filtered. Within a run the last event once more is left out, since the run goes on behind it; an earlier one ends the attempt. IDs that are no numbers can only be equal.

--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -184,6 +184,14 @@
 			c.endAttempt(choice, c.readErrorOutcome(ctx, err), err)
 			return resultRetry
 		}
+		switch c.place(event) {
+		case eventRepeated:
+			continue
+		case eventMisplaced:
+			c.endAttempt(choice, bluebellplacement.InvalidAnswer, errNotResumed)
+			return resultRetry
+		case eventFollows:
+		}
 		if event.HasData {
 			if !c.begun.Load() {
 				c.recordFirstEvent(choice)
@@ -201,7 +209,7 @@
 // whole answer.
 func (c *activeCall) emptyStreamError(exchange *bluebelltransport.Exchange) error {
 	switch {
-	case exchange.Unframed() && (c.headerSent || c.lastEvent == ""):
+	case exchange.Unframed() && (c.headerSent || c.order.last == ""):
 		return errEmptyStream
 	case c.headerSent:
 		return errNotResumed
@@ -209,6 +217,18 @@
 	return io.EOF
 }
 
+// place returns how an event of the current attempt continues what the caller has received.
+func (c *activeCall) place(event bluebelltransport.Event) eventPlace {
+	resumes := c.headerSent || c.request.Call.ResumeAfter != "" && c.request.Route.Resumable
+	switch {
+	case c.begun.Load():
+		return c.order.place(event.ID)
+	case event.HasData && resumes:
+		return c.order.placeOfFirst(event.ID)
+	}
+	return eventFollows
+}
+
 // forward sends an event to the caller. It breaks the answer off if the caller has gone.
 func (c *activeCall) forward(choice bluebellplacement.Choice, event bluebelltransport.Event) {
 	if err := c.sink.Write(event.Text); err != nil {
@@ -216,12 +236,8 @@
 		c.cause = err
 		c.abort()
 	}
-	switch {
-	case event.ID != "":
-		c.lastEvent = event.ID
-	case event.HasData:
-		c.sentEventWithoutID = true
-	}
+	c.order = c.order.With(event.ID)
+	c.sentEventWithoutID = c.sentEventWithoutID || event.HasData && event.ID == ""
 }
 
 // beginAnswer sends the header of an endpoint's answer, unless an earlier attempt has sent one.
--- a/bluebellgate/internal/bluebellrelay/handover.go
+++ b/bluebellgate/internal/bluebellrelay/handover.go
@@ -217,7 +217,7 @@
 	bluebellhandover.Strip(h)
 	bluebellhandover.Offer{
 		Revision: c.request.Revision, Target: c.request.Target.Name, Tried: c.tried, TimeLeft: timeLeft,
-		Waited: c.relay.cfg.Now() - c.start, ResumeAfter: c.lastEvent,
+		Waited: c.relay.cfg.Now() - c.start, ResumeAfter: c.order.last,
 	}.Encode(h)
 	return h
 }
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -114,8 +114,8 @@
 	// cachePlan names the cached blocks that the endpoint fetches and saves in the current
 	// attempt.
 	cachePlan bluebelltier.Plan
-	// lastEvent is the ID of the last event that was sent to the caller.
-	lastEvent string
+	// order is the place in the stream behind the events that the caller has received.
+	order eventOrder
 	// sentEventWithoutID is set once the caller has received an event without an ID. The
 	// stream cannot be resumed after it.
 	sentEventWithoutID bool
@@ -151,14 +151,14 @@
 // that the caller has disconnected.
 func (r *Relay) Serve(ctx context.Context, request *Request, sink Sink) {
 	c := &activeCall{
-		relay: r, request: request, sink: sink, start: r.cfg.Now(), lastEvent: request.Call.ResumeAfter,
+		relay: r, request: request, sink: sink, start: r.cfg.Now(), order: eventOrder{last: request.Call.ResumeAfter},
 		subjects: r.subjects(request, r.cfg.Guard.NeedsCalls()),
 	}
 	if offer := request.Offer; offer != nil {
 		c.start -= offer.Waited
 		c.tried = slices.Clone(offer.Tried)
 		if offer.ResumeAfter != "" {
-			c.lastEvent = offer.ResumeAfter
+			c.order = eventOrder{last: offer.ResumeAfter}
 		}
 	} else {
 		r.recordCall(request.Target.Name)
@@ -364,7 +364,7 @@
 func (c *activeCall) requestHeader(choice bluebellplacement.Choice, timeLeft time.Duration) http.Header {
 	outgoing := bluebellplatform.OutgoingCall{
 		Endpoint: choice.Endpoint.ID, TimeLeft: timeLeft, WeightsVersion: choice.Weights, Priority: c.request.priority(),
-		ModelCall: c.request.Target.Engine != nil, ResumeAfter: c.lastEvent, CacheScope: c.cacheScope(choice.Weights),
+		ModelCall: c.request.Target.Engine != nil, ResumeAfter: c.order.last, CacheScope: c.cacheScope(choice.Weights),
 	}
 	if c.request.Target.Engine != nil && len(c.request.Call.Blocks) > 0 {
 		r := c.sharedBlocks(choice.Weights, choice.Endpoint.FailureDomain)
