Write all lines of an event's data

The reader joins the lines of an event, and the writer wrote them as they were. The writer is now next to the reader and writes a field for each line.

TestEventWithSeveralLinesIsWritten failed before ("a" instead of "a\nb") and passes.

--- a/bluebellentry/internal/bluebellfrontend/stream.go
+++ b/bluebellentry/internal/bluebellfrontend/stream.go
@@ -13,6 +13,7 @@
 
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebellentry/internal/bluebelldispatch"
+	"bluebellhaven.org/bluebellentry/internal/bluebellupstream"
 )
 
 // keepAliveInterval is the time between two comments that are sent on a stream. They serve to
@@ -92,10 +93,8 @@
 }
 
 func writeEvent(w *bufio.Writer, data []byte) error {
-	for _, part := range [][]byte{[]byte("data: "), data, []byte("\n\n")} {
-		if _, err := w.Write(part); err != nil {
-			return err
-		}
+	if err := bluebellupstream.WriteEvent(w, data); err != nil {
+		return err
 	}
 	return w.Flush()
 }
--- a/bluebellentry/internal/bluebellupstream/event.go
+++ b/bluebellentry/internal/bluebellupstream/event.go
@@ -79,3 +79,14 @@
 		}
 	}
 }
+
+// WriteEvent writes an event with the given data, which may have several lines.
+func WriteEvent(w io.Writer, data []byte) error {
+	data = bytes.ReplaceAll(data, []byte("\n"), []byte("\ndata: "))
+	for _, part := range [][]byte{[]byte("data: "), data, []byte("\n\n")} {
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
