Skip informational responses of endpoints in generated deployments

A caller of a generated deployment got "100 Continue" or "103 Early Hints" as the answer to its call when an endpoint sent one before its answer.

The first response on a connection was taken for the answer. Informational ones are now skipped, within the limits on the size and the time of a header.

TestInformationalResponseIsNoAnswer failed before (status 100 instead of 200) and passes.

--- a/bluebellentry/internal/bluebellupstream/client.go
+++ b/bluebellentry/internal/bluebellupstream/client.go
@@ -147,19 +147,24 @@
 	return w.Flush()
 }
 
-// readHeader reads the header of the answer within r.FirstByteTimeout.
+// readHeader reads the header of the answer, and skips informational responses before it, within
+// r.FirstByteTimeout.
 func (x *Exchange) readHeader(r Request) error {
 	if err := x.conn.SetDeadline(time.Now().Add(r.FirstByteTimeout)); err != nil {
 		return err
 	}
 	x.conn.headerLimit.enabled, x.conn.headerLimit.remaining = true, maxHeaderBytes
-	response, err := http.ReadResponse(x.conn.reader, nil)
-	x.conn.headerLimit.enabled = false
-	if err != nil {
-		return err
+	defer func() { x.conn.headerLimit.enabled = false }()
+	for {
+		response, err := http.ReadResponse(x.conn.reader, nil)
+		if err != nil {
+			return err
+		}
+		if response.StatusCode >= http.StatusOK {
+			x.response = response
+			return nil
+		}
 	}
-	x.response = response
-	return nil
 }
 
 // fail closes the connection and returns the error of the exchange.
--- a/bluebellentry/internal/bluebellupstream/report_test.go
+++ b/bluebellentry/internal/bluebellupstream/report_test.go
@@ -15,6 +15,23 @@
 	"bluebellhaven.org/bluebellentry/internal/bluebellupstream"
 )
 
+// An informational response is not the answer, and many of them are no endless header.
+func TestInformationalResponseIsNoAnswer(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for _, before := range []string{"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"} {
+		x, err := exchange(t, startEndpoint(t, before+answer, true))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, x.Status())
+		body, err := x.ReadAll(100)
+		require.NoError(t, err)
+		require.Equal(t, "ok", string(body))
+		x.Close()
+	}
+	_, err := exchange(t, startEndpoint(t, strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1<<16), true))
+	var e *bluebellupstream.Error
+	require.ErrorAs(t, err, &e)
+}
+
 // A copy of an earlier answer, written on the same connection, is read by no later request.
 func TestCopyOfEarlierAnswerIsNotRead(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
