Let no failed accept end a process

A core process, or an entry of a generated deployment, ended by itself when it had no descriptor left for a connection, which any client can bring about by opening many connections, and so did its listener for peers.

fasthttp and bluebellpeer.Serve return each error of accept(2), also EMFILE, and a process ends with the first of its tasks that fails.

--- a/bluebell/bluebellpeer/peer_test.go
+++ b/bluebell/bluebellpeer/peer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -46,6 +47,12 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return serveOn(t, s, listener)
+}
+
+// serveOn starts a server with the name "b" on a listener and returns its address.
+func serveOn(t *testing.T, s *server, listener net.Listener) string {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
@@ -64,6 +71,31 @@
 	return client.Status(ctx, &pb.StatusRequest{})
 }
 
+// crowdedListener fails the first Accept as a process without free descriptors does.
+type crowdedListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *crowdedListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// A lack of descriptors ends no server.
+func TestCallsAreServedAfterFailedAccept(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := serveOn(t, &server{}, &crowdedListener{Listener: listener})
+	client := bluebellpeer.NewClient(bluebellpeer.ClientConfig{Address: address, Peer: "b", Name: "a", Secret: []byte("secret")})
+	defer client.Close()
+	reply, err := status(client, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, "b", reply.VM)
+}
+
 func TestCallRequiresSecretAndExpectedPeerName(t *testing.T) {
 	address := serve(t, &server{})
 	cases := []struct {
--- a/bluebell/bluebellpeer/server.go
+++ b/bluebell/bluebellpeer/server.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
+	"bluebellhaven.org/bluebell/bluebelllistener"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
@@ -65,10 +66,10 @@
 	return c.Handler.HandleRPC(stream, method)
 }
 
-// Serve serves calls of authenticated peers until ctx is done or the listener fails. A
+// Serve serves calls of authenticated peers until ctx is done or the listener is closed. A
 // connection that fails the handshake is closed.
 func Serve(ctx context.Context, cfg ServerConfig) error {
-	listener := cfg.Listener
+	listener := bluebelllistener.New(bluebelllistener.Config{Listener: cfg.Listener})
 	mux := drpcmux.New()
 	if err := pb.DRPCRegisterPeer(mux, cfg.Handler); err != nil {
 		return err
@@ -84,10 +85,8 @@
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			return err
+			// The listener has been closed.
+			return nil
 		}
 		group.Go(func() {
 			defer func() { _ = conn.Close() }()
--- a/bluebellcore/internal/bluebellcontrol/control.go
+++ b/bluebellcore/internal/bluebellcontrol/control.go
@@ -24,6 +24,7 @@
 	"github.com/valyala/fasthttp"
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
+	"bluebellhaven.org/bluebell/bluebelllistener"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
@@ -106,7 +107,9 @@
 		}
 	})
 	defer stop()
-	return s.http.Serve(listener)
+	return s.http.Serve(bluebelllistener.New(bluebelllistener.Config{Listener: listener, OnError: func(err error) {
+		s.cfg.Logger.Warn("failed to accept a connection", "Address", listener.Addr(), "Error", err)
+	}}))
 }
 
 // reply is the answer to one call.
--- a/bluebellcore/internal/bluebellcontrol/control_test.go
+++ b/bluebellcore/internal/bluebellcontrol/control_test.go
@@ -55,6 +55,12 @@
 }
 
 func start(t *testing.T) *fixture {
+	t.Helper()
+	return startOn(t, func(l net.Listener) net.Listener { return l })
+}
+
+// startOn starts a server on the listener that wrap returns.
+func startOn(t *testing.T, wrap func(net.Listener) net.Listener) *fixture {
 	t.Helper()
 	f := &fixture{state: &state{machine: bluebellstate.New(), quorum: true}}
 	started := time.Now()
@@ -69,7 +75,7 @@
 	f.url = "http://" + listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(ctx, listener) }()
+	go func() { done <- server.Serve(ctx, wrap(listener)) }()
 	t.Cleanup(func() {
 		cancel()
 		require.NoError(t, <-done)
--- a/bluebellcore/internal/bluebellcontrol/registration_test.go
+++ b/bluebellcore/internal/bluebellcontrol/registration_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -129,3 +131,23 @@
 	require.Equal(t, http.StatusOK, f.register(t, endpoint("i-1", 1)))
 	f.requireFollowed(t, 1)
 }
+
+// crowdedListener fails the first Accept as a process without free descriptors does.
+type crowdedListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *crowdedListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// So many connections that no descriptor is left must not end a core process.
+func TestRegistrationsAreServedAfterFailedAccept(t *testing.T) {
+	f := startOn(t, func(l net.Listener) net.Listener { return &crowdedListener{Listener: l} })
+	require.Equal(t, http.StatusOK, f.register(t, endpoint("i-1", 1)))
+	f.requireFollowed(t, 1)
+}
--- a/bluebellentry/internal/bluebellfrontend/frontend.go
+++ b/bluebellentry/internal/bluebellfrontend/frontend.go
@@ -12,6 +12,7 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
 
+	"bluebellhaven.org/bluebell/bluebelllistener"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebellentry/internal/bluebelldispatch"
 )
@@ -94,7 +95,10 @@
 
 // Serve accepts connections from a listener until Stop is called.
 func (s *Server) Serve(listener net.Listener) error {
-	err := s.app.Listener(lingerListener{listener}, fiber.ListenConfig{DisableStartupMessage: true})
+	retrying := bluebelllistener.New(bluebelllistener.Config{Listener: listener, OnError: func(err error) {
+		s.cfg.Logger.Warn("failed to accept a connection", "Address", listener.Addr(), "Error", err)
+	}})
+	err := s.app.Listener(lingerListener{retrying}, fiber.ListenConfig{DisableStartupMessage: true})
 	if errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/bluebellgate/internal/bluebellfrontend/frontend.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend.go
@@ -35,6 +35,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"bluebellhaven.org/bluebell/bluebelldeployment"
+	"bluebellhaven.org/bluebell/bluebelllistener"
 	"bluebellhaven.org/bluebellgate/internal/bluebellhandover"
 	"bluebellhaven.org/bluebellgate/internal/bluebellrelay"
 	"bluebellhaven.org/platform/bluebellplatform"
@@ -140,13 +141,20 @@
 // been answered or StopTimeout has passed.
 func (f *Frontend) Serve(ctx context.Context, callers, health net.Listener) error {
 	servers := pool.New().WithErrors()
-	servers.Go(func() error { return ignoreClosed(f.callers.Serve(retryingListener{callers, f.cfg.Logger})) })
-	servers.Go(func() error { return ignoreClosed(f.health.Serve(retryingListener{health, f.cfg.Logger})) })
+	servers.Go(func() error { return ignoreClosed(f.callers.Serve(f.retrying(callers))) })
+	servers.Go(func() error { return ignoreClosed(f.health.Serve(f.retrying(health))) })
 	<-ctx.Done()
 	err := f.stop(callers)
 	return errors.Join(err, f.health.Close(), servers.Wait())
 }
 
+// retrying returns a listener that survives errors of single connections.
+func (f *Frontend) retrying(l net.Listener) net.Listener {
+	return bluebelllistener.New(bluebelllistener.Config{Listener: l, OnError: func(err error) {
+		f.cfg.Logger.Warn("failed to accept a connection", "Address", l.Addr(), "Error", err)
+	}})
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
