Limit the bodies of all calls together

Many slow callers with large bodies could take all the memory of an entry, which ends it and with it every call in flight. Answers of endpoints have a common limit, bodies of calls had only one each, and the buffer that they were read into took several times as much while it grew.

Bodies now have a common limit of 48 MiB, which is taken up as they arrive. A call whose body finds no room is refused at once as not run; it has been sent nowhere.

That an entry ended for this reason was not seen; found by reading.

--- a/bluebell/bluebellpeer/listener.go
+++ b/bluebell/bluebellpeer/listener.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
-	"time"
+
+	"bluebellhaven.org/bluebell/bluebelllistener"
 )
 
 // maxHandshakes limits the connections whose handshakes are in progress or that wait to be accepted.
 const maxHandshakes = 256
 
-// acceptRetryDelay is the pause after an error of Accept.
-const acceptRetryDelay = 20 * time.Millisecond
-
 // Authenticate performs the handshake of a client on a new connection to the peer with the given name.
 // It must finish before the deadline of ctx. The connection can then carry any protocol.
 func Authenticate(ctx context.Context, conn net.Conn, secret []byte, name, peer string) error {
@@ -46,7 +43,7 @@
 func NewListener(listener net.Listener, secret []byte, name string) *Listener {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Listener{
-		Listener: listener, secret: secret, name: name, accepted: make(chan net.Conn), slots: make(chan struct{}, maxHandshakes),
+		Listener: bluebelllistener.New(bluebelllistener.Config{Listener: listener}), secret: secret, name: name, accepted: make(chan net.Conn), slots: make(chan struct{}, maxHandshakes),
 		failed: make(chan struct{}), ctx: ctx, cancel: cancel,
 	}
 }
@@ -73,14 +70,9 @@
 	defer close(l.failed)
 	for {
 		conn, err := l.Listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
+		if err != nil {
 			l.err = err
 			return
-		case err != nil:
-			// Errors such as ENOBUFS concern one connection or a moment.
-			time.Sleep(acceptRetryDelay)
-			continue
 		}
 		select {
 		case l.slots <- struct{}{}:
--- /dev/null
+++ b/bluebellgate/internal/bluebellfrontend/bodies_test.go
@@ -0,0 +1,66 @@
+package bluebellfrontend_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The bodies of many slow callers together take bounded memory. A call whose body finds no room is
+// refused at once, and has not run; the others are served, and their memory is free again afterwards.
+func TestBodiesOfAllCallsAreBounded(t *testing.T) {
+	const size = 1 << 20
+	e := startEntry(t, 1)
+	for range 3 {
+		var conns []net.Conn
+		for i := range 8 {
+			conn := e.sendRaw(t, head("/once/x", fmt.Sprint("slow-", i))+fmt.Sprintf("Content-Length: %d\r\n\r\n", size))
+			conns = append(conns, conn)
+			go func() { _, _ = io.WriteString(conn, strings.Repeat("x", size-1)) }()
+		}
+		refused := make(chan int, len(conns))
+		kept := make(chan net.Conn, len(conns))
+		for _, conn := range conns {
+			go func() {
+				_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					kept <- conn
+					return
+				}
+				refused <- response.StatusCode
+			}()
+		}
+		served := 0
+		for range conns {
+			select {
+			case status := <-refused:
+				require.Equal(t, http.StatusServiceUnavailable, status)
+			case conn := <-kept:
+				require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+				_, err := io.WriteString(conn, "x")
+				require.NoError(t, err)
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, response.StatusCode)
+				served++
+			}
+		}
+		require.Positive(t, served)
+		require.LessOrEqual(t, served, maxHeldBytes/size)
+		for _, conn := range conns {
+			require.NoError(t, conn.Close())
+		}
+	}
+	for range 3 {
+		require.Equal(t, http.StatusOK, e.do(http.MethodPost, "/once/x", strings.Repeat("x", size)).status)
+	}
+	require.Equal(t, http.StatusRequestEntityTooLarge, e.do(http.MethodPost, "/once/x", strings.Repeat("x", size+1)).status)
+}
--- a/bluebellgate/internal/bluebellfrontend/frontend.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend.go
@@ -24,7 +24,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -55,6 +54,9 @@
 	// startingRetryAfter is the retry delay sent to callers while the entry has no deployment
 	// yet. An entry that has just started receives the deployment within this time.
 	startingRetryAfter = 500 * time.Millisecond
+	// fullRetryAfter is the retry delay sent to callers while the bodies of other calls take all the
+	// memory for bodies.
+	fullRetryAfter = 500 * time.Millisecond
 	// stopAcceptDelay is how long a stopping entry still accepts calls after its health check
 	// fails. The load balancer checks each second and removes an entry after two failures. A
 	// call accepted later might not finish before the stop ends.
@@ -95,6 +97,8 @@
 	StopTimeout time.Duration
 	// Random returns a number in [0, 1), by which one of a route's weighted targets is chosen.
 	Random func() float64
+	// MaxHeldBytes limits the bytes of the bodies of all calls together. If 0, it is 48 MiB.
+	MaxHeldBytes int64
 	// CountStatus counts a response to a caller by its status code.
 	CountStatus func(status int)
 	Logger      *log.Logger
@@ -108,6 +112,7 @@
 	peers   peers
 	// connections are those of callers and of other entries.
 	connections *connections
+	bodies      bodies
 	// stopping is set when a planned stop begins: the health check fails and connections close
 	// after their next response. closed is set when new calls are refused as well.
 	stopping, closed atomic.Bool
@@ -118,10 +123,13 @@
 	if cfg.MaxHandedOver == 0 {
 		cfg.MaxHandedOver = defaultMaxHandedOver
 	}
+	if cfg.MaxHeldBytes <= 0 {
+		cfg.MaxHeldBytes = defaultMaxHeldBytes
+	}
 	if cfg.Stranded == nil {
 		cfg.Stranded = func() bool { return false }
 	}
-	f := &Frontend{cfg: cfg, connections: newConnections()}
+	f := &Frontend{cfg: cfg, connections: newConnections(), bodies: bodies{limit: cfg.MaxHeldBytes}}
 	errorLog := cfg.Logger.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
 	f.callers = &http.Server{
 		Handler: http.HandlerFunc(f.serveCall), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
@@ -219,7 +227,9 @@
 	}
 	bluebellhandover.Strip(r.Header)
 	routing := f.cfg.Routing()
-	request, refused := f.readRequest(w, r, routing, start)
+	held := &heldBody{bodies: &f.bodies}
+	defer held.release()
+	request, refused := f.readRequest(w, r, held, routing, start)
 	if refused != nil {
 		f.refuse(w, r, *refused, routing)
 		return
@@ -266,7 +276,7 @@
 }
 
 // readRequest validates a caller's call and returns the request for the relay, or a refusal.
-func (f *Frontend) readRequest(w http.ResponseWriter, r *http.Request, routing Routing, start time.Time) (*bluebellrelay.Request, *refusal) {
+func (f *Frontend) readRequest(w http.ResponseWriter, r *http.Request, held *heldBody, routing Routing, start time.Time) (*bluebellrelay.Request, *refusal) {
 	if f.closed.Load() {
 		return nil, &refusal{http.StatusServiceUnavailable, stoppingRetryAfter, errors.New("entry is stopping")}
 	}
@@ -293,7 +303,7 @@
 		}
 	}
 	var refused *refusal
-	request.Body, refused = readBody(w, r, routing.Deployment.Limits(), request.Deadline)
+	request.Body, refused = readBody(w, r, held, routing.Deployment.Limits(), request.Deadline)
 	return request, refused
 }
 
@@ -325,7 +335,7 @@
 }
 
 // readBody reads the call's body within the declaration's size limit and the call's deadline.
-func readBody(w http.ResponseWriter, r *http.Request, limits bluebelldeployment.Limits, deadline time.Time) ([]byte, *refusal) {
+func readBody(w http.ResponseWriter, r *http.Request, held *heldBody, limits bluebelldeployment.Limits, deadline time.Time) ([]byte, *refusal) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -337,11 +347,14 @@
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, &refusal{status: http.StatusInternalServerError, cause: fmt.Errorf("set read deadline: %w", err)}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := held.read(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, cause: err}
+	case errors.Is(err, errBodiesFull):
+		w.Header().Set("Connection", "close")
+		return nil, &refusal{http.StatusServiceUnavailable, fullRetryAfter, err}
 	case err != nil:
 		w.Header().Set("Connection", "close")
 		return nil, &refusal{status: http.StatusRequestTimeout, cause: fmt.Errorf("read request body: %w", err)}
--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -36,6 +36,9 @@
 	callTimeLimit = 2 * time.Second
 )
 
+// maxHeldBytes limits the bodies of all calls in these tests.
+const maxHeldBytes = 3 << 20
+
 // deployment returns a deployment with one target, one customer with the key "k" and a route for
 // each kind of work.
 func deployment(t *testing.T) *bluebelldeployment.Deployment {
@@ -133,7 +136,7 @@
 	frontend := bluebellfrontend.New(bluebellfrontend.Config{
 		Routing: func() bluebellfrontend.Routing { return bluebellfrontend.Routing{Deployment: e.d.Load(), Revision: 1} },
 		Relay:   relay, Ready: func() bool { return true }, StopTimeout: 8 * time.Second, Random: func() float64 { return 0 },
-		CountStatus: func(int) {}, Logger: log.New(io.Discard),
+		CountStatus: func(int) {}, Logger: log.New(io.Discard), MaxHeldBytes: maxHeldBytes,
 	})
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/bluebellgate/internal/bluebellfrontend/peers.go
+++ b/bluebellgate/internal/bluebellfrontend/peers.go
@@ -78,7 +78,9 @@
 		f.decline(w, r, offer, errors.New("too many calls of other entries"))
 		return
 	}
-	request, refused := f.readRequest(w, r, routing, start)
+	held := &heldBody{bodies: &f.bodies}
+	defer held.release()
+	request, refused := f.readRequest(w, r, held, routing, start)
 	if refused != nil {
 		f.decline(w, r, offer, refused.cause)
 		return
