--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -77,6 +77,8 @@
 )
 
 const (
+	// Slots is the number of slots that endpoints register.
+	Slots = 8
 	// StreamEvents is the number of events of a complete stream.
 	StreamEvents = 5
 	// StreamPathPrefix is the prefix of the paths that are answered with a stream.
@@ -144,6 +146,8 @@
 	rateLimit string
 	// said is added to the header of all answers.
 	said http.Header
+	// brittle, if not nil, makes the endpoint crash when it turns too many calls away.
+	brittle *brittleness
 }
 
 // Start returns an endpoint that serves calls until Stop.
@@ -235,7 +239,7 @@
 	e.sequence++
 	return bluebellfleet.Endpoint{
 		ID: e.cfg.ID, Target: e.cfg.Target, Address: e.cfg.Advertise, FailureDomain: e.cfg.FailureDomain,
-		SoftwareVersion: "v1", Slots: 8, State: e.state, StartUnixMillis: e.cfg.StartUnixMillis, Sequence: e.sequence, Weights: e.cfg.Weights,
+		SoftwareVersion: "v1", Slots: Slots, State: e.state, StartUnixMillis: e.cfg.StartUnixMillis, Sequence: e.sequence, Weights: e.cfg.Weights,
 	}
 }
 
@@ -306,6 +310,9 @@
 	e.mu.Unlock()
 	run, behaviour := e.beginRun(Run{Call: incoming, Method: r.Method, URI: r.RequestURI, Body: string(body)})
 	if run == nil {
+		if e.fallsOver() {
+			panic(http.ErrAbortHandler)
+		}
 		writeHeader(w, bluebellplatform.NotRunHeader(incoming.CallID), http.StatusServiceUnavailable)
 		return
 	}
@@ -338,7 +345,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.arrivals = append(e.arrivals, time.Now())
-	if e.behaviour == Declining {
+	if e.behaviour == Declining || e.brittle.turnsAway(e.activeCalls) {
 		return nil, Declining
 	}
 	e.activeCalls++
