--- a/bluebell/bluebellplacement/endpointstate.go
+++ b/bluebell/bluebellplacement/endpointstate.go
@@ -97,12 +97,7 @@
 	// the entries as of senderRankVersion. It is -1 while this entry is not in their list.
 	senderRank        int
 	senderRankVersion uint64
-	// limit is the latest that any entry has heard from the endpoint. limitObserved is set if this
-	// entry has heard it itself, and limitEnded if it ended a limit that this entry knew.
-	limit                     RateLimit
-	limitObserved, limitEnded bool
-	// limitedSince is when the limit in force was first named.
-	limitedSince time.Duration
+	limit             sharedLimit
 	// startUnixMillis is the incarnation that limit is about.
 	startUnixMillis int64
 	// pickedAt is when the endpoint was last picked, 0 if never.
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -169,7 +169,7 @@
 		t.states[e.ID] = s
 	}
 	f := &p.fleet
-	s.learnRateLimit(f.At, e.StartUnixMillis, f.UseByOthers[e.ID].Limit)
+	s.learnLimits(f.At, e.StartUnixMillis, f.UseByOthers[e.ID])
 	return member{
 		endpoint: e, state: s, hash: s.hash, others: f.UseByOthers[e.ID], near: e.FailureDomain == p.cfg.FailureDomain,
 		open:        e.State == bluebellfleet.Serving && !slices.Contains(f.DomainsOut, e.FailureDomain) && !slices.Contains(f.Loading, e.ID),
--- a/bluebell/bluebellplacement/ratelimit.go
+++ b/bluebell/bluebellplacement/ratelimit.go
@@ -47,52 +47,75 @@
 	return l.Named == other.Named && l.PerSecond == other.PerSecond
 }
 
-// RecordRateLimit records what an answer of a choice's endpoint says about its limit. It reports
-// whether that differs from what the endpoint said before to any entry.
-func (p *Placer) RecordRateLimit(c Choice, l RateLimit) (changed bool) {
+// sharedLimit is a limit that an endpoint names, as all entries know it.
+type sharedLimit struct {
+	// latest is the latest that any entry has heard from the endpoint. observed is set if this entry
+	// has heard it itself, and ended if it ended a limit that this entry knew.
+	latest          RateLimit
+	observed, ended bool
+	// since is when the limit in force was first named, and namedAt when it was last.
+	since, namedAt time.Duration
+}
+
+// record records what this entry has heard. It reports whether that differs from what the endpoint said
+// before to any entry.
+func (s *sharedLimit) record(l RateLimit) (changed bool) {
 	if !l.Named {
 		l.PerSecond = 0
 	}
 	l.PerSecond = math.Round(l.PerSecond*limitPrecision) / limitPrecision
-	c.withState(func(_ *targetState, s *endpointState) {
-		changed = !l.same(s.limit)
-		s.limitEnded = s.limitEnded || s.limit.Named && !l.Named
-		s.setLimit(l, true)
-	})
+	changed = !l.same(s.latest)
+	s.ended = s.ended || s.latest.Named && !l.Named
+	s.set(l, true)
 	return changed
 }
 
-// learnRateLimit takes over what the endpoint has said to another entry since. A new incarnation
-// has named no limit yet.
-func (s *endpointState) learnRateLimit(now time.Duration, startUnixMillis int64, others RateLimit) {
-	if s.startUnixMillis != startUnixMillis {
-		if s.startUnixMillis != 0 {
-			s.setLimit(RateLimit{At: now}, false)
-		}
-		s.startUnixMillis = startUnixMillis
-	}
-	if others.At > s.limit.At {
-		s.setLimit(others, false)
+// learn takes over what the endpoint has said to another entry since.
+func (s *sharedLimit) learn(others RateLimit) {
+	if others.At > s.latest.At {
+		s.set(others, false)
 	}
 }
 
-// setLimit sets the limit and whether this entry has observed it itself.
-func (s *endpointState) setLimit(l RateLimit, observed bool) {
-	if l.Named && !s.limit.Named {
-		s.limitedSince = l.At
+// set sets the limit and whether this entry has observed it itself.
+func (s *sharedLimit) set(l RateLimit, observed bool) {
+	if l.Named && !s.latest.Named {
+		s.since = l.At
+	}
+	if l.Named {
+		s.namedAt = l.At
 	}
 	if !observed || l.Named {
-		s.limitEnded = false
+		s.ended = false
 	}
-	s.limit, s.limitObserved = l, observed
+	s.latest, s.observed = l, observed
 }
 
-// reportedLimit returns what this entry has observed itself: a limit in force, or its recent end.
-func (s *endpointState) reportedLimit(now time.Duration) RateLimit {
-	if !s.limitObserved || !s.limit.Named && (!s.limitEnded || now-s.limit.At > limitReportedFor) {
+// reported returns what this entry has observed itself: a limit in force, or its recent end.
+func (s *sharedLimit) reported(now time.Duration) RateLimit {
+	if !s.observed || !s.latest.Named && (!s.ended || now-s.latest.At > limitReportedFor) {
 		return RateLimit{}
 	}
-	return s.limit
+	return s.latest
+}
+
+// RecordRateLimit records what an answer of a choice's endpoint says about its limit. It reports
+// whether that differs from what the endpoint said before to any entry.
+func (p *Placer) RecordRateLimit(c Choice, l RateLimit) (changed bool) {
+	c.withState(func(_ *targetState, s *endpointState) { changed = s.limit.record(l) })
+	return changed
+}
+
+// learnLimits takes over what the endpoint has said to other entries since. A new incarnation has
+// named no limits yet.
+func (s *endpointState) learnLimits(now time.Duration, startUnixMillis int64, others EndpointUse) {
+	if s.startUnixMillis != startUnixMillis {
+		if s.startUnixMillis != 0 {
+			s.limit = sharedLimit{latest: RateLimit{At: now}}
+		}
+		s.startUnixMillis = startUnixMillis
+	}
+	s.limit.learn(others.Limit)
 }
 
 // limitSenders returns the number of entries that send to an endpoint with this limit.
@@ -108,18 +131,19 @@
 // limit. The entries take turns from when the limit was named, so that they don't send together.
 func (p *Placer) limitedFrom(m *member) (from, interval time.Duration, sends bool) {
 	s := m.state
-	if !s.limit.Named {
+	limit := s.limit.latest
+	if !limit.Named {
 		return 0, 0, true
 	}
-	senders := p.limitSenders(s.limit)
+	senders := p.limitSenders(limit)
 	rank := p.senderRank(m)
 	if rank < 0 || rank >= senders {
 		return 0, 0, false
 	}
-	turn := time.Duration(float64(time.Second) / max(s.limit.PerSecond, minLimitedRate))
+	turn := time.Duration(float64(time.Second) / max(limit.PerSecond, minLimitedRate))
 	interval = time.Duration(senders) * turn
-	if s.pickedAt < s.limitedSince {
-		return s.limitedSince + time.Duration(rank+1)*turn, interval, true
+	if s.pickedAt < s.limit.since {
+		return s.limit.since + time.Duration(rank+1)*turn, interval, true
 	}
 	return s.pickedAt + interval, interval, true
 }
