Divide the slots of brittle endpoints among the entries

Under several times the load that they can take, endpoints that crash when they turn too many calls away crashed; callers lost all answers in progress there, and the rest got the load.

Cause: the header that says so was not read. Entries send as many calls to an endpoint as they get and let it turn away what is too much; the sums of what they have in flight are up to 0.5 s old, so that a bound on the sum would not hold when several entries send at once.

While an endpoint says so in its answers to any entry, each entry has a fixed share of its slots, by rendezvous order. Entries whose calls are turned away nevertheless try again one after another, so rarely that all together keep within the number, and gradually. Calls that the share is not expected to reach in their waiting time are refused at once. An entry without a share is told of entries that have one. Waiting calls for which the same holds as for the one before are not tried one by one.

Not measured: several real entries together; entries are not handed calls of others yet.

--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -47,6 +47,7 @@
 	s.use.Waited += time.Duration(sign) * u.Waited
 	s.use.AnsweredAt = max(s.use.AnsweredAt, u.AnsweredAt)
 	s.use.Limit = s.use.Limit.Later(u.Limit)
+	s.use.Brittle = s.use.Brittle.Later(u.Brittle)
 }
 
 // at returns the sum at the time now.
@@ -58,6 +59,9 @@
 	if now-u.Limit.At > limitRetention {
 		u.Limit = bluebellplacement.RateLimit{}
 	}
+	if now-u.Brittle.At > limitRetention {
+		u.Brittle = bluebellplacement.RateLimit{}
+	}
 	return u
 }
 
@@ -244,6 +248,7 @@
 			sum.Waited += u.Waited
 			sum.AnsweredAt = max(sum.AnsweredAt, u.AnsweredAt)
 			sum.Limit = sum.Limit.Later(u.Limit)
+			sum.Brittle = sum.Brittle.Later(u.Brittle)
 		}
 	}
 	l.total = l.encode(uses, now)
@@ -258,6 +263,7 @@
 // encode encodes the sums that are not 0. l.mu must be held.
 func (l *loads) encode(uses []Use, now time.Duration) []byte {
 	t := &pb.UseTable{}
+	var limits, brittle limitColumns
 	for i, u := range uses {
 		if u.Endpoint = ""; u == (Use{}) {
 			continue
@@ -269,11 +275,11 @@
 		t.Names, t.Calls, t.Failing = append(t.Names, uint32(i)), append(t.Calls, uint32(max(u.Calls, 0))), append(t.Failing, uint32(max(u.Failing, 0)))
 		t.Tokens, t.Unread = append(t.Tokens, uint64(max(u.Tokens, 0))), append(t.Unread, uint64(max(u.Unread, 0)))
 		t.AnsweredMillis, t.WaitedMillis = append(t.AnsweredMillis, answered), append(t.WaitedMillis, uint64(max(u.Waited, 0).Milliseconds()))
-		if thousandths, millis := encodeLimit(u.Limit, now); thousandths > 0 {
-			t.LimitRows = append(t.LimitRows, uint32(len(t.Names)-1))
-			t.LimitThousandths, t.LimitMillis = append(t.LimitThousandths, thousandths), append(t.LimitMillis, millis)
-		}
+		limits.add(len(t.Names)-1, u.Limit, now)
+		brittle.add(len(t.Names)-1, u.Brittle, now)
 	}
+	t.LimitRows, t.LimitThousandths, t.LimitMillis = limits.rows, limits.thousandths, limits.millis
+	t.BrittleRows, t.BrittleThousandths, t.BrittleMillis = brittle.rows, brittle.thousandths, brittle.millis
 	encoded, err := proto.Marshal(t)
 	if err != nil {
 		// Marshal fails only for strings that are not UTF-8, and the table has none.
--- a/bluebell/bluebellplacement/doc.go
+++ b/bluebell/bluebellplacement/doc.go
@@ -47,6 +47,15 @@
 // latest answer, or that has started again, has none; one that names very little still gets a call
 // every two seconds, from whose answer the end of the limit is known.
 //
+// # Brittle endpoints
+//
+// A brittle endpoint crashes if it turns away more than a number of calls in a second for want of room,
+// and says so in its answers. What entries know of each other's calls is too old to prevent that, so its
+// slots are divided among the entries, which report to each other whether it is brittle. With more
+// entries than slots, some have no share; they are told which entries have one. An entry whose call was
+// turned away pauses, so long that all entries together keep within the number, and then returns
+// gradually.
+//
 // # Leaving endpoints
 //
 // An endpoint that is about to stop states in its answers that it leaves. From then on the entry that
--- a/bluebell/bluebellplacement/endpointstate.go
+++ b/bluebell/bluebellplacement/endpointstate.go
@@ -97,9 +97,23 @@
 	// the entries as of senderRankVersion. It is -1 while this entry is not in their list.
 	senderRank        int
 	senderRankVersion uint64
-	limit             sharedLimit
-	// startUnixMillis is the incarnation that limit is about.
+	// limit is the limit of calls a second, brittle that of calls a second that are turned away.
+	limit, brittle sharedLimit
+	// startUnixMillis is the incarnation that limit and brittle are about.
 	startUnixMillis int64
+	// refusedAt is when the endpoint, being brittle, last turned away a call for want of room. window
+	// is the number of calls that may be in flight since, 0 if the whole share may be. refusedTogether
+	// is set if other entries may have been turned away at the same time.
+	refusedAt       time.Duration
+	refusedTogether bool
+	window          int
+	// givenUp holds, for each call that was given up while the endpoint was brittle, until when it
+	// may occupy its slot.
+	givenUp []time.Duration
+	// holders are the entries other than this one that have a share of the slots while the endpoint
+	// is brittle, by the entries as of holdersVersion.
+	holders        []string
+	holdersVersion uint64
 	// pickedAt is when the endpoint was last picked, 0 if never.
 	pickedAt time.Duration
 }
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -112,8 +112,9 @@
 	Failing int
 	// AnsweredAt is the time of the endpoint's last answer, 0 if there was no recent one.
 	AnsweredAt time.Duration
-	// Limit is the latest that the endpoint has said about its limit.
-	Limit RateLimit
+	// Limit is the latest that the endpoint has said about its limit, Brittle about the number of
+	// calls that it can turn away in a second.
+	Limit, Brittle RateLimit
 }
 
 // Add returns the sum of the uses by two sets of entries.
@@ -121,7 +122,7 @@
 	return EndpointUse{
 		Calls: u.Calls + other.Calls, Tokens: u.Tokens + other.Tokens, PrefillTokens: u.PrefillTokens + other.PrefillTokens,
 		Failing: u.Failing + other.Failing, AnsweredAt: max(u.AnsweredAt, other.AnsweredAt),
-		Limit: u.Limit.Later(other.Limit),
+		Limit: u.Limit.Later(other.Limit), Brittle: u.Brittle.Later(other.Brittle),
 	}
 }
 
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -117,6 +117,9 @@
 	// AllowedInterval the mean time between further ones. They are set with AllLimited; the
 	// interval is 0 if other entries share the limits of all endpoints.
 	AllowedAt, AllowedInterval time.Duration
+	// Holders are addresses of entries that have a share of the endpoints' slots, at most eight. They
+	// are set with AllShared.
+	Holders []string
 
 	// prefillTokens and tokens are what the call adds to the fields of the same names in
 	// endpointState.
@@ -160,13 +163,17 @@
 	// late.
 	AllLate
 	// AllLimited means that endpoints could take the call but for the limits that they name, or that
-	// they want no calls for a time. Choice.AllowedAt tells when one may.
+	// they want no calls for a time, or that they are brittle and have as many calls of this entry as
+	// its share of their slots. Choice.AllowedAt tells when one may take it.
 	AllLimited
 	// AllLeaving means that each endpoint is draining or has stated that it leaves, so that none of
 	// them takes a call again.
 	AllLeaving
 	// LinksLost means that this entry can open no connection to any endpoint of the target.
 	LinksLost
+	// AllShared means that the endpoints are brittle, and that other entries share their slots.
+	// Choice.Holders names some.
+	AllShared
 )
 
 // Saturated reports whether no endpoint was picked for lack of memory or time, which rules
@@ -176,6 +183,7 @@
 func (r PickResult) String() string {
 	return [...]string{
 		"Untried", "Present", "NoEndpoint", "AllUnfit", "AllSuspect", "AllFull", "AllLate", "AllLimited", "AllLeaving", "LinksLost",
+		"AllShared",
 	}[r]
 }
 
@@ -192,6 +200,10 @@
 	lastUses map[string]promptUse
 	slowdown slowdown
 	speed    speedEstimate
+	// runTime is the moving average of the time that answered calls spend at their endpoint.
+	runTime time.Duration
+	// handOvers counts the results of holders.
+	handOvers int
 }
 
 // member is an endpoint of a target with what the choice needs of the fleet.
@@ -285,6 +297,8 @@
 	candidates, limited := p.candidates(now, t, r)
 	if len(candidates) == 0 {
 		switch {
+		case limited.rate == 0 && limited.paused == 0 && len(limited.unshared) > 0:
+			return Choice{Holders: p.holders(t, limited.unshared, r.SharedBlock)}, AllShared
 		case limited.endpoints > 0:
 			return Choice{AllowedAt: limited.from, AllowedInterval: limited.interval()}, AllLimited
 		case limited.leaving == len(t.members):
@@ -440,6 +454,8 @@
 	// the number of the others.
 	rate   float64
 	paused int
+	// unshared are brittle endpoints whose slots other entries have.
+	unshared []*member
 }
 
 // pausedCallInterval is the mean time between two calls that wait for the end of a pause.
@@ -520,6 +536,16 @@
 			limited.add(from, interval, sends)
 			continue
 		}
+		if m.state.isBrittle(now) {
+			from, interval, room := p.brittleRoom(now, t, m)
+			if !room {
+				limited.add(from, interval, interval > 0)
+				if interval == 0 {
+					limited.unshared = append(limited.unshared, m)
+				}
+				continue
+			}
+		}
 		byEntries := p.suspectedByEntries(now, m)
 		eligible = append(eligible, candidate{
 			member: m, said: said, weights: weights, cold: cold, suspectedByEntries: byEntries,
--- a/bluebell/bluebellplacement/ratelimit.go
+++ b/bluebell/bluebellplacement/ratelimit.go
@@ -112,10 +112,12 @@
 	if s.startUnixMillis != startUnixMillis {
 		if s.startUnixMillis != 0 {
 			s.limit = sharedLimit{latest: RateLimit{At: now}}
+			s.brittle, s.window, s.givenUp = s.limit, 0, nil
 		}
 		s.startUnixMillis = startUnixMillis
 	}
 	s.limit.learn(others.Limit)
+	s.brittle.learn(others.Brittle)
 }
 
 // limitSenders returns the number of entries that send to an endpoint with this limit.
--- a/bluebell/bluebellplacement/use.go
+++ b/bluebell/bluebellplacement/use.go
@@ -79,13 +79,14 @@
 		if c.returning != nil {
 			c.returning.answered(now, c.Endpoint.Slots)
 		}
+		s.widen(c.sentAt)
 	})
 	p.recordReachability(now, c.Endpoint, Answered)
 }
 
 // Done records the outcome of a call.
 func (p *Placer) Done(c Choice, now time.Duration, o Outcome) {
-	c.withState(func(_ *targetState, s *endpointState) {
+	c.withState(func(t *targetState, s *endpointState) {
 		s.running--
 		if c.returning != nil {
 			c.returning.ended()
@@ -96,10 +97,22 @@
 			s.prefillTokens -= c.prefillTokens
 		}
 		s.recordOutcome(now, o)
+		s.recordRoom(now, c.sentAt, o)
+		if o == Answered {
+			t.recordRunTime(now - c.sentAt)
+		}
 	})
 	p.recordReachability(now, c.Endpoint, o)
 }
 
+// recordRunTime updates runTime with a call that was answered.
+func (t *targetState) recordRunTime(d time.Duration) {
+	if t.runTime == 0 {
+		t.runTime = d
+	}
+	t.runTime += time.Duration(responseTimeWeight * float64(d-t.runTime))
+}
+
 // withState calls f with the state of a choice's target and endpoint while holding the
 // target's lock.
 func (c *Choice) withState(f func(t *targetState, s *endpointState)) {
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -339,7 +339,7 @@
 	var list []bluebellfeed.Use
 	for id, u := range g.placer.Uses(g.now()) {
 		list = append(list, bluebellfeed.Use{
-			Endpoint: id, Calls: u.Calls, Tokens: u.Tokens, Unread: u.PrefillTokens, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit,
+			Endpoint: id, Calls: u.Calls, Tokens: u.Tokens, Unread: u.PrefillTokens, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit, Brittle: u.Brittle,
 		})
 	}
 	// Fetches from cache stores are reported in the same way, with the address of the store
@@ -365,7 +365,7 @@
 	for _, u := range g.follower.UsesOfOthers() {
 		fetches[u.Endpoint] = bluebelltier.Load{Tokens: u.Unread, LargeFetches: u.Calls, Overdue: u.Waited}
 		uses[u.Endpoint] = bluebellplacement.EndpointUse{
-			Calls: u.Calls, Tokens: u.Tokens, PrefillTokens: u.Unread, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit,
+			Calls: u.Calls, Tokens: u.Tokens, PrefillTokens: u.Unread, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit, Brittle: u.Brittle,
 		}
 	}
 	g.otherFetches.Store(&fetches)
--- a/bluebellgate/internal/bluebellrelay/statement.go
+++ b/bluebellgate/internal/bluebellrelay/statement.go
@@ -15,6 +15,7 @@
 		return
 	}
 	c.recordRateLimit(choice, a.RateLimit)
+	c.recordBrittle(choice, a.Brittle)
 	c.recordLeaving(choice, a.Leaving)
 	// On a reused connection, a refusal without a call ID may be the one of an earlier call.
 	if a.CallID != "" || !exchange.Reused() {
@@ -77,3 +78,18 @@
 		cfg.Logger.Info("endpoint limit changed", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Limited", limited, "PerSecond", l.PerSecond)
 	}
 }
+
+// recordBrittle records whether an answer says that the endpoint crashes if it turns too many calls
+// away.
+func (c *activeCall) recordBrittle(choice bluebellplacement.Choice, l bluebellplatform.RateLimit) {
+	cfg := &c.relay.cfg
+	if l.Malformed != "" {
+		cfg.CountEvent("malformed_brittle", c.request.Target.Name)
+		cfg.Logger.Warn("endpoint brittleness ignored", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "PerSecond", l.Malformed)
+		return
+	}
+	brittle := l.Named && l.PerSecond < maxRateLimit
+	if cfg.Placer.RecordBrittle(choice, bluebellplacement.RateLimit{Named: brittle, PerSecond: l.PerSecond, At: cfg.Now()}) {
+		cfg.Logger.Info("endpoint brittleness changed", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Brittle", brittle, "PerSecond", l.PerSecond)
+	}
+}
--- a/bluebellgate/internal/bluebellrelay/waitqueue.go
+++ b/bluebellgate/internal/bluebellrelay/waitqueue.go
@@ -160,13 +160,27 @@
 func (q *waitQueue) isHopeless(call *waitingCall, ahead int) bool {
 	switch call.result {
 	case bluebellplacement.AllLimited:
-		return !q.limit.Allows(ahead, call.until)
-	case bluebellplacement.AllLeaving:
+		// Refusing a call that may have run has no benefit while an endpoint may take it.
+		return !q.limit.Allows(ahead, call.until) && (!call.waiter.MayHaveRun || q.limit.Interval == 0)
+	case bluebellplacement.AllLeaving, bluebellplacement.AllShared:
 		return !call.waiter.MayHaveRun
 	}
 	return false
 }
 
+// limitedResult is the result of a call that has tried no endpoint and that found only endpoints that
+// take no call for what they have stated. It is the same for the calls behind it. Trying all of a long
+// queue would use up the entry's processor.
+type limitedResult struct {
+	call  *waitingCall
+	limit *bluebellqueue.Limit
+}
+
+// appliesTo reports whether a call gets the same result.
+func (r *limitedResult) appliesTo(call *waitingCall) bool {
+	return r.call != nil && len(call.request.Tried) == 0 && call.request.Model == r.call.request.Model
+}
+
 // admit selects endpoints for the waiting calls, in the order that bluebellqueue sets, and withdraws
 // those that get none in time. q.mu must be held.
 func (q *waitQueue) admit() {
@@ -181,12 +195,19 @@
 		call.result = bluebellplacement.AllFull
 	}
 	limited := 0
+	var exhausted limitedResult
 	bluebellqueue.Admit(waiters, q.admittedAt, func(i int) bluebellqueue.TryResult {
 		call := q.calls[i]
 		switch {
+		case exhausted.appliesTo(call):
+			call.choice, call.result, q.limit = exhausted.call.choice, exhausted.call.result, exhausted.limit
 		case q.try(call):
 			close(call.selected)
 			return bluebellqueue.Placed
+		case call.result == bluebellplacement.AllLimited && len(call.request.Tried) == 0:
+			exhausted = limitedResult{call, q.limit}
+		}
+		switch {
 		case q.isHopeless(call, limited):
 			call.withdrawn = true
 			close(call.selected)
