Let a new entry send nothing before it knows the loads of the others

After a gate was killed and started again, brittle engines crashed: the gate sent calls without a bound for 50 to 150 ms, until answers told it that the engines are brittle. For the same reason it could exceed limits that endpoints name, and fill engines that others had filled.

Cause: a new gate serves calls with the first registrations, but gets the loads, and with them what endpoints have stated to others, one poll later.

--- a/bluebell/bluebellplacement/brittle.go
+++ b/bluebell/bluebellplacement/brittle.go
@@ -73,7 +73,11 @@
 // more entries than slots, only the first ones in rendezvous order have a share.
 func (p *Placer) slotShare(m *member) int {
 	rank, entries, slots := p.senderRank(m), len(p.fleet.Entries), slotsOf(m)
-	if rank < 0 || entries == 0 {
+	switch {
+	case entries == 0:
+		// This entry has long been without a source. It may be the only one, or one of many.
+		return 1
+	case rank < 0:
 		return 0
 	}
 	share := slots / entries
--- a/bluebell/bluebellplacement/brittle_test.go
+++ b/bluebell/bluebellplacement/brittle_test.go
@@ -365,3 +365,23 @@
 		}
 	}
 }
+
+// An entry that has just started sends nothing before it knows what endpoints have stated to others.
+func TestNewEntryWaitsForUseByOthers(t *testing.T) {
+	b := newBrittleFleet(6, 1, 8, 0)
+	p := b.placers[0]
+	f := b.fleet
+	f.UsePending = true
+	p.Update(f)
+	_, result := p.Pick(second, bluebellplacement.Request{Target: "llm"})
+	require.Equal(t, bluebellplacement.AllUnfit, result)
+	f.UsePending = false
+	f.UseByOthers = map[string]bluebellplacement.EndpointUse{"i-0": {Calls: 8, Brittle: bluebellplacement.RateLimit{Named: true, At: second}}}
+	p.Update(f)
+	_, result = p.Pick(second, bluebellplacement.Request{Target: "llm"})
+	require.Equal(t, bluebellplacement.AllLimited, result, "the others have not left its share yet")
+	f.UseByOthers["i-0"] = bluebellplacement.EndpointUse{Calls: 7, Brittle: f.UseByOthers["i-0"].Brittle}
+	p.Update(f)
+	_, result = p.Pick(second, bluebellplacement.Request{Target: "llm"})
+	require.Equal(t, bluebellplacement.Picked, result)
+}
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -91,6 +91,9 @@
 	TokenCapacity map[string]int
 	// UseByOthers holds the use of endpoints by the other entries, by endpoint ID.
 	UseByOthers map[string]EndpointUse
+	// UsePending is set while a new entry does not know yet how the other entries use the endpoints
+	// and what endpoints have stated to them. It picks no endpoint until then.
+	UsePending bool
 	// SilentSince holds, by endpoint ID, the time of the last registration of those endpoints
 	// whose registrations have stopped. ReceivedAt of an endpoint is the time of its last
 	// known registration, which may be much older than its latest one.
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -151,7 +151,7 @@
 	NoEndpoint
 	// AllUnfit means that no endpoint is eligible: each one is leaving, out of service,
 	// about to load weights, without suitable weights, cold with its allowance used up, or
-	// already tried.
+	// already tried; or Fleet.UsePending is set.
 	AllUnfit
 	// AllSuspect means that the endpoints have recently failed and none is due for a
 	// probe.
@@ -292,6 +292,9 @@
 	if !r.IgnoreLinks && p.links(r.Target) == bluebelllink.Lost {
 		return Choice{}, LinksLost
 	}
+	if p.fleet.UsePending {
+		return Choice{}, AllUnfit
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	candidates, limited := p.candidates(now, t, r)
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -98,6 +98,8 @@
 	// otherFetches holds the fetches of other entries in flight, by cache store.
 	otherFetches atomic.Pointer[map[string]bluebelltier.Load]
 	changed      chan struct{}
+	// usesKnown is set once the uses of the other entries have been known.
+	usesKnown atomic.Bool
 
 	mu         sync.Mutex
 	deployment *pb.Deployment
@@ -304,7 +306,7 @@
 		At: g.now(), Endpoints: endpoints, DomainsOut: g.deployment.GetDomainsOut(), Loading: g.follower.Loading(),
 		NamedVersions: make(map[string][]bluebellplacement.NamedVersion, len(g.namedVersions)), Entries: g.follower.Entries(),
 		ColdRates: map[string]float64{}, TokenCapacity: map[string]int{}, UseByOthers: g.updateOtherUses(), RegistrationsLive: g.follower.FreshSources() > 0,
-		SilentSince: g.follower.SilentSince(),
+		SilentSince: g.follower.SilentSince(), UsePending: g.usePending(),
 	}
 	for model, named := range g.namedVersions {
 		fleet.NamedVersions[model] = named
@@ -372,10 +374,21 @@
 	return uses
 }
 
+// usePending reports whether this entry has just started and does not know yet how the others use the
+// endpoints. It does not wait for that longer than sourceSettleTime.
+func (g *Gateway) usePending() bool {
+	if g.usesKnown.Load() {
+		return false
+	}
+	known := g.follower.UsesOfOthers() != nil || g.now() > sourceSettleTime
+	g.usesKnown.Store(known)
+	return !known
+}
+
 // ready reports whether calls can be served. This needs a declaration in force, a serving
-// endpoint that can be reached from here or from another entry, and data from more than one core
-// process; one is enough after sourceSettleTime.
+// endpoint that can be reached from here or from another entry, the uses of the other entries, and data
+// from more than one core process; one is enough after sourceSettleTime.
 func (g *Gateway) ready() bool {
-	return g.routing.Load().Deployment != nil && g.placer.HasServing() && !g.stranded() &&
+	return g.routing.Load().Deployment != nil && g.placer.HasServing() && !g.stranded() && g.usesKnown.Load() &&
 		(g.follower.FreshSources() > 1 || g.now() > sourceSettleTime)
 }
