--- a/bluebell/bluebellquarantine/quarantine_test.go
+++ b/bluebell/bluebellquarantine/quarantine_test.go
@@ -247,3 +247,19 @@
 	g.RecordAnswer(8*second, 7*second, 3)
 	require.Len(t, g.Report(8*second), 1)
 }
+
+// Connections to sound endpoints that an entry lost with its links are no evidence against calls; crashes
+// before that and at other endpoints are.
+func TestLostLinksAreNoCrashes(t *testing.T) {
+	g := quarantine.NewGuard()
+	shared, own := quarantine.Block("m", "shared", 0), quarantine.Block("m", "own", 1)
+	sound, other := quarantine.Incarnation("i-1", 1), quarantine.Incarnation("i-2", 1)
+	g.RecordCrash(10*time.Second, sound, []quarantine.Subject{shared})
+	g.RecordCrash(20*time.Second, sound, []quarantine.Subject{shared, own})
+	g.RecordCrash(21*time.Second, other, []quarantine.Subject{shared})
+	g.ForgetCrashes(20*time.Second, map[uint64]bool{sound: true})
+	report := g.Report(22 * time.Second)
+	require.Len(t, report, 1)
+	require.Equal(t, shared.Key, report[0].Key)
+	require.Len(t, report[0].Crashes, 2)
+}
--- a/bluebellgate/internal/bluebelltransport/transport_test.go
+++ b/bluebellgate/internal/bluebelltransport/transport_test.go
@@ -385,3 +385,38 @@
 		require.True(t, strings.HasPrefix(c.body, text.String()), "events must be returned unchanged")
 	}
 }
+
+// A connection that was opened without a call carries the next one.
+func TestOpenedConnectionIsUsed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	var opened, authenticated atomic.Int32
+	refuse := false
+	client := bluebelltransport.NewClient(bluebelltransport.Config{
+		OnConnect: func(string) { opened.Add(1) },
+		Authenticate: func(context.Context, net.Conn, string) error {
+			if authenticated.Add(1); refuse {
+				return io.ErrUnexpectedEOF
+			}
+			return nil
+		},
+	})
+	address := listener.Addr().String()
+	require.NoError(t, client.Open(context.Background(), address, time.Second))
+	exchange, err := client.Do(context.Background(), bluebelltransport.Request{
+		Address: address, Method: http.MethodGet, URI: "/", Host: "h", MatchResponse: func(int, http.Header) bool { return true },
+		ConnectTimeout: time.Second, HeaderDeadline: time.Now().Add(5 * time.Second),
+	})
+	require.NoError(t, err)
+	exchange.Close()
+	require.EqualValues(t, 1, opened.Load())
+	require.EqualValues(t, 1, authenticated.Load())
+	refuse = true
+	require.Error(t, client.Open(context.Background(), address, time.Second))
+	require.EqualValues(t, 1, opened.Load(), "a connection that is not authenticated is none")
+	require.NoError(t, server.Close())
+	require.Error(t, client.Open(context.Background(), address, time.Second))
+}
