--- a/bluebellgate/internal/bluebellfrontend/frontend.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend.go
@@ -137,7 +137,7 @@
 	}
 	f.peers.server = &http.Server{
 		Handler: http.HandlerFunc(f.servePeerCall), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog, DisableGeneralOptionsHandler: true, ConnState: f.connections.track,
+		MaxHeaderBytes: maxHeaderBytes + maxOfferBytes, ErrorLog: errorLog, DisableGeneralOptionsHandler: true, ConnState: f.connections.track,
 	}
 	f.health = &http.Server{
 		Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: readyTimeout, ErrorLog: errorLog,
--- a/bluebellgate/internal/bluebellfrontend/peers.go
+++ b/bluebellgate/internal/bluebellfrontend/peers.go
@@ -21,6 +21,10 @@
 	// limit, and maxHandedOverBytes the bodies of these calls together.
 	defaultMaxHandedOver = 200
 	maxHandedOverBytes   = 16 << 20
+	// maxOfferBytes limits the headers of an offer, in addition to those of the call.
+	maxOfferBytes = 16 << 10
+	// declineTimeout limits reading the body of a call that is declined.
+	declineTimeout = 2 * time.Second
 )
 
 // peers serves the calls of other entries.
@@ -100,7 +104,10 @@
 // decline answers that the call has not run here and that another entry may run it. The body is read
 // first: if the connection were closed with the body unread, the origin might not get the answer.
 func (f *Frontend) decline(w http.ResponseWriter, r *http.Request, offer bluebellhandover.Offer, cause error) {
-	_, err := io.Copy(io.Discard, r.Body)
+	err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(declineTimeout))
+	if err == nil {
+		_, err = io.Copy(io.Discard, r.Body)
+	}
 	call, _ := bluebellplatform.DecodeCall(r.Header)
 	for name, values := range bluebellplatform.RefusalHeader(call.ID, 0) {
 		w.Header()[name] = values
--- a/bluebellgate/internal/bluebellgateway/handover_test.go
+++ b/bluebellgate/internal/bluebellgateway/handover_test.go
@@ -495,3 +495,25 @@
 	}
 	require.Greater(t, statuses[http.StatusOK], len(calls)/3, statuses)
 }
+
+// A call with as large a header and body as an entry accepts is handed over, and one that a helper
+// declines goes to the next one whatever its size.
+func TestLargeCallIsHandedOver(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 3)
+	a := c.startGate("a")
+	c.startGate("b")
+	c.fakeHelper(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		bluebellhandover.Result{Outcome: bluebellhandover.Declined}.Encode(w.Header())
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	a.cutOff(reset)
+	for range 10 {
+		r, id := a.request(context.Background(), http.MethodPost, "/once/x", strings.Repeat("x", 1<<20), testTimeout)
+		r.Header.Set("Long", strings.Repeat("x", 60<<10))
+		got := a.send(r, id)
+		require.True(t, got.whole(), "%d %v", got.status, got.err)
+		time.Sleep(100 * time.Millisecond) // The other helper is asked again.
+	}
+}
--- a/bluebellgate/internal/bluebellrelay/handover.go
+++ b/bluebellgate/internal/bluebellrelay/handover.go
@@ -25,7 +25,7 @@
 	maxUnopened = 2
 	// helperConnectTimeout is how long a connection to another entry may take to open and to be
 	// authenticated.
-	helperConnectTimeout = 400 * time.Millisecond
+	helperConnectTimeout = 250 * time.Millisecond
 	// handoverMargin is the part of the time left that is kept for the way to a helper and back.
 	handoverMargin = 5 * time.Millisecond
 	// helperWaitShare is the share of the objective for which a call may wait in the queue of a
