--- a/bluebellgate/internal/bluebellgateway/handover_test.go
+++ b/bluebellgate/internal/bluebellgateway/handover_test.go
@@ -517,3 +517,23 @@
 		time.Sleep(100 * time.Millisecond) // The other helper is asked again.
 	}
 }
+
+// An endpoint to which an origin could open no connection is as good as any other to a helper. A call that
+// had failed so at all endpoints of a target was refused by the helper.
+func TestHelperUsesEndpointsThatOriginCouldNotReach(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 2)
+	a := c.startGate("a")
+	c.startGate("b")
+	time.Sleep(time.Second) // The list of entries has reached both.
+	a.setCut(reset)
+	a.setCut(hanging)
+	calls := make(chan call, 10)
+	for range cap(calls) {
+		go func() { calls <- a.do(http.MethodPost, "/once/x", "order") }()
+	}
+	for range cap(calls) {
+		got := <-calls
+		require.True(t, got.whole(), "%d %v", got.status, got.err)
+	}
+}
--- a/bluebellgate/internal/bluebellhandover/handover_test.go
+++ b/bluebellgate/internal/bluebellhandover/handover_test.go
@@ -17,7 +17,7 @@
 // leaves nothing of them.
 func TestHeaderRoundTrip(t *testing.T) {
 	offers := []bluebellhandover.Offer{
-		{Revision: 1<<63 + 1, Target: "app", Tried: []string{"i-1", `a "quoted", one`, "líne\nbreak"}, TimeLeft: 1500 * time.Microsecond, Waited: time.Second, ResumeAfter: "7"},
+		{Revision: 1<<63 + 1, Target: "app", Tried: []string{"i-1", `a "quoted", one`, "líne\nbreak"}, Silent: []string{"i-1"}, TimeLeft: 1500 * time.Microsecond, Waited: time.Second, ResumeAfter: "7"},
 		{},
 	}
 	for _, offer := range offers {
--- a/bluebellgate/internal/bluebellhandover/header.go
+++ b/bluebellgate/internal/bluebellhandover/header.go
@@ -17,6 +17,7 @@
 	headerRevision    = prefix + "Revision"
 	headerTarget      = prefix + "Target"
 	headerTried       = prefix + "Tried"
+	headerSilent      = prefix + "Silent"
 	headerTimeLeft    = prefix + "Time-Left"
 	headerWaited      = prefix + "Waited"
 	headerResumeAfter = prefix + "Resume-After"
@@ -36,8 +37,9 @@
 	// Revision is that of the deployment by which the call was routed to Target.
 	Revision uint64
 	Target   string
-	// Tried holds the IDs of the endpoints that have had the call.
-	Tried []string
+	// Tried holds the IDs of the endpoints that may have had the call, and Silent those of them that
+	// the origin has not heard of since.
+	Tried, Silent []string
 	// TimeLeft is the time within which the helper must answer. Waited is how long the caller has
 	// waited.
 	TimeLeft, Waited time.Duration
@@ -50,6 +52,7 @@
 	h.Set(headerRevision, strconv.FormatUint(o.Revision, 10))
 	h.Set(headerTarget, o.Target)
 	setList(h, headerTried, o.Tried)
+	setList(h, headerSilent, o.Silent)
 	setMillis(h, headerTimeLeft, o.TimeLeft)
 	setMillis(h, headerWaited, o.Waited)
 	if o.ResumeAfter != "" {
@@ -59,7 +62,7 @@
 
 // DecodeOffer decodes the offer in the header of a call.
 func DecodeOffer(h http.Header) (Offer, error) {
-	o := Offer{Target: h.Get(headerTarget), Tried: list(h, headerTried), ResumeAfter: h.Get(headerResumeAfter)}
+	o := Offer{Target: h.Get(headerTarget), Tried: list(h, headerTried), Silent: list(h, headerSilent), ResumeAfter: h.Get(headerResumeAfter)}
 	var err, leftErr, waitedErr error
 	o.Revision, err = strconv.ParseUint(h.Get(headerRevision), 10, 64)
 	o.TimeLeft, leftErr = millis(h, headerTimeLeft)
--- a/bluebellgate/internal/bluebellrelay/handover.go
+++ b/bluebellgate/internal/bluebellrelay/handover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"bluebellhaven.org/bluebell/bluebelllink"
@@ -67,7 +68,9 @@
 		return
 	}
 	if failure.Stage == bluebelltransport.Connecting {
-		c.unopened++
+		c.unopened = append(c.unopened, choice.Endpoint.ID)
+	} else {
+		c.unheard = append(c.unheard, choice.Endpoint.ID)
 	}
 	c.relay.cfg.Links.RecordFailure(c.relay.cfg.Now(), c.request.Target.Name, choice.Endpoint.ID)
 }
@@ -87,7 +90,19 @@
 // prefersHelper reports whether the next attempt is to be that of another entry.
 func (c *activeCall) prefersHelper() bool {
 	return c.mayHandOver() && c.reserved == nil &&
-		(c.helperReserved || c.unopened >= maxUnopened || c.linkState() == bluebelllink.Lost)
+		(c.helperReserved || len(c.unopened) >= maxUnopened || c.linkState() == bluebelllink.Lost)
+}
+
+// needsHelper reports whether no endpoint was picked because of this entry's links, or perhaps because of
+// them: connections could not be opened, and the endpoints have all failed or been tried.
+func (c *activeCall) needsHelper(result bluebellplacement.PickResult) bool {
+	switch result {
+	case bluebellplacement.LinksLost:
+		return true
+	case bluebellplacement.AllSuspect, bluebellplacement.AllUnfit:
+		return len(c.unopened) > 0 || c.linkState() == bluebelllink.Checking
+	}
+	return false
 }
 
 // reserveHelper reserves a retry for an attempt of another entry.
@@ -215,8 +230,9 @@
 func (c *activeCall) offerHeader(timeLeft time.Duration) http.Header {
 	h := bluebellplatform.EndToEndHeader(c.request.Header)
 	bluebellhandover.Strip(h)
+	tried := slices.DeleteFunc(slices.Clone(c.tried), func(id string) bool { return slices.Contains(c.unopened, id) })
 	bluebellhandover.Offer{
-		Revision: c.request.Revision, Target: c.request.Target.Name, Tried: c.tried, TimeLeft: timeLeft,
+		Revision: c.request.Revision, Target: c.request.Target.Name, Tried: tried, Silent: c.unheard, TimeLeft: timeLeft,
 		Waited: c.relay.cfg.Now() - c.start, ResumeAfter: c.order.last,
 	}.Encode(h)
 	return h
@@ -235,7 +251,7 @@
 
 // refusalOutcome returns Declined if another entry may be able to run the call that a helper refuses.
 func (c *activeCall) refusalOutcome() bluebellhandover.Outcome {
-	if c.received == 0 && (c.unopened > 0 || c.linkState() != bluebelllink.Linked) {
+	if c.received == 0 && (len(c.unopened) > 0 || c.linkState() != bluebelllink.Linked) {
 		return bluebellhandover.Declined
 	}
 	return bluebellhandover.Refused
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -103,8 +103,9 @@
 	helperReserved bool
 	// helper is the address of the entry that makes the current attempt, "" if it is this one.
 	helper string
-	// unopened counts the attempts that could not open a connection.
-	unopened int
+	// unopened holds the IDs of the endpoints to which no connection could be opened, unheard those of
+	// the other endpoints whose attempts failed at the level of the connection.
+	unopened, unheard []string
 	// ignoreLinks is set once the call is sent to endpoints although the links are lost.
 	ignoreLinks bool
 	// retryAfter is when a helper lets the refused call be sent again, 0 if not known.
@@ -156,7 +157,7 @@
 	}
 	if offer := request.Offer; offer != nil {
 		c.start -= offer.Waited
-		c.tried = slices.Clone(offer.Tried)
+		c.tried, c.silent = slices.Clone(offer.Tried), slices.Clone(offer.Silent)
 		if offer.ResumeAfter != "" {
 			c.order = eventOrder{last: offer.ResumeAfter}
 		}
@@ -301,11 +302,13 @@
 	if !c.prefersHelper() {
 		choice, result = c.nextEndpoint(ctx)
 	}
-	if result == bluebellplacement.LinksLost {
+	if c.needsHelper(result) {
 		if result, taken := c.handOver(ctx); taken {
 			return result
 		}
-		choice, result = c.endpointWithoutHelper(ctx)
+		if result == bluebellplacement.LinksLost {
+			choice, result = c.endpointWithoutHelper(ctx)
+		}
 	}
 	if result == bluebellplacement.AllLimited {
 		c.allowedAt = choice.AllowedAt
