Keep an endpoint brittle while only some of its answers say so

An endpoint that says in half of its answers that it is brittle, and has no room, got up to 108 calls in a second that it turned away, where it can take 10.

Cause: each answer without the statement began it anew, so that refusals, which do not count in its first second, never counted; and one refusal without it ended it for all entries, although answers of an endpoint that turns calls away are rare.

An answer ends it if it comes two seconds after the last one with it and is no refusal.

--- a/bluebell/bluebellplacement/brittle.go
+++ b/bluebell/bluebellplacement/brittle.go
@@ -11,9 +11,9 @@
 // While it is brittle, its slots are therefore divided among the entries, by rendezvous order.
 
 const (
-	// brittleLinger is how long an endpoint still counts as brittle after the last answer that said
-	// so, if later ones do not.
-	brittleLinger = time.Second
+	// brittleLinger is how long after an answer that says that an endpoint is brittle another one may
+	// end that.
+	brittleLinger = 2 * time.Second
 	// brittleSettle is the time in which all entries get to know that an endpoint is brittle. Calls that
 	// are turned away meanwhile are too many because of the entries that do not know.
 	brittleSettle = time.Second
@@ -32,16 +32,18 @@
 
 // RecordBrittle records what an answer of a choice's endpoint says about the number of calls that it can
 // turn away in a second. It reports whether that differs from what the endpoint said before to any
-// entry.
-func (p *Placer) RecordBrittle(c Choice, l RateLimit) (changed bool) {
+// entry. A refusal may say that the endpoint is brittle, and never that it no longer is: while it turns calls
+// away, answers are too rare to rely on one of them.
+func (p *Placer) RecordBrittle(c Choice, l RateLimit, refused bool) (changed bool) {
+	if refused && !l.Named {
+		return false
+	}
 	c.withState(func(_ *targetState, s *endpointState) { changed = s.brittle.record(l) })
 	return changed
 }
 
 // isBrittle reports whether the endpoint is brittle.
-func (s *endpointState) isBrittle(now time.Duration) bool {
-	return s.brittle.latest.Named || s.brittle.namedAt > 0 && now-s.brittle.namedAt < brittleLinger
-}
+func (s *endpointState) isBrittle() bool { return s.brittle.latest.Named }
 
 // occupied returns the number of slots that calls of this entry may occupy.
 func (s *endpointState) occupied(now time.Duration) int {
@@ -52,7 +54,7 @@
 // recordRoom records what the outcome of a call says about the room at the endpoint.
 func (s *endpointState) recordRoom(now, sentAt time.Duration, o Outcome) {
 	switch {
-	case !s.isBrittle(now):
+	case !s.isBrittle():
 		s.window = 0
 	case o == Declined && sentAt-s.brittle.since >= brittleSettle && sentAt >= s.refusedAt:
 		// Calls that are sent again after a pause come at different times already.
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -169,7 +169,7 @@
 	defer t.mu.Unlock()
 	s := t.states[e.ID]
 	if s == nil {
-		s = &endpointState{hash: xxhash.Sum64String(e.ID)}
+		s = &endpointState{hash: xxhash.Sum64String(e.ID), brittle: sharedLimit{linger: brittleLinger}}
 		t.states[e.ID] = s
 	}
 	f := &p.fleet
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -539,7 +539,7 @@
 			limited.add(from, interval, sends)
 			continue
 		}
-		if m.state.isBrittle(now) {
+		if m.state.isBrittle() {
 			from, interval, room := p.brittleRoom(now, t, m)
 			if !room {
 				limited.add(from, interval, interval > 0)
--- a/bluebell/bluebellplacement/ratelimit.go
+++ b/bluebell/bluebellplacement/ratelimit.go
@@ -53,8 +53,9 @@
 	// has heard it itself, and ended if it ended a limit that this entry knew.
 	latest          RateLimit
 	observed, ended bool
-	// since is when the limit in force was first named, and namedAt when it was last.
-	since, namedAt time.Duration
+	// since is when the limit in force was first named, and namedAt when it was last. An answer that
+	// names none does not end the limit within linger after that.
+	since, namedAt, linger time.Duration
 }
 
 // record records what this entry has heard. It reports whether that differs from what the endpoint said
@@ -64,6 +65,9 @@
 		l.PerSecond = 0
 	}
 	l.PerSecond = math.Round(l.PerSecond*limitPrecision) / limitPrecision
+	if s.lingers(l) {
+		return false
+	}
 	changed = !l.same(s.latest)
 	s.ended = s.ended || s.latest.Named && !l.Named
 	s.set(l, true)
@@ -72,11 +76,16 @@
 
 // learn takes over what the endpoint has said to another entry since.
 func (s *sharedLimit) learn(others RateLimit) {
-	if others.At > s.latest.At {
+	if others.At > s.latest.At && !s.lingers(others) {
 		s.set(others, false)
 	}
 }
 
+// lingers reports whether an answer without a limit comes too soon to end the limit in force.
+func (s *sharedLimit) lingers(l RateLimit) bool {
+	return !l.Named && s.latest.Named && l.At-s.namedAt < s.linger
+}
+
 // set sets the limit and whether this entry has observed it itself.
 func (s *sharedLimit) set(l RateLimit, observed bool) {
 	if l.Named && !s.latest.Named {
@@ -112,7 +121,7 @@
 	if s.startUnixMillis != startUnixMillis {
 		if s.startUnixMillis != 0 {
 			s.limit = sharedLimit{latest: RateLimit{At: now}}
-			s.brittle, s.window, s.givenUp = s.limit, 0, nil
+			s.brittle, s.window, s.givenUp = sharedLimit{latest: RateLimit{At: now}, linger: brittleLinger}, 0, nil
 		}
 		s.startUnixMillis = startUnixMillis
 	}
--- a/bluebellgate/internal/bluebellrelay/statement.go
+++ b/bluebellgate/internal/bluebellrelay/statement.go
@@ -15,7 +15,7 @@
 		return
 	}
 	c.recordRateLimit(choice, a.RateLimit)
-	c.recordBrittle(choice, a.Brittle)
+	c.recordBrittle(choice, a)
 	c.recordLeaving(choice, a.Leaving)
 	// On a reused connection, a refusal without a call ID may be the one of an earlier call.
 	if a.CallID != "" || !exchange.Reused() {
@@ -81,15 +81,16 @@
 
 // recordBrittle records whether an answer says that the endpoint crashes if it turns too many calls
 // away.
-func (c *activeCall) recordBrittle(choice bluebellplacement.Choice, l bluebellplatform.RateLimit) {
+func (c *activeCall) recordBrittle(choice bluebellplacement.Choice, a bluebellplatform.Answer) {
 	cfg := &c.relay.cfg
+	l := a.Brittle
 	if l.Malformed != "" {
 		cfg.CountEvent("malformed_brittle", c.request.Target.Name)
 		cfg.Logger.Warn("endpoint brittleness ignored", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "PerSecond", l.Malformed)
 		return
 	}
 	brittle := l.Named && l.PerSecond < maxRateLimit
-	if cfg.Placer.RecordBrittle(choice, bluebellplacement.RateLimit{Named: brittle, PerSecond: l.PerSecond, At: cfg.Now()}) {
+	if cfg.Placer.RecordBrittle(choice, bluebellplacement.RateLimit{Named: brittle, PerSecond: l.PerSecond, At: cfg.Now()}, a.NotRun) {
 		cfg.Logger.Info("endpoint brittleness changed", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Brittle", brittle, "PerSecond", l.PerSecond)
 	}
 }
