Add failing tests for probes of lost links

Entries dial the endpoints of lost links in the order in which they are listed. If they are listed by failure domain and one of three can be reached again, an entry with 240 endpoints dials up to 160 others first, for 40 s; meanwhile a target that all entries have lost is refused by all. Besides, all entries that lose their links together dial the same endpoints at the same time.

--- a/bluebell/bluebelllink/link_test.go
+++ b/bluebell/bluebelllink/link_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -37,9 +39,14 @@
 }
 
 func newWorld(t *testing.T, endpoints int) *world {
+	t.Helper()
+	return newWorldWithSeed(t, endpoints, 1)
+}
+
+func newWorldWithSeed(t *testing.T, endpoints int, seed uint64) *world {
 	t.Helper()
 	w := &world{t: t, now: time.Second, up: func(bluebelllink.Endpoint) bool { return true }}
-	random := rand.New(rand.NewPCG(1, uint64(endpoints)))
+	random := rand.New(rand.NewPCG(seed, uint64(endpoints)))
 	w.tracker = bluebelllink.New(bluebelllink.Config{
 		Dial: func(d bluebelllink.Dial) {
 			w.dialed = append(w.dialed, d.Endpoint)
@@ -259,3 +266,45 @@
 	require.Len(t, w.dialed, 3)
 	require.NotContains(t, w.dialed, w.endpoints[2], "others than those that failed are dialed first")
 }
+
+// Endpoints of one failure domain that can be reached again are found within three seconds, however many
+// of others cannot and in whatever order they are listed.
+func TestProbesFindReachableDomain(t *testing.T) {
+	for _, up := range []string{"a", "b", "c"} {
+		t.Run(up, func(t *testing.T) {
+			w := newWorld(t, 0)
+			for i := range 240 {
+				w.endpoints = append(w.endpoints, endpoint(i, 1))
+			}
+			slices.SortStableFunc(w.endpoints, func(a, b bluebelllink.Endpoint) int { return strings.Compare(a.FailureDomain, b.FailureDomain) })
+			w.update()
+			w.up = nothingUp
+			w.fail(0, 1)
+			w.run(2 * time.Second)
+			require.Equal(t, bluebelllink.Lost, w.state())
+			w.up = func(e bluebelllink.Endpoint) bool { return e.FailureDomain == up }
+			w.run(3 * time.Second)
+			require.Equal(t, bluebelllink.Linked, w.state())
+		})
+	}
+}
+
+// Entries that lose their links together do not all probe the same endpoints.
+func TestEntriesProbeDifferentEndpoints(t *testing.T) {
+	probed := map[string]int{}
+	for i := range 295 {
+		w := newWorldWithSeed(t, 240, uint64(i))
+		w.up = nothingUp
+		w.fail(0, 1)
+		w.run(dialTimeout + step)
+		w.dialed = nil
+		w.run(time.Second)
+		require.NotEmpty(t, w.dialed)
+		for _, e := range w.dialed {
+			probed[e.ID]++
+		}
+	}
+	for id, n := range probed {
+		require.Less(t, n, 295/10, "endpoint %s", id)
+	}
+}
