Probe lost links in random order and in all failure domains in turn

Entries dialed the endpoints of lost links in the order of the list: with endpoints that are listed by failure domain, links to the second and third domain were found again only after all endpoints before them, and entries that lost their links together dialed the same endpoints together.

Each entry now takes the endpoints in a random order of its own, with the failure domains in turn. New incarnations still come first.

--- a/bluebell/bluebelllink/link.go
+++ b/bluebell/bluebelllink/link.go
@@ -116,7 +116,7 @@
 	// checkedAt is when the last check began, 0 if there was none. probeAt is when the next
 	// probe of lost links is due.
 	checkedAt, probeAt time.Duration
-	// probed is the number of endpoints probed, which are taken in turn.
+	// probed is the number of endpoints probed, which are taken in the order of endpoints.
 	probed int
 	lostAt time.Duration
 	// answered is when an answer last began, 0 if none did.
@@ -192,7 +192,7 @@
 			l = &links{failed: map[string]time.Duration{}}
 			t.targets[name] = l
 		}
-		l.setEndpoints(list)
+		t.setEndpoints(l, list)
 	}
 	for name, l := range t.targets {
 		if len(endpoints[name]) == 0 {
@@ -204,7 +204,7 @@
 
 // setEndpoints sets the open endpoints. New incarnations are probed first: when all endpoints were
 // down, they are the ones that are back.
-func (l *links) setEndpoints(list []Endpoint) {
+func (t *Tracker) setEndpoints(l *links, list []Endpoint) {
 	if slices.Equal(l.listed, list) {
 		return
 	}
@@ -215,7 +215,7 @@
 	if added = slices.DeleteFunc(added, func(e Endpoint) bool { return !isNew(e) }); len(added) > 0 {
 		l.probed = 0
 	}
-	l.endpoints = append(added, slices.DeleteFunc(slices.Clone(l.endpoints), isGone)...)
+	l.endpoints = append(t.probeOrder(added), slices.DeleteFunc(slices.Clone(l.endpoints), isGone)...)
 	for id := range l.failed {
 		if !slices.ContainsFunc(list, func(e Endpoint) bool { return e.ID == id }) {
 			delete(l.failed, id)
@@ -223,6 +223,23 @@
 	}
 }
 
+// probeOrder returns endpoints in random order, so that entries probe different ones, and those of the
+// failure domains in turn, since often only some of the domains can be reached.
+func (t *Tracker) probeOrder(list []Endpoint) []Endpoint {
+	ordered := slices.Clone(list)
+	for i := len(ordered) - 1; i > 0; i-- {
+		j := min(int(t.cfg.Random()*float64(i+1)), i)
+		ordered[i], ordered[j] = ordered[j], ordered[i]
+	}
+	turns, next := make(map[Endpoint]int, len(ordered)), map[string]int{}
+	for _, e := range ordered {
+		turns[e] = next[e.FailureDomain]
+		next[e.FailureDomain]++
+	}
+	slices.SortStableFunc(ordered, func(a, b Endpoint) int { return turns[a] - turns[b] })
+	return ordered
+}
+
 // RecordFailure records that a call failed at the level of its connection: it could not be opened, was
 // reset, or carried no answer in time.
 func (t *Tracker) RecordFailure(now time.Duration, target, endpoint string) {
