--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -68,18 +68,21 @@
 
 // entry is a running Frontend with a relay to stub endpoints.
 type entry struct {
-	address   string
-	health    string
+	address string
+	health  string
+	// peers is the address for other entries, which need not authenticate.
+	peers     string
 	endpoints []*bluebellstub.Endpoint
 	placer    *bluebellplacement.Placer
 	guard     *bluebellquarantine.Guard
 	// now returns the time on the entry's clock.
 	now func() time.Duration
-	// d is the deployment in force.
-	d     atomic.Pointer[bluebelldeployment.Deployment]
-	stop  context.CancelFunc
-	ended chan error
-	calls atomic.Int64
+	// d is the deployment in force, and revision its number.
+	d        atomic.Pointer[bluebelldeployment.Deployment]
+	revision atomic.Uint64
+	stop     context.CancelFunc
+	ended    chan error
+	calls    atomic.Int64
 }
 
 // startEntry starts an entry with retry limits that these tests do not exhaust.
@@ -112,6 +115,7 @@
 		placer: bluebellplacement.New(bluebellplacement.Config{Self: "e1"}), guard: bluebellquarantine.NewGuard(), now: now, ended: make(chan error, 1),
 	}
 	e.d.Store(deployment(t))
+	e.revision.Store(1)
 	fleet := bluebellplacement.Fleet{Entries: []string{"e1"}}
 	for i := range endpoints {
 		endpoint, err := bluebellstub.Start(bluebellstub.Config{ID: fmt.Sprint("i-", i), Target: "app", ProcessingTime: 5 * time.Millisecond})
@@ -134,17 +138,22 @@
 		RecordFirstEvent: func(string, time.Duration) {}, RecordWait: func(string, time.Duration) {}, Logger: log.New(io.Discard),
 	})
 	frontend := bluebellfrontend.New(bluebellfrontend.Config{
-		Routing: func() bluebellfrontend.Routing { return bluebellfrontend.Routing{Deployment: e.d.Load(), Revision: 1} },
-		Relay:   relay, Ready: func() bool { return true }, StopTimeout: 8 * time.Second, Random: func() float64 { return 0 },
+		Routing: func() bluebellfrontend.Routing {
+			return bluebellfrontend.Routing{Deployment: e.d.Load(), Revision: e.revision.Load()}
+		},
+		Relay: relay, Ready: func() bool { return true }, StopTimeout: 8 * time.Second, Random: func() float64 { return 0 },
 		CountStatus: func(int) {}, Logger: log.New(io.Discard), MaxHeldBytes: maxHeldBytes,
 	})
 	callers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	health, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	e.address, e.health = callers.Addr().String(), health.Addr().String()
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e.address, e.health, e.peers = callers.Addr().String(), health.Addr().String(), peers.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
+	go func() { _ = frontend.ServePeers(peers) }()
 	go func() { e.ended <- frontend.Serve(ctx, wrap(callers), wrap(health)) }()
 	t.Cleanup(cancel)
 	return e
