Wait for the deployment of a call that another entry hands over

It also reads the body of a call that it declines for at most a second, and closes the connection if it has not come.

--- a/bluebellgate/internal/bluebellfrontend/peers.go
+++ b/bluebellgate/internal/bluebellfrontend/peers.go
@@ -1,6 +1,7 @@
 package bluebellfrontend
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -23,8 +24,12 @@
 	maxHandedOverBytes   = 16 << 20
 	// maxOfferBytes limits the headers of an offer, in addition to those of the call.
 	maxOfferBytes = 16 << 10
+	// deploymentWait is how long a call of an entry with a newer deployment waits for it here, and
+	// deploymentPollInterval how often it looks. Deployments reach entries at different moments.
+	deploymentWait         = 200 * time.Millisecond
+	deploymentPollInterval = 5 * time.Millisecond
 	// declineTimeout limits reading the body of a call that is declined.
-	declineTimeout = 2 * time.Second
+	declineTimeout = time.Second
 )
 
 // peers serves the calls of other entries.
@@ -69,7 +74,7 @@
 	calls, bytes := f.peers.calls.Add(1), f.peers.bytes.Add(max(r.ContentLength, 0))
 	defer f.peers.calls.Add(-1)
 	defer f.peers.bytes.Add(-max(r.ContentLength, 0))
-	routing := f.cfg.Routing()
+	routing := f.awaitRouting(r.Context(), offer.Revision, start.Add(min(deploymentWait, offer.TimeLeft/2)))
 	switch {
 	case f.stopping.Load():
 		w.Header().Set("Connection", "close")
@@ -101,12 +106,29 @@
 	f.cfg.Relay.Serve(r.Context(), request, f.sink(w, func(int) {}))
 }
 
+// awaitRouting returns the deployment by which calls are routed, once it has a revision or the time is
+// over.
+func (f *Frontend) awaitRouting(ctx context.Context, revision uint64, until time.Time) Routing {
+	for {
+		routing := f.cfg.Routing()
+		if routing.Revision >= revision || f.stopping.Load() || ctx.Err() != nil || time.Now().After(until) {
+			return routing
+		}
+		time.Sleep(deploymentPollInterval)
+	}
+}
+
 // decline answers that the call has not run here and that another entry may run it. The body is read
 // first: if the connection were closed with the body unread, the origin might not get the answer.
 func (f *Frontend) decline(w http.ResponseWriter, r *http.Request, offer bluebellhandover.Offer, cause error) {
-	err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(declineTimeout))
-	if err == nil {
-		_, err = io.Copy(io.Discard, r.Body)
+	controller := http.NewResponseController(w)
+	err := controller.SetReadDeadline(time.Now().Add(declineTimeout))
+	_, readErr := io.Copy(io.Discard, r.Body)
+	if err = errors.Join(err, readErr); err == nil {
+		err = controller.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		w.Header().Set("Connection", "close")
 	}
 	call, _ := bluebellplatform.DecodeCall(r.Header)
 	for name, values := range bluebellplatform.RefusalHeader(call.ID, 0) {
