Let streams at other entries last until the caller's limit

A begun stream can get no error answer.

Streams are now handed over with all the time that is left; both entries end them at the limit.

--- a/bluebellgate/internal/bluebellrelay/handover.go
+++ b/bluebellgate/internal/bluebellrelay/handover.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"bluebellhaven.org/bluebell/bluebelldeployment"
 	"bluebellhaven.org/bluebell/bluebelllink"
 	"bluebellhaven.org/bluebell/bluebellplacement"
 	"bluebellhaven.org/bluebellgate/internal/bluebellhandover"
@@ -228,6 +229,10 @@
 // offerHeader returns the header with which the call is offered: that of the caller, with the key, which
 // the helper checks again.
 func (c *activeCall) offerHeader(timeLeft time.Duration) http.Header {
+	if c.request.Route.Work == bluebelldeployment.Stream {
+		// Once it has begun, a stream lasts until the caller's limit, since no other answer can follow.
+		timeLeft = time.Until(c.request.Deadline)
+	}
 	h := bluebellplatform.EndToEndHeader(c.request.Header)
 	bluebellhandover.Strip(h)
 	tried := slices.DeleteFunc(slices.Clone(c.tried), func(id string) bool { return slices.Contains(c.unopened, id) })
