Add a failing test for calls at silent endpoints without retries

A call at a silent endpoint looks for another one each 100 ms, and only then whether the target's retry budget allows the retry. The pick uses up the allowance of a cold endpoint, or the probe of a failure domain that counts as unreachable, which then no call gets. That is so when failures have used up the budget and many calls are silent: when a domain has been cut off.

--- a/bluebellgate/internal/bluebellfrontend/silent_test.go
+++ b/bluebellgate/internal/bluebellfrontend/silent_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"bluebellhaven.org/bluebell/bluebellfleet"
+	"bluebellhaven.org/bluebell/bluebellplacement"
 	"bluebellhaven.org/bluebellfake/bluebellstub"
 	"bluebellhaven.org/bluebellgate/internal/bluebellrelay"
 )
@@ -75,3 +78,34 @@
 	require.GreaterOrEqual(t, time.Since(started), callTimeLimit)
 	require.Less(t, time.Since(started), callTimeLimit+500*time.Millisecond)
 }
+
+// A call at a silent endpoint that may not be sent again for lack of retries takes nothing from the calls
+// that may: neither the allowance of a cold endpoint nor a probe.
+func TestSilentCallWithoutRetryBudgetReservesNothing(t *testing.T) {
+	e := startEntryWithRetryLimits(t, 2, bluebellrelay.RetryLimits{Window: 10 * time.Second})
+	silent, cold := e.endpoints[0], e.endpoints[1]
+	silent.SetBehaviour(bluebellstub.Pausing)
+	silent.SetPauseTime(longPause)
+	fleet := bluebellplacement.Fleet{Entries: []string{"e1"}, ColdRates: map[string]float64{"app": 0.1}}
+	for _, endpoint := range e.endpoints {
+		registered := endpoint.NextRegistration()
+		registered.ReceivedAt = e.now()
+		if endpoint == cold {
+			registered.State, registered.ColdUntil = bluebellfleet.Draining, e.now()+time.Minute
+		}
+		fleet.Endpoints = append(fleet.Endpoints, registered)
+	}
+	e.placer.Update(fleet)
+	ended := make(chan call, 1)
+	go func() { ended <- e.do(http.MethodPost, "/read/x", "") }()
+	require.Eventually(t, func() bool { return silent.ActiveCalls() == 1 }, testTimeout, time.Millisecond)
+	fleet.Endpoints = slices.Clone(fleet.Endpoints)
+	fleet.Endpoints[1].State = bluebellfleet.Serving
+	e.placer.Update(fleet)
+	time.Sleep(longPause * 2 / 3)
+	got := e.do(http.MethodPost, "/read/x", "")
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, 1, cold.Arrivals())
+	require.Equal(t, http.StatusOK, (<-ended).status)
+	require.Equal(t, 1, silent.Arrivals())
+}
