Look for another endpoint of a silent call only with a retry left

A call at a silent endpoint picked another one each 100 ms and gave it back when the retry budget was used up. The pick had used up the allowance of a cold endpoint, or the probe of an unreachable failure domain, which no other call could then use.

The budget is now read before the pick.

--- a/bluebell/bluebelllimit/window.go
+++ b/bluebell/bluebelllimit/window.go
@@ -36,6 +36,15 @@
 // AllowRetry reports whether a call may be retried now, and counts the retry if so.
 // Entries is the number of entries that share the slack.
 func (b *WindowBudget) AllowRetry(now time.Duration, entries int) bool {
+	if !b.HasRetry(now, entries) {
+		return false
+	}
+	b.retries[b.advance(now)]++
+	return true
+}
+
+// HasRetry reports whether AllowRetry would allow a retry, and counts none.
+func (b *WindowBudget) HasRetry(now time.Duration, entries int) bool {
 	current := b.advance(now)
 	calls, retries := 0, 0
 	for i := range b.calls {
@@ -46,11 +55,7 @@
 	// calls do not, so that the limit holds for every position of the window.
 	calls -= b.calls[(current+1)%len(b.calls)]
 	limit := b.Ratio*float64(calls) + b.Slack/float64(max(entries, 1))
-	if float64(retries+1) > limit*(1-b.Reserve) {
-		return false
-	}
-	b.retries[current]++
-	return true
+	return float64(retries+1) <= limit*(1-b.Reserve)
 }
 
 // advance clears the buckets that have expired since the last call and returns the
--- a/bluebellgate/internal/bluebellrelay/budget.go
+++ b/bluebellgate/internal/bluebellrelay/budget.go
@@ -45,3 +45,10 @@
 	defer r.mu.Unlock()
 	return r.budget(target).AllowRetry(r.cfg.Now(), r.cfg.Placer.EntryCount())
 }
+
+// hasRetry reports whether the target's retry budget allows a retry.
+func (r *Relay) hasRetry(target string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget(target).HasRetry(r.cfg.Now(), r.cfg.Placer.EntryCount())
+}
--- a/bluebellgate/internal/bluebellrelay/silence.go
+++ b/bluebellgate/internal/bluebellrelay/silence.go
@@ -71,6 +71,11 @@
 		return false
 	}
 	cfg := &c.relay.cfg
+	// A pick that is given back uses up the allowances and probes that other calls need.
+	if !c.relay.hasRetry(c.request.Target.Name) {
+		cfg.CountEvent("repeats_denied", c.request.Target.Name)
+		return false
+	}
 	choice, result := c.relay.trySelect(c.placementRequest(c.tried))
 	if result == bluebellplacement.LinksLost {
 		return c.reserveHelper()
