Let the soak look for calls without an answer

Callers own their connections, so that the soak knows when a call was sent and whether its connection was reused: some open one for each call, some keep one to each gate, and some cling to one until the gate closes it. Faults are recorded in a timeline, from which the check takes its excuses and which is written to events.log.

--- a/bluebellsoak/bluebellchaos/check.go
+++ b/bluebellsoak/bluebellchaos/check.go
@@ -6,14 +6,16 @@
 	"strings"
 
 	"bluebellhaven.org/bluebellfake/bluebellstub"
+	"bluebellhaven.org/bluebellsoak/bluebellanswer"
 )
 
-// maxFindings limits the findings of checkCalls.
+// maxFindings limits the findings of each check.
 const maxFindings = 20
 
-// execution is a call that an endpoint began to process.
+// execution is a call that an endpoint began to process. endpoint names its incarnation and backend
+// the address that incarnations share.
 type execution struct {
-	endpoint string
+	endpoint, backend string
 	bluebellstub.Run
 }
 
@@ -56,8 +58,8 @@
 		report("refused, but the route and the key are valid")
 	}
 	for _, r := range executions {
-		if r.URI != o.path || r.Body != "body of "+o.id || r.Method != http.MethodPost {
-			report("ran as %s %s with body %q", r.Method, r.URI, r.Body)
+		if r.URI != o.path || r.Body != o.requestBody || r.Method != http.MethodPost {
+			report("ran as %s %s with a body of %d bytes that begins with %.40q", r.Method, r.URI, len(r.Body), r.Body)
 		}
 		if r.Call.Customer != customerName || r.Call.HasKey {
 			report("ran for customer %q, key passed on: %v", r.Call.Customer, r.Call.HasKey)
@@ -94,3 +96,21 @@
 		report("interrupted stream has the wrong events: %q", o.body)
 	}
 }
+
+// checkAnswered returns the findings on calls without an answer.
+func checkAnswered(outcomes []outcome, executions []execution, t *timeline) []string {
+	backends := map[string][]string{}
+	for _, r := range executions {
+		backends[r.Call.CallID] = append(backends[r.Call.CallID], r.backend)
+	}
+	var calls []bluebellanswer.Call
+	for _, o := range outcomes {
+		calls = append(calls, bluebellanswer.Call{
+			ID: o.id, Gate: gateName(o.gate), Endpoints: backends[o.id], Began: o.began, Sent: o.sent, Ended: o.ended, Limit: statedTimeout,
+			Reused: o.reused, Begun: o.status != 0, Complete: o.complete, GaveUp: o.gaveUp,
+		})
+	}
+	cfg := bluebellanswer.Config{StopTimeout: gateStopTimeout}
+	findings := cfg.Unanswered(calls, t.recorded())
+	return append(findings[:min(len(findings), maxFindings)], cfg.Overdue(calls, t.recorded())...)
+}
--- a/bluebellsoak/bluebellchaos/faults.go
+++ b/bluebellsoak/bluebellchaos/faults.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"bluebellhaven.org/bluebellfake/bluebellstub"
+	"bluebellhaven.org/bluebellsoak/bluebellanswer"
 )
 
 const (
@@ -18,6 +19,9 @@
 	meanFaultGap = 600 * time.Millisecond
 	// coreCatchUpTime is how long a core process still counts as lost after the end of its fault.
 	coreCatchUpTime = 4 * time.Second
+	// staleConnectionTime is how long after an impairment gates may still use connections that have
+	// become silent for good.
+	staleConnectionTime = 3 * time.Second
 )
 
 // fault is one kind of fault that inject draws.
@@ -32,15 +36,13 @@
 }
 
 var faultKinds = []fault{
-	{"gate killed", false, func(d *deployment, n int, hold time.Duration) error { return restart(d.gate(n), syscall.SIGKILL, hold) }},
-	{"gate stopped", false, func(d *deployment, n int, hold time.Duration) error { return restart(d.gate(n), syscall.SIGTERM, hold) }},
-	{"gate paused", false, func(d *deployment, n int, hold time.Duration) error { return pause(d.gate(n), hold) }},
+	{"gate killed", false, func(d *deployment, n int, hold time.Duration) error { return d.restartGate(n, syscall.SIGKILL, hold) }},
+	{"gate stopped", false, func(d *deployment, n int, hold time.Duration) error { return d.restartGate(n, syscall.SIGTERM, hold) }},
+	{"gate paused", false, func(d *deployment, n int, hold time.Duration) error { return d.pauseGate(n, hold) }},
 	{"gate reloads", false, func(d *deployment, n int, _ time.Duration) error { d.gate(n).signal(syscall.SIGHUP); return nil }},
 	{"endpoint crashes", false, crashEndpoint},
 	{"endpoint misbehaves", false, makeEndpointMisbehave},
-	{"endpoint connections impaired", false, func(d *deployment, n int, hold time.Duration) error {
-		return impair(d.backends[n%len(d.backends)].proxy, n, hold)
-	}},
+	{"endpoint connections impaired", false, impairEndpoint},
 	{"core killed", true, func(d *deployment, n int, hold time.Duration) error { return restart(d.core(n), syscall.SIGKILL, hold) }},
 	{"core stopped", true, func(d *deployment, n int, hold time.Duration) error { return restart(d.core(n), syscall.SIGTERM, hold) }},
 	{"core paused", true, func(d *deployment, n int, hold time.Duration) error { return pause(d.core(n), hold) }},
@@ -70,6 +72,7 @@
 			nextCoreFault = time.Now().Add(hold + coreCatchUpTime)
 		}
 		d.faultCount++
+		d.timeline.note("%s, number %d, for %v", f.name, n, hold.Round(time.Millisecond))
 		active.Go(func() {
 			if err := f.run(d, n, hold); err != nil {
 				errs <- fmt.Errorf("%s: %w", f.name, err)
@@ -101,6 +104,40 @@
 	return nil
 }
 
+// restartGate restarts a gate by a signal.
+func (d *deployment) restartGate(n int, s os.Signal, hold time.Duration) error {
+	p := d.gate(n)
+	effect := bluebellanswer.GateInterrupted
+	if s == syscall.SIGTERM {
+		effect = bluebellanswer.GateStopping
+	}
+	end := d.timeline.begin(effect, p.name)
+	err := p.stop(s)
+	end(0)
+	if err != nil {
+		return err
+	}
+	time.Sleep(hold)
+	return p.start()
+}
+
+// pauseGate suspends a gate for the time hold.
+func (d *deployment) pauseGate(n int, hold time.Duration) error {
+	p := d.gate(n)
+	end := d.timeline.begin(bluebellanswer.GateInterrupted, p.name)
+	defer end(0)
+	return pause(p, hold)
+}
+
+// impairEndpoint impairs the connections to an endpoint. Connections whose data was dropped stay silent
+// until gates give them up.
+func impairEndpoint(d *deployment, n int, hold time.Duration) error {
+	b := d.backends[n%len(d.backends)]
+	end := d.timeline.begin(bluebellanswer.EndpointInterrupted, b.name())
+	defer end(staleConnectionTime)
+	return impair(b.proxy, n, hold)
+}
+
 // impair sets a proxy to the mode that n selects, for the time hold.
 func impair(p *proxy, n int, hold time.Duration) error {
 	p.setMode([]mode{modeDelay, modeDropAll, modeDropAnswers, modeReset}[n%4])
@@ -114,6 +151,8 @@
 	b := d.backends[n%len(d.backends)]
 	b.crashMu.Lock()
 	defer b.crashMu.Unlock()
+	end := d.timeline.begin(bluebellanswer.EndpointInterrupted, b.name())
+	defer end(0)
 	b.endpoint().Stop()
 	time.Sleep(hold)
 	return b.start()
@@ -121,11 +160,17 @@
 
 // makeEndpointMisbehave gives an endpoint the faulty behaviour that n selects, for the time hold.
 func makeEndpointMisbehave(d *deployment, n int, hold time.Duration) error {
-	e := d.backends[n%len(d.backends)].endpoint()
-	e.SetBehaviour([]bluebellstub.Behaviour{
+	b := d.backends[n%len(d.backends)]
+	e := b.endpoint()
+	behaviour := []bluebellstub.Behaviour{
 		bluebellstub.Unresponsive, bluebellstub.Declining, bluebellstub.Failing, bluebellstub.Truncating,
 		bluebellstub.Unsealed, bluebellstub.Duplicating, bluebellstub.Unavailable, bluebellstub.Unframed,
-	}[n%8])
+	}[n%8]
+	if behaviour == bluebellstub.Truncating {
+		end := d.timeline.begin(bluebellanswer.EndpointInterrupted, b.name())
+		defer end(0)
+	}
+	e.SetBehaviour(behaviour)
 	time.Sleep(hold)
 	e.SetBehaviour(bluebellstub.Normal)
 	return nil
--- a/bluebellsoak/bluebellchaos/load.go
+++ b/bluebellsoak/bluebellchaos/load.go
@@ -25,6 +25,8 @@
 	statedTimeout = 2 * time.Second
 	// meanCallPause is the mean pause of a caller between two calls.
 	meanCallPause = 15 * time.Millisecond
+	// clingingSpeed is by how much the pauses of clinging callers are shorter.
+	clingingSpeed = 3
 )
 
 // Path prefixes of the routes, one for each kind of work: non-idempotent calls, idempotent
@@ -41,15 +43,22 @@
 
 // outcome is what a caller observed of one call.
 type outcome struct {
-	id     string
-	path   string
-	status int
+	id   string
+	path string
+	// gate is the index of the gate.
+	gate        int
+	requestBody string
+	status      int
 	// seal is the value of the header that marks an answer as made by an endpoint; it is empty
 	// in answers that a gate makes itself.
 	seal string
 	body string
-	// complete is set if the answer was read to its end.
-	complete bool
+	// complete is set if the answer was read to its end, and gaveUp if the caller did not wait for it.
+	complete, gaveUp bool
+	// reused is set if the connection had carried a call before.
+	reused bool
+	// began, sent and ended are the times of the same names of bluebellanswer.Call.
+	began, sent, ended time.Time
 }
 
 // callers records the outcomes of the calls of all simulated callers.
@@ -63,40 +72,55 @@
 	served int
 }
 
-// run makes calls through random gates as one caller until ctx ends.
-func (c *callers) run(ctx context.Context, name int, seed uint64) {
+// run makes calls as one caller until ctx ends, with the pause mean on average between two.
+func (c *callers) run(ctx context.Context, name int, seed uint64, mean time.Duration) {
 	rng := rand.New(rand.NewPCG(seed, uint64(name)))
-	client := &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
-	defer client.CloseIdleConnections()
+	self := &caller{kind: callerKind(name % int(callerKinds)), rng: rng, gates: c.gates, kept: map[int]*connection{}, gate: -1}
+	defer self.close()
+	if self.kind == clinging {
+		mean /= clingingSpeed
+	}
 	for n := 0; ctx.Err() == nil; n++ {
-		path := callPaths[rng.IntN(len(callPaths))]
-		o := call(client, c.gates[rng.IntN(len(c.gates))], fmt.Sprintf("call-%d-%d", name, n), path, usualBlocks)
-		c.mu.Lock()
-		c.outcomes = append(c.outcomes, o)
-		if o.status == http.StatusOK && o.complete {
-			c.served++
-		}
-		c.mu.Unlock()
-		time.Sleep(time.Duration(rng.Int64N(int64(2 * meanCallPause))))
+		c.record(self.call(context.WithoutCancel(ctx), fmt.Sprintf("call-%d-%d", name, n)))
+		time.Sleep(time.Duration(rng.Int64N(int64(2 * mean))))
+	}
+}
+
+// record adds the outcome of a call.
+func (c *callers) record(o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+	if o.status == http.StatusOK && o.complete {
+		c.served++
 	}
 }
 
 // usualBlocks are the shared blocks of the prompts of most calls.
 var usualBlocks = []bluebellplatform.Block{{ID: "5c1e", Tokens: 200}}
 
-// call makes one call through a gate, with a prompt that begins with the shared blocks. The key
-// of the customer is sent with each call, also on a connection that the client reuses.
-func call(client *http.Client, gate, id, path string, shared []bluebellplatform.Block) outcome {
-	o := outcome{id: id, path: path + id + "?n=1"}
-	r, err := http.NewRequest(http.MethodPost, "http://"+gate+o.path, strings.NewReader("body of "+id))
+// newRequest returns the request of a call, with a prompt that begins with the shared blocks. The key
+// of the customer is sent with each call, also on a connection that the caller reuses.
+func newRequest(gate string, o outcome, shared []bluebellplatform.Block) (*http.Request, error) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+gate+o.path, strings.NewReader(o.requestBody))
 	if err != nil {
-		return o
+		return nil, err
 	}
 	r.Host = hostName
 	r.Header = bluebellplatform.CallerHeader(bluebellplatform.Call{
-		ID: id, Key: customerKey, TimeLeft: statedTimeout, Model: "m0", PromptTokens: 300, MaxOutputTokens: 5,
-		Blocks: append(slices.Clone(shared), bluebellplatform.Block{ID: id, Tokens: 100}),
+		ID: o.id, Key: customerKey, TimeLeft: statedTimeout, Model: "m0", PromptTokens: 300, MaxOutputTokens: 5,
+		Blocks: append(slices.Clone(shared), bluebellplatform.Block{ID: o.id, Tokens: 100}),
 	})
+	return r, nil
+}
+
+// call makes one call through the gate at an address.
+func call(client *http.Client, gate, id, path string, shared []bluebellplatform.Block) outcome {
+	o := outcome{id: id, path: path + id + "?n=1", requestBody: "body of " + id}
+	r, err := newRequest(gate, o, shared)
+	if err != nil {
+		return o
+	}
 	response, err := client.Do(r)
 	if err != nil {
 		return o
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -31,7 +33,11 @@
 	// servedPerGate is the number of calls for each gate that must be served in succession until
 	// the deployment counts as serving.
 	servedPerGate = 10
-	callerCount   = 8
+	// minCallers is the least number of callers. With more gates than that there is one for each, and all
+	// together make as many calls.
+	minCallers = 12
+	// gateStopTimeout is how long a planned stop of a gate may take.
+	gateStopTimeout = 8 * time.Second
 	// releaseTimeout bounds the wait for the address of an endpoint that has stopped.
 	releaseTimeout = time.Second
 	// settleTime is how long endpoints may still begin a late call after all callers have stopped.
@@ -58,6 +64,8 @@
 	AcknowledgedVersion uint64
 	// Findings describes each violation of a guarantee.
 	Findings []string
+	// Events lists what was done to the deployment, in order, with the time of day.
+	Events []string
 }
 
 func (r Report) String() string {
@@ -97,6 +105,7 @@
 	controlAddresses []string
 	callers          *callers
 	operator         *operator
+	timeline         *timeline
 	faultCount       int
 	findings         []string
 }
@@ -111,13 +120,15 @@
 
 // Run starts a deployment, injects faults for cfg.Duration and returns a report. An error means
 // that the deployment could not be set up or served no calls; violations are in Report.Findings.
+// The events of the report are also written to events.log in the data folder.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	d := newDeployment(cfg)
 	prepare := func(*backend) error { return nil }
 	if err := d.whileServing(ctx, prepare, func(ctx context.Context) { d.runUnderFaults(ctx) }); err != nil {
 		return Report{}, err
 	}
-	return d.report(), nil
+	report := d.report()
+	return report, os.WriteFile(filepath.Join(cfg.DataFolder, "events.log"), []byte(strings.Join(report.Events, "\n")+"\n"), 0o600)
 }
 
 // whileServing starts the deployment, prepares its endpoints, calls f once calls are served, and
@@ -152,8 +163,9 @@
 	callCtx, stopCalls := context.WithCancel(ctx)
 	defer stopCalls()
 	var calls conc.WaitGroup
+	callerCount := max(minCallers, d.cfg.Gates)
 	for n := range callerCount {
-		calls.Go(func() { d.callers.run(callCtx, n, d.cfg.Seed) })
+		calls.Go(func() { d.callers.run(callCtx, n, d.cfg.Seed, meanCallPause*time.Duration(callerCount)/minCallers) })
 	}
 	calls.Go(func() { d.operator.run(callCtx, d.cfg.Seed) })
 	d.inject(ctx)
@@ -167,7 +179,7 @@
 }
 
 func newDeployment(cfg Config) *deployment {
-	return &deployment{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 77))}
+	return &deployment{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 77)), timeline: &timeline{}}
 }
 
 // startAll starts all processes and endpoints with an empty data folder.
@@ -236,16 +248,19 @@
 	return p.start()
 }
 
+// gateName returns the name of gate n.
+func gateName(n int) string { return fmt.Sprint("gate-", n) }
+
 // addGate starts a gate, the process that accepts callers' calls.
 func (d *deployment) addGate(n int) error {
 	address := d.address(2, n)
 	d.callers.gates = append(d.callers.gates, fmt.Sprintf("%s:%d", address, callerPort))
-	p, err := newProcess(d.cfg, fmt.Sprint("gate-", n), "bluebellgate", map[string]any{
-		"Name": fmt.Sprint("gate-", n), "FailureDomain": fmt.Sprint("domain-", n%3), "Address": address,
+	p, err := newProcess(d.cfg, gateName(n), "bluebellgate", map[string]any{
+		"Name": gateName(n), "FailureDomain": fmt.Sprint("domain-", n%3), "Address": address,
 		"CallerAddress": fmt.Sprintf("%s:%d", address, callerPort), "ReadyAddress": fmt.Sprintf("%s:%d", address, readyPort),
 		"PeerPort": peerPort, "Seeds": d.controlAddresses, "Secret": secret,
 		"Bounds": map[string]any{
-			"Stop": "8s", "WeightsMillis": 10000, "RetryRatio": 0.2, "RetryWindow": "10s", "RetrySlack": 52,
+			"Stop": gateStopTimeout.String(), "WeightsMillis": 10000, "RetryRatio": 0.2, "RetryWindow": "10s", "RetrySlack": 52,
 			"ColdFactor": 1.5, "ColdSlack": 5,
 		},
 	})
@@ -274,6 +289,9 @@
 	return nil
 }
 
+// name returns the name by which the timeline knows the backend.
+func (b *backend) name() string { return fmt.Sprint("endpoint-", b.index) }
+
 // start starts the endpoint as a new incarnation.
 func (b *backend) start() error {
 	b.mu.Lock()
@@ -350,8 +368,6 @@
 // are served in succession, and reports whether that happens within timeout. With declare set, it
 // also sends a declaration at first and after each call that is not served.
 func (d *deployment) waitUntilServing(ctx context.Context, timeout time.Duration, declare bool) bool {
-	client := &http.Client{Timeout: clientTimeout}
-	defer client.CloseIdleConnections()
 	deadline := time.Now().Add(timeout)
 	consecutive, n := 0, 0
 	for consecutive < servedPerGate*len(d.callers.gates) && time.Now().Before(deadline) && ctx.Err() == nil {
@@ -359,7 +375,7 @@
 			d.operator.declare(d.controlAddresses[n%len(d.controlAddresses)])
 		}
 		n++
-		o := call(client, d.callers.gates[n%len(d.callers.gates)], fmt.Sprintf("probe-%v-%d", declare, n), readPath, usualBlocks)
+		o := d.probe(ctx, n%len(d.callers.gates), fmt.Sprintf("probe-%v-%d", declare, n))
 		d.callers.mu.Lock()
 		d.callers.outcomes = append(d.callers.outcomes, o)
 		d.callers.mu.Unlock()
@@ -372,6 +388,22 @@
 	return consecutive >= servedPerGate*len(d.callers.gates)
 }
 
+// probe makes an idempotent call on a new connection.
+func (d *deployment) probe(ctx context.Context, gate int, id string) outcome {
+	o := outcome{id: id, gate: gate, path: readPath + id + "?n=1", requestBody: "body of " + id}
+	r, err := newRequest(d.callers.gates[gate], o, usualBlocks)
+	if err != nil {
+		return o
+	}
+	conn, err := connect(ctx, d.callers.gates[gate])
+	if err != nil {
+		return o
+	}
+	defer conn.close()
+	conn.do(r, &o)
+	return o
+}
+
 // readDeclarationBack reads the declaration from the core processes until it has got as many
 // answers as there are core processes.
 func (d *deployment) readDeclarationBack() {
@@ -394,7 +426,7 @@
 	for _, b := range d.backends {
 		for _, e := range append(b.crashed, b.endpoint()) {
 			for _, r := range e.Runs() {
-				executions = append(executions, execution{endpoint: r.Call.Endpoint, Run: r})
+				executions = append(executions, execution{endpoint: r.Call.Endpoint, backend: b.name(), Run: r})
 			}
 		}
 	}
@@ -404,9 +436,10 @@
 		}
 	}
 	findings := append(d.findings, d.operator.findings...)
+	findings = append(findings, checkAnswered(d.callers.outcomes, executions, d.timeline)...)
 	return Report{
 		Calls: len(d.callers.outcomes), Served: d.callers.served, Runs: len(executions), Faults: d.faultCount, DeclarationReads: d.operator.reads,
-		AcknowledgedVersion: d.operator.acknowledgedVersion, Findings: append(findings, checkCalls(d.callers.outcomes, executions)...),
+		AcknowledgedVersion: d.operator.acknowledgedVersion, Findings: append(findings, checkCalls(d.callers.outcomes, executions)...), Events: d.timeline.lines(),
 	}
 }
 
