--- a/bluebellsoak/bluebellchaos/caller.go
+++ b/bluebellsoak/bluebellchaos/caller.go
@@ -41,6 +41,8 @@
 	// connections ask the gate to close the connection.
 	chunkedEach = 3
 	closeEach   = 2
+	// 1 of extraEach calls are on routes that only some versions of the declaration have.
+	extraEach = 12
 )
 
 // connection is a caller's connection to a gate.
@@ -112,6 +114,9 @@
 		c.gate = c.rng.IntN(len(c.gates))
 	}
 	o := outcome{id: id, gate: c.gate, path: callPaths[c.rng.IntN(len(callPaths))] + id + "?n=1", requestBody: "body of " + id}
+	if c.rng.IntN(extraEach) == 0 {
+		o.path = fmt.Sprint(extraPath, c.rng.IntN(extraRoutes), "/", id)
+	}
 	if c.rng.IntN(longBodyEach) == 0 {
 		o.requestBody += fmt.Sprintf("%*d", longBodyBytes, 0)
 	}
