Add series of signals, silent and leaving endpoints to the soak's faults

Gates are stopped while they start, get several signals while they stop and are restarted in turn; processes get SIGHUP again and again; sound endpoints fall silent for a second, all at once or in each answer, or say that they leave. Some faults begin together. At the end, right after a declaration is acknowledged, all processes are killed; the declaration and a failure domain that was taken out of service must still be in force. A process that exits with an error status after SIGTERM is a finding.

--- a/bluebellsoak/bluebellchaos/faults.go
+++ b/bluebellsoak/bluebellchaos/faults.go
@@ -19,6 +19,19 @@
 	meanFaultGap = 600 * time.Millisecond
 	// coreCatchUpTime is how long a core process still counts as lost after the end of its fault.
 	coreCatchUpTime = 4 * time.Second
+	// burstEach is such that 1 of burstEach faults begins together with the next one.
+	burstEach = 4
+	// silentTime is the mean time for which a sound endpoint may be silent.
+	silentTime = time.Second
+	// startingTime bounds the time after its start at which a process is stopped again, and signalGap the
+	// time between signals of a series.
+	startingTime = 100 * time.Millisecond
+	signalGap    = 40 * time.Millisecond
+	// drainTime is how long an endpoint that leaves serves calls after it has said so.
+	drainTime = 2500 * time.Millisecond
+	// turnGates bounds the gates that are restarted in turn, and turnHold is how long each is down.
+	turnGates = 4
+	turnHold  = 50 * time.Millisecond
 	// staleConnectionTime is how long after an impairment gates may still use connections that have
 	// become silent for good.
 	staleConnectionTime = 3 * time.Second
@@ -43,6 +56,14 @@
 	{"endpoint crashes", false, crashEndpoint},
 	{"endpoint misbehaves", false, makeEndpointMisbehave},
 	{"endpoint connections impaired", false, impairEndpoint},
+	{"gate stopped while it starts", false, stopStartingGate},
+	{"gate stopped by several signals", false, stopGateRepeatedly},
+	{"gates restarted in turn", false, restartGatesInTurn},
+	{"gate reloads in series", false, func(d *deployment, n int, hold time.Duration) error { return reloadRepeatedly(d.gate(n), n, hold) }},
+	{"core reloads in series", false, func(d *deployment, n int, hold time.Duration) error { return reloadRepeatedly(d.core(n), n, hold) }},
+	{"endpoint silent for a second", false, silenceEndpoint},
+	{"endpoint pauses in its answers", false, pauseAnswers},
+	{"endpoint leaves", false, removeEndpoint},
 	{"core killed", true, func(d *deployment, n int, hold time.Duration) error { return restart(d.core(n), syscall.SIGKILL, hold) }},
 	{"core stopped", true, func(d *deployment, n int, hold time.Duration) error { return restart(d.core(n), syscall.SIGTERM, hold) }},
 	{"core paused", true, func(d *deployment, n int, hold time.Duration) error { return pause(d.core(n), hold) }},
@@ -78,7 +99,9 @@
 				errs <- fmt.Errorf("%s: %w", f.name, err)
 			}
 		})
-		time.Sleep(gap)
+		if d.rng.IntN(burstEach) > 0 {
+			time.Sleep(gap)
+		}
 	}
 	active.Wait()
 	close(errs)
@@ -121,6 +144,91 @@
 	return p.start()
 }
 
+// stopStartingGate restarts a gate and stops it again while it starts.
+func stopStartingGate(d *deployment, n int, hold time.Duration) error {
+	if err := d.restartGate(n, syscall.SIGTERM, turnHold); err != nil {
+		return err
+	}
+	time.Sleep(hold % startingTime)
+	return d.restartGate(n, syscall.SIGTERM, hold/2)
+}
+
+// stopGateRepeatedly sends further signals to a gate that stops.
+func stopGateRepeatedly(d *deployment, n int, hold time.Duration) error {
+	p := d.gate(n)
+	var signals conc.WaitGroup
+	defer signals.Wait()
+	stopped := make(chan struct{})
+	signals.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stopped:
+				return
+			case <-time.After(hold/4 + signalGap):
+			}
+			p.signalStopping([]syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT}[(n+i)%3])
+		}
+	})
+	err := d.restartGate(n, syscall.SIGTERM, hold/2)
+	close(stopped)
+	return err
+}
+
+// restartGatesInTurn restarts one gate after the other, as an update does.
+func restartGatesInTurn(d *deployment, n int, _ time.Duration) error {
+	for i := range min(len(d.gates), turnGates) {
+		if err := d.restartGate(n+i, syscall.SIGTERM, turnHold); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// reloadRepeatedly sends SIGHUP to a process again and again for the time hold.
+func reloadRepeatedly(p *process, n int, hold time.Duration) error {
+	for deadline := time.Now().Add(hold); time.Now().Before(deadline); {
+		p.signalServing(syscall.SIGHUP)
+		time.Sleep(time.Duration(n)*signalGap/1000 + time.Millisecond)
+	}
+	return nil
+}
+
+// silenceEndpoint holds the data of all connections to an endpoint back for about silentTime.
+func silenceEndpoint(d *deployment, n int, hold time.Duration) error {
+	b := d.backends[n%len(d.backends)]
+	b.proxy.setMode(modeHold)
+	time.Sleep(silentTime/2 + hold%silentTime)
+	b.proxy.setMode(modePass)
+	return nil
+}
+
+// pauseAnswers makes an endpoint pause in each of its answers, for the time hold.
+func pauseAnswers(d *deployment, n int, hold time.Duration) error {
+	e := d.backends[n%len(d.backends)].endpoint()
+	e.SetBehaviour(bluebellstub.Pausing)
+	time.Sleep(hold)
+	e.SetBehaviour(bluebellstub.Normal)
+	return nil
+}
+
+// removeEndpoint lets an endpoint say that it leaves, stops it once it is drained and starts its next
+// incarnation after the time hold.
+func removeEndpoint(d *deployment, n int, hold time.Duration) error {
+	b := d.backends[n%len(d.backends)]
+	b.crashMu.Lock()
+	defer b.crashMu.Unlock()
+	b.endpoint().Drain()
+	time.Sleep(drainTime)
+	for deadline := time.Now().Add(clientTimeout); b.endpoint().ActiveCalls() > 0 && time.Now().Before(deadline); {
+		time.Sleep(holdPollInterval)
+	}
+	end := d.timeline.begin(bluebellanswer.EndpointInterrupted, b.name())
+	defer end(0)
+	b.endpoint().Stop()
+	time.Sleep(hold)
+	return b.start()
+}
+
 // pauseGate suspends a gate for the time hold.
 func (d *deployment) pauseGate(n int, hold time.Duration) error {
 	p := d.gate(n)
--- a/bluebellsoak/bluebellchaos/operator.go
+++ b/bluebellsoak/bluebellchaos/operator.go
@@ -89,6 +89,24 @@
 	return false
 }
 
+// takeOut takes a failure domain out of service after a delay, and reports whether that was
+// acknowledged before ctx ended.
+func (o *operator) takeOut(ctx context.Context, domain string, delay time.Duration) bool {
+	time.Sleep(delay)
+	for n := 0; ctx.Err() == nil; n++ {
+		operation := bluebellplatform.Operation{Verb: bluebellplatform.DomainOut, Subject: domain}
+		response, err := o.request(o.controlAddresses[n%len(o.controlAddresses)], operation, nil)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(meanOperatorPause)
+	}
+	return false
+}
+
 // read reads the declaration from the core process at address. It adds a finding if the version
 // is older than one that was acknowledged before the request, or has other content.
 func (o *operator) read(address string) {
--- a/bluebellsoak/bluebellchaos/process.go
+++ b/bluebellsoak/bluebellchaos/process.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -23,7 +24,9 @@
 	program  string
 	settings string
 	// data is the data folder of a core process; gates have none.
-	data    string
+	data string
+	// address is one on which the process listens once it serves.
+	address string
 	logFile *os.File
 
 	mu sync.Mutex
@@ -32,21 +35,24 @@
 	// ended is closed when command has exited.
 	ended  chan struct{}
 	paused bool
-	// crashCount counts the exits that the soak did not ask for by SIGKILL or SIGTERM.
+	// serving is set once the process was seen to listen since its start.
+	serving bool
+	// crashCount counts the exits that the soak did not ask for by SIGKILL or SIGTERM, and those with
+	// an error status.
 	crashCount int
 	// stopRequested is set once SIGKILL or SIGTERM was sent.
 	stopRequested bool
 }
 
 // newProcess writes the settings file of a process and creates its log file.
-func newProcess(cfg Config, name, program string, settings map[string]any) (*process, error) {
+func newProcess(cfg Config, name, program, address string, settings map[string]any) (*process, error) {
 	text, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
 		return nil, err
 	}
 	p := &process{
 		name: name, program: filepath.Join(cfg.ProgramFolder, program), settings: filepath.Join(cfg.DataFolder, name+".jsonc"),
-		data: filepath.Join(cfg.DataFolder, name),
+		data: filepath.Join(cfg.DataFolder, name), address: address,
 	}
 	if err := os.WriteFile(p.settings, text, 0o600); err != nil {
 		return nil, err
@@ -68,17 +74,19 @@
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("%s: %w", p.name, err)
 	}
-	p.command, p.ended, p.paused, p.stopRequested = command, make(chan struct{}), false, false
+	p.command, p.ended, p.paused, p.stopRequested, p.serving = command, make(chan struct{}), false, false, false
 	go p.wait(command, p.ended)
 	return nil
 }
 
 // wait waits until command has exited and closes ended.
 func (p *process) wait(command *exec.Cmd, ended chan struct{}) {
-	// The exit status is not needed: the log shows the cause, and a crash is counted.
-	_ = command.Wait()
+	var exit *exec.ExitError
+	failed := errors.As(command.Wait(), &exit) && exit.Exited()
 	p.mu.Lock()
-	if !p.stopRequested {
+	// A process that has a signal handler exits with status 0 when it is told to stop. The log shows
+	// the cause of a crash.
+	if !p.stopRequested || failed {
 		p.crashCount++
 	}
 	p.command = nil
@@ -105,6 +113,34 @@
 	_ = p.command.Process.Signal(s)
 }
 
+// signalStopping sends s to the process if it is running and was told to stop.
+func (p *process) signalStopping(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil && p.stopRequested {
+		_ = p.command.Process.Signal(s)
+	}
+}
+
+// signalServing sends s to the process if it is running and has started to listen. A signal that
+// arrives sooner may find no handler.
+func (p *process) signalServing(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return
+	}
+	if !p.serving {
+		conn, err := net.DialTimeout("tcp", p.address, signalGap)
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+		p.serving = true
+	}
+	_ = p.command.Process.Signal(s)
+}
+
 // stop sends s to the process and waits until it has exited; after stopTimeout it kills the
 // process and returns an error. A paused process is resumed first.
 func (p *process) stop(s os.Signal) error {
--- a/bluebellsoak/bluebellchaos/proxy.go
+++ b/bluebellsoak/bluebellchaos/proxy.go
@@ -23,10 +23,12 @@
 	modeDropAnswers
 	// modeReset resets open and new connections.
 	modeReset
+	// modeHold keeps data back until another mode is set, and loses none.
+	modeHold
 )
 
 func (m mode) String() string {
-	return [...]string{"passing", "delaying", "silencing", "deaf", "refusing"}[m]
+	return [...]string{"passing", "delaying", "silencing", "deaf", "refusing", "holding"}[m]
 }
 
 const (
@@ -34,6 +36,8 @@
 	forwardDelay = 150 * time.Millisecond
 	// readPollInterval bounds one read, after which the pipe reads again.
 	readPollInterval = 50 * time.Millisecond
+	// holdPollInterval is the interval at which held data looks whether it may go on.
+	holdPollInterval = 5 * time.Millisecond
 	bufferBytes      = 32 << 10
 )
 
@@ -176,6 +180,9 @@
 // the pipe can go on. client is the client connection of the pair; toServer is the direction.
 func (p *proxy) relay(to, client net.Conn, data []byte, toServer bool) bool {
 	m, stalled := p.state(client)
+	for ; m == modeHold; m, stalled = p.state(client) {
+		time.Sleep(holdPollInterval)
+	}
 	switch {
 	case m == modeDropAll, m == modeDropAnswers && !toServer, stalled && (m != modeDropAnswers || !toServer):
 		p.mu.Lock()
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -16,6 +17,7 @@
 	"github.com/sourcegraph/conc"
 
 	"bluebellhaven.org/bluebellfake/bluebellstub"
+	"bluebellhaven.org/bluebellsoak/bluebellanswer"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
@@ -36,6 +38,11 @@
 	// minCallers is the least number of callers. With more gates than that there is one for each, and all
 	// together make as many calls.
 	minCallers = 12
+	// failureDomains is the number of failure domains, and outDomain the one that is taken out of service.
+	// outTime is how long after recovery no call may reach it any longer.
+	failureDomains = 3
+	outDomain      = 2
+	outTime        = 3 * time.Second
 	// spareEach is such that the last 2 of spareEach endpoints are of spare targets.
 	spareEach = 6
 	// gateStopTimeout is how long a planned stop of a gate may take.
@@ -174,14 +181,60 @@
 		calls.Go(func() { d.callers.run(callCtx, n, d.cfg.Seed, meanCallPause*time.Duration(callerCount)/minCallers) })
 	}
 	calls.Go(func() { d.operator.run(callCtx, d.cfg.Seed) })
+	outAcknowledged := make(chan bool, 1)
+	calls.Go(func() { outAcknowledged <- d.operator.takeOut(callCtx, failureDomain(outDomain), d.cfg.Duration/4) })
 	d.inject(ctx)
+	d.killAllAfterAck(ctx)
 	if !d.waitUntilServing(ctx, recoveryTimeout, false) {
 		d.findings = append(d.findings, fmt.Sprintf("calls are not served within %v of the last fault", recoveryTimeout))
 	}
+	time.Sleep(outTime)
+	outFrom := time.Now()
+	time.Sleep(settleTime)
 	stopCalls()
 	calls.Wait()
 	time.Sleep(settleTime)
 	d.readDeclarationBack()
+	if <-outAcknowledged {
+		d.checkOut(outFrom)
+	}
+}
+
+// killAllAfterAck kills all processes right after the acknowledgement of a declaration and starts them
+// again.
+func (d *deployment) killAllAfterAck(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
+	defer cancel()
+	for n := 0; ctx.Err() == nil && !d.operator.declare(d.controlAddresses[n%len(d.controlAddresses)]); n++ {
+		time.Sleep(meanOperatorPause)
+	}
+	d.timeline.note("all processes killed")
+	processes := append(slices.Clone(d.cores), d.gates...)
+	for _, p := range processes {
+		end := d.timeline.begin(bluebellanswer.GateInterrupted, p.name)
+		defer func() { end(0) }()
+		p.signal(syscall.SIGKILL)
+	}
+	for _, p := range processes {
+		if err := errors.Join(p.stop(syscall.SIGKILL), p.start()); err != nil {
+			d.findings = append(d.findings, err.Error())
+		}
+	}
+}
+
+// checkOut adds a finding if calls reached endpoints of the failure domain that is out of service.
+func (d *deployment) checkOut(from time.Time) {
+	for _, b := range d.backends {
+		if b.index%failureDomains != outDomain {
+			continue
+		}
+		for _, at := range b.endpoint().ArrivalTimes() {
+			if at.After(from) {
+				d.findings = append(d.findings, fmt.Sprintf("%s got a call at %s although its failure domain is out of service", b.name(), at.Format("15:04:05.000")))
+				break
+			}
+		}
+	}
 }
 
 func newDeployment(cfg Config) *deployment {
@@ -235,7 +288,7 @@
 func (d *deployment) coreSettings(n int, bootstrap bool) map[string]any {
 	address := d.address(1, n)
 	return map[string]any{
-		"Name": fmt.Sprint("core-", n), "FailureDomain": fmt.Sprint("domain-", n%3), "Address": address,
+		"Name": fmt.Sprint("core-", n), "FailureDomain": failureDomain(n), "Address": address,
 		"ControlAddress": fmt.Sprintf("%s:%d", address, controlPort), "PeerPort": peerPort,
 		"PeerListen": fmt.Sprintf("%s:%d", d.address(5, n), peerPort), "Seeds": d.controlAddresses, "Secret": secret,
 		"DataFolder": fmt.Sprintf("%s/core-%d", d.cfg.DataFolder, n), "Bootstrap": bootstrap, "TolerateLostVMs": (d.cfg.Cores - 1) / 2,
@@ -245,7 +298,7 @@
 
 // addCore starts a core process with a proxy in front of its peer listener.
 func (d *deployment) addCore(n int, bootstrap bool) error {
-	p, err := newProcess(d.cfg, fmt.Sprint("core-", n), "bluebellcore", d.coreSettings(n, bootstrap))
+	p, err := newProcess(d.cfg, fmt.Sprint("core-", n), "bluebellcore", d.controlAddresses[n], d.coreSettings(n, bootstrap))
 	if err != nil {
 		return err
 	}
@@ -257,6 +310,9 @@
 	return p.start()
 }
 
+// failureDomain returns the name of the failure domain of process or endpoint n.
+func failureDomain(n int) string { return fmt.Sprint("domain-", n%failureDomains) }
+
 // gateName returns the name of gate n.
 func gateName(n int) string { return fmt.Sprint("gate-", n) }
 
@@ -264,8 +320,8 @@
 func (d *deployment) addGate(n int) error {
 	address := d.address(2, n)
 	d.callers.gates = append(d.callers.gates, fmt.Sprintf("%s:%d", address, callerPort))
-	p, err := newProcess(d.cfg, gateName(n), "bluebellgate", map[string]any{
-		"Name": gateName(n), "FailureDomain": fmt.Sprint("domain-", n%3), "Address": address,
+	p, err := newProcess(d.cfg, gateName(n), "bluebellgate", d.callers.gates[n], map[string]any{
+		"Name": gateName(n), "FailureDomain": failureDomain(n), "Address": address,
 		"CallerAddress": fmt.Sprintf("%s:%d", address, callerPort), "ReadyAddress": fmt.Sprintf("%s:%d", address, readyPort),
 		"PeerPort": peerPort, "Seeds": d.controlAddresses, "Secret": secret,
 		"Bounds": map[string]any{
@@ -284,7 +340,7 @@
 // on joins the existing deployment instead of bootstrapping a new one.
 func (d *deployment) disableBootstrap() error {
 	for n, p := range d.cores {
-		joining, err := newProcess(d.cfg, "next-"+p.name, "bluebellcore", d.coreSettings(n, false))
+		joining, err := newProcess(d.cfg, "next-"+p.name, "bluebellcore", d.controlAddresses[n], d.coreSettings(n, false))
 		if err != nil {
 			return err
 		}
@@ -311,7 +367,7 @@
 		weights["m0"] = 1
 	}
 	e, err := startStub(bluebellstub.Config{
-		ID: fmt.Sprintf("i-%d-%d", b.index, b.starts), Target: b.target, FailureDomain: fmt.Sprint("domain-", b.index%3),
+		ID: fmt.Sprintf("i-%d-%d", b.index, b.starts), Target: b.target, FailureDomain: failureDomain(b.index),
 		Listen: b.listen, Advertise: b.advertisedAddress(), Weights: weights, ProcessingTime: 4 * time.Millisecond, StartUnixMillis: time.Now().UnixMilli(),
 		Crashes: b.crashes, OnCrash: b.onCrash,
 	})
