--- a/bluebellsoak/bluebellchaos/process.go
+++ b/bluebellsoak/bluebellchaos/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -171,3 +172,18 @@
 	defer p.mu.Unlock()
 	return p.crashCount
 }
+
+// panicLine returns the first line of the log that shows a panic or a data race, also one that the
+// process has recovered from, or "".
+func (p *process) panicLine() string {
+	text, err := os.ReadFile(p.logFile.Name())
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(string(text)) {
+		if strings.Contains(line, "panic") || strings.Contains(line, "DATA RACE") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return ""
+}
