Check in the soak that named weights survive the end of all processes

Versions of weights are named right before all processes are killed, before or after the last declaration. Engines must get the acknowledged version, and never be ordered to load an older one. Stub endpoints accept orders and report.

--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -1,7 +1,7 @@
 // Package bluebellstub simulates the endpoints of a discovered deployment, in which
 // endpoints register themselves. The stubs encode and decode calls and registrations with
-// the codecs of package bluebellplatform, record the calls that they run, and can be made
-// to misbehave.
+// the codecs of package bluebellplatform, record the calls that they run and the orders to load
+// weights that they accept, and can be made to misbehave.
 //
 // # Usage
 //
@@ -148,6 +148,17 @@
 	said http.Header
 	// brittle, if not nil, makes the endpoint crash when it turns too many calls away.
 	brittle *brittleness
+	// weights are the loaded versions by model, and orders the accepted orders to load others.
+	weights map[string]uint64
+	orders  []Order
+}
+
+// Order is an accepted order to load a version of a model's weights.
+type Order struct {
+	Model   string
+	Version uint64
+	// At is when it was accepted.
+	At time.Time
 }
 
 // Start returns an endpoint that serves calls until Stop.
@@ -162,7 +173,8 @@
 	if cfg.Advertise == "" {
 		cfg.Advertise = listener.Addr().String()
 	}
-	e := &Endpoint{cfg: cfg, listener: listener, done: make(chan struct{}), state: bluebellfleet.Serving}
+	e := &Endpoint{cfg: cfg, listener: listener, done: make(chan struct{}), state: bluebellfleet.Serving, weights: map[string]uint64{}}
+	maps.Copy(e.weights, cfg.Weights)
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serveCall), ReadHeaderTimeout: time.Minute}
 	go func() {
 		defer close(e.done)
@@ -239,7 +251,7 @@
 	e.sequence++
 	return bluebellfleet.Endpoint{
 		ID: e.cfg.ID, Target: e.cfg.Target, Address: e.cfg.Advertise, FailureDomain: e.cfg.FailureDomain,
-		SoftwareVersion: "v1", Slots: Slots, State: e.state, StartUnixMillis: e.cfg.StartUnixMillis, Sequence: e.sequence, Weights: e.cfg.Weights,
+		SoftwareVersion: "v1", Slots: Slots, State: e.state, StartUnixMillis: e.cfg.StartUnixMillis, Sequence: e.sequence, Weights: maps.Clone(e.weights),
 	}
 }
 
@@ -291,6 +303,10 @@
 	if err != nil {
 		return
 	}
+	if r.URL.Path == bluebellplatform.OrderPath || r.URL.Path == bluebellplatform.ReportPath {
+		e.serveOrder(w, r, body)
+		return
+	}
 	incoming, err := bluebellplatform.DecodeIncomingCall(r.Header)
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -327,6 +343,48 @@
 	}
 }
 
+// serveOrder accepts an order, whose weights are loaded at once, or answers with a report.
+func (e *Endpoint) serveOrder(w http.ResponseWriter, r *http.Request, body []byte) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.URL.Path == bluebellplatform.ReportPath {
+		text, err := bluebellplatform.EncodeReport(bluebellplatform.EndpointReport{Sequence: uint64(len(e.orders)), Weights: e.weights, Running: e.activeCalls})
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(text)
+		return
+	}
+	order, endpoint, err := bluebellplatform.DecodeWeightsOrder(r.Header, body)
+	switch {
+	case err != nil:
+		w.WriteHeader(http.StatusBadRequest)
+	case endpoint != e.cfg.ID:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case order.Sequence != nil && *order.Sequence != uint64(len(e.orders)):
+		w.WriteHeader(http.StatusConflict)
+	default:
+		e.orders = append(e.orders, Order{Model: order.Model, Version: order.Version, At: time.Now()})
+		e.weights[order.Model] = order.Version
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+// Weights returns the loaded version of a model's weights.
+func (e *Endpoint) Weights(model string) uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.weights[model]
+}
+
+// Orders returns the accepted orders, oldest first.
+func (e *Endpoint) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
 // crash begins the answer to a call and then closes the listener and all connections. It does
 // not return.
 func (e *Endpoint) crash(w http.ResponseWriter, call bluebellplatform.IncomingCall) {
--- a/bluebellsoak/bluebellchaos/check.go
+++ b/bluebellsoak/bluebellchaos/check.go
@@ -98,6 +98,17 @@
 	}
 }
 
+// checkOrders returns a finding for each order to load an older version of weights than the one before.
+func checkOrders(endpoint string, orders []bluebellstub.Order) []string {
+	var findings []string
+	for i, o := range orders {
+		if i > 0 && o.Version < orders[i-1].Version {
+			findings = append(findings, fmt.Sprintf("%s was ordered to load version %d of the weights after version %d", endpoint, o.Version, orders[i-1].Version))
+		}
+	}
+	return findings
+}
+
 // checkAnswered returns the findings on calls without an answer.
 func checkAnswered(outcomes []outcome, executions []execution, t *timeline, stopTimeout time.Duration) []string {
 	backends := map[string][]string{}
--- a/bluebellsoak/bluebellchaos/declaration.go
+++ b/bluebellsoak/bluebellchaos/declaration.go
@@ -55,7 +55,7 @@
 		},
 		Targets: []bluebelldeployment.Target{
 			{Name: "app", MaxConnections: 96},
-			{Name: "llm", MaxConnections: 96, Engine: &bluebelldeployment.Engine{Slots: 64, Tokens: 90_000, TokenBytes: 18_432, Models: []string{"m0"}}},
+			{Name: "llm", MaxConnections: 96, Engine: &bluebelldeployment.Engine{Slots: 64, Tokens: 90_000, TokenBytes: 18_432, Models: []string{model}}},
 		},
 		Customers: []bluebelldeployment.Customer{{Name: customerName, Keys: []string{customerKey}}},
 		Limits:    bluebelldeployment.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20},
--- a/bluebellsoak/bluebellchaos/load.go
+++ b/bluebellsoak/bluebellchaos/load.go
@@ -19,6 +19,9 @@
 	hostName     = "calls.example"
 	customerKey  = "key-of-a-customer"
 	customerName = "customer-1"
+	// model is the model that engines run, and initialWeights the version that they start with.
+	model          = "m0"
+	initialWeights = 1
 	// clientTimeout bounds a call on the client's side. It is a little longer than
 	// statedTimeout, the time limit that callers send with the call. The routes have the same limit.
 	clientTimeout = 2500 * time.Millisecond
@@ -108,7 +111,7 @@
 	}
 	r.Host = hostName
 	r.Header = bluebellplatform.CallerHeader(bluebellplatform.Call{
-		ID: o.id, Key: customerKey, TimeLeft: statedTimeout, Model: "m0", PromptTokens: 300, MaxOutputTokens: 5,
+		ID: o.id, Key: customerKey, TimeLeft: statedTimeout, Model: model, PromptTokens: 300, MaxOutputTokens: 5,
 		Blocks: append(slices.Clone(shared), bluebellplatform.Block{ID: o.id, Tokens: 100}),
 	})
 	return r, nil
--- a/bluebellsoak/bluebellchaos/operator.go
+++ b/bluebellsoak/bluebellchaos/operator.go
@@ -28,8 +28,11 @@
 	mu                  sync.Mutex
 	sentVersion         uint64
 	acknowledgedVersion uint64
-	reads               int
-	findings            []string
+	// namedWeights is the latest version of the weights of model m0 that was named, and acknowledgedWeights
+	// the latest one that was acknowledged.
+	namedWeights, acknowledgedWeights uint64
+	reads                             int
+	findings                          []string
 }
 
 func newOperator(controlAddresses []string, d declarations) *operator {
@@ -89,6 +92,31 @@
 	return false
 }
 
+// nameWeights names the next version of the weights of model m0 at the core process at address, and
+// reports whether that was acknowledged.
+func (o *operator) nameWeights(address string) bool {
+	o.mu.Lock()
+	o.namedWeights = max(o.namedWeights, initialWeights) + 1
+	version := o.namedWeights
+	o.mu.Unlock()
+	body, err := bluebellplatform.EncodeWeightsVersion(model, version)
+	if err != nil {
+		return false
+	}
+	response, err := o.request(address, bluebellplatform.Operation{Verb: bluebellplatform.NameWeights}, body)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.acknowledgedWeights = max(o.acknowledgedWeights, version)
+	return true
+}
+
 // takeOut takes a failure domain out of service after a delay, and reports whether that was
 // acknowledged before ctx ended.
 func (o *operator) takeOut(ctx context.Context, domain string, delay time.Duration) bool {
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -43,6 +43,10 @@
 	failureDomains = 3
 	outDomain      = 2
 	outTime        = 3 * time.Second
+	// weightsBound is the time from the acknowledgement of a version of weights until calls no longer begin on
+	// older ones, and weightsTimeout the time for it after recovery.
+	weightsBound   = 10 * time.Second
+	weightsTimeout = weightsBound + outTime
 	// spareEach is such that the last 2 of spareEach endpoints are of spare targets.
 	spareEach = 6
 	// releaseTimeout bounds the wait for the address of an endpoint that has stopped.
@@ -193,18 +197,25 @@
 	calls.Wait()
 	time.Sleep(settleTime)
 	d.readDeclarationBack()
+	d.awaitWeights()
 	if <-outAcknowledged {
 		d.checkOut(outFrom)
 	}
 }
 
-// killAllAfterAck kills all processes right after the acknowledgement of a declaration and starts them
-// again.
+// killAllAfterAck kills all processes right after the acknowledgement of a declaration and of a version
+// of weights, and starts them again.
 func (d *deployment) killAllAfterAck(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
-	for n := 0; ctx.Err() == nil && !d.operator.declare(d.controlAddresses[n%len(d.controlAddresses)]); n++ {
-		time.Sleep(meanOperatorPause)
+	changes := []func(address string) bool{d.operator.declare, d.operator.nameWeights}
+	if d.rng.IntN(2) == 0 {
+		slices.Reverse(changes)
+	}
+	for _, change := range changes {
+		for n := 0; ctx.Err() == nil && !change(d.controlAddresses[n%len(d.controlAddresses)]); n++ {
+			time.Sleep(meanOperatorPause)
+		}
 	}
 	d.timeline.note("all processes killed")
 	processes := append(slices.Clone(d.cores), d.gates...)
@@ -220,6 +231,22 @@
 	}
 }
 
+// awaitWeights waits until all engines have the acknowledged version of the weights, or a later one that
+// was named. It adds a finding for engines that do not get it within weightsTimeout.
+func (d *deployment) awaitWeights() {
+	deadline := time.Now().Add(weightsTimeout)
+	for _, b := range d.backends {
+		for b.index%2 == 1 && b.endpoint().Weights(model) < d.operator.acknowledgedWeights {
+			if time.Now().After(deadline) {
+				d.findings = append(d.findings, fmt.Sprintf("%s has version %d of the weights %v after recovery, version %d was acknowledged",
+					b.name(), b.endpoint().Weights(model), weightsTimeout, d.operator.acknowledgedWeights))
+				break
+			}
+			time.Sleep(meanOperatorPause)
+		}
+	}
+}
+
 // checkOut adds a finding if calls reached endpoints of the failure domain that is out of service.
 func (d *deployment) checkOut(from time.Time) {
 	for _, b := range d.backends {
@@ -290,7 +317,7 @@
 		"ControlAddress": fmt.Sprintf("%s:%d", address, controlPort), "PeerPort": peerPort,
 		"PeerListen": fmt.Sprintf("%s:%d", d.address(5, n), peerPort), "Seeds": d.controlAddresses, "Secret": secret,
 		"DataFolder": fmt.Sprintf("%s/core-%d", d.cfg.DataFolder, n), "Bootstrap": bootstrap, "TolerateLostVMs": (d.cfg.Cores - 1) / 2,
-		"Bounds": map[string]any{"OrderLeaseMillis": 3000, "WeightsMillis": 10000},
+		"Bounds": map[string]any{"OrderLeaseMillis": 3000, "WeightsMillis": weightsBound.Milliseconds()},
 	}
 }
 
@@ -328,7 +355,7 @@
 		"CallerAddress": fmt.Sprintf("%s:%d", address, callerPort), "ReadyAddress": fmt.Sprintf("%s:%d", address, readyPort),
 		"PeerPort": peerPort, "Seeds": d.controlAddresses, "Secret": secret,
 		"Bounds": map[string]any{
-			"Stop": d.stopTimeout().String(), "WeightsMillis": 10000, "RetryRatio": 0.2, "RetryWindow": "10s", "RetrySlack": 52,
+			"Stop": d.stopTimeout().String(), "WeightsMillis": weightsBound.Milliseconds(), "RetryRatio": 0.2, "RetryWindow": "10s", "RetrySlack": 52,
 			"ColdFactor": 1.5, "ColdSlack": 5,
 		},
 	})
@@ -367,7 +394,7 @@
 	b.starts++
 	weights := map[string]uint64{}
 	if b.index%2 == 1 {
-		weights["m0"] = 1
+		weights[model] = initialWeights
 	}
 	e, err := startStub(bluebellstub.Config{
 		ID: fmt.Sprintf("i-%d-%d", b.index, b.starts), Target: b.target, FailureDomain: failureDomain(b.index),
@@ -495,6 +522,7 @@
 			for _, r := range e.Runs() {
 				executions = append(executions, execution{endpoint: r.Call.Endpoint, backend: b.name(), Run: r})
 			}
+			d.findings = append(d.findings, checkOrders(b.name(), e.Orders())...)
 		}
 	}
 	for _, p := range append(append([]*process(nil), d.cores...), d.gates...) {
