--- a/bluebellsoak/bluebellchaos/faults.go
+++ b/bluebellsoak/bluebellchaos/faults.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -29,6 +31,8 @@
 	// time between signals of a series.
 	startingTime = 100 * time.Millisecond
 	signalGap    = 40 * time.Millisecond
+	// slowedPause is how long a process that is slowed is suspended at a time.
+	slowedPause = 20 * time.Millisecond
 	// drainTime is how long an endpoint that leaves serves calls after it has said so.
 	drainTime = 2500 * time.Millisecond
 	// turnGates bounds the gates that are restarted in turn, and turnHold is how long each is down.
@@ -54,6 +58,7 @@
 	{"gate killed", false, func(d *deployment, n int, hold time.Duration) error { return d.restartGate(n, syscall.SIGKILL, hold) }},
 	{"gate stopped", false, func(d *deployment, n int, hold time.Duration) error { return d.restartGate(n, syscall.SIGTERM, hold) }},
 	{"gate paused", false, func(d *deployment, n int, hold time.Duration) error { return d.pauseGate(n, hold) }},
+	{"gate slowed", false, func(d *deployment, n int, hold time.Duration) error { return slowDown(d.gate(n), hold) }},
 	{"gate reloads", false, func(d *deployment, n int, _ time.Duration) error { d.gate(n).signal(syscall.SIGHUP); return nil }},
 	{"endpoint crashes", false, crashEndpoint},
 	{"endpoint misbehaves", false, makeEndpointMisbehave},
@@ -61,8 +66,8 @@
 	{"gate stopped while it starts", false, stopStartingGate},
 	{"gate stopped by several signals", false, stopGateRepeatedly},
 	{"gates restarted in turn", false, restartGatesInTurn},
-	{"gate reloads in series", false, func(d *deployment, n int, hold time.Duration) error { return reloadRepeatedly(d.gate(n), n, hold) }},
-	{"core reloads in series", false, func(d *deployment, n int, hold time.Duration) error { return reloadRepeatedly(d.core(n), n, hold) }},
+	{"gate reloads in series", false, func(d *deployment, n int, hold time.Duration) error { return d.reloadRepeatedly(d.gate(n), n, hold) }},
+	{"core reloads in series", false, func(d *deployment, n int, hold time.Duration) error { return d.reloadRepeatedly(d.core(n), n, hold) }},
 	{"endpoints silent for a second", false, silenceEndpoints},
 	{"endpoints pause in their answers", false, pauseAnswers},
 	{"endpoint leaves", false, removeEndpoint},
@@ -186,11 +191,30 @@
 	return nil
 }
 
-// reloadRepeatedly sends SIGHUP to a process again and again for the time hold.
-func reloadRepeatedly(p *process, n int, hold time.Duration) error {
+// reloadRepeatedly changes the order of the seeds in the settings of a process and sends it SIGHUP, again
+// and again for the time hold.
+func (d *deployment) reloadRepeatedly(p *process, n int, hold time.Duration) error {
+	rng := rand.New(rand.NewPCG(d.cfg.Seed, uint64(n)))
 	for deadline := time.Now().Add(hold); time.Now().Before(deadline); {
+		seeds := slices.Clone(d.controlAddresses)
+		rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+		if err := p.changeSettings("Seeds", seeds); err != nil {
+			return err
+		}
 		p.signalServing(syscall.SIGHUP)
-		time.Sleep(time.Duration(n)*signalGap/1000 + time.Millisecond)
+		time.Sleep(time.Duration(rng.Int64N(int64(2 * signalGap))))
+	}
+	return nil
+}
+
+// slowDown suspends a process for short times again and again for the time hold, and so leaves it about
+// a third of its processor time.
+func slowDown(p *process, hold time.Duration) error {
+	for deadline := time.Now().Add(hold); time.Now().Before(deadline); {
+		if err := pause(p, slowedPause); err != nil {
+			return err
+		}
+		time.Sleep(slowedPause / 2)
 	}
 	return nil
 }
--- a/bluebellsoak/bluebellchaos/process.go
+++ b/bluebellsoak/bluebellchaos/process.go
@@ -24,6 +24,8 @@
 	name     string
 	program  string
 	settings string
+	// values is the content of the settings file.
+	values map[string]any
 	// data is the data folder of a core process; gates have none.
 	data string
 	// address is one on which the process listens once it serves.
@@ -47,21 +49,39 @@
 
 // newProcess writes the settings file of a process and creates its log file.
 func newProcess(cfg Config, name, program, address string, settings map[string]any) (*process, error) {
-	text, err := json.MarshalIndent(settings, "", "  ")
-	if err != nil {
-		return nil, err
-	}
 	p := &process{
-		name: name, program: filepath.Join(cfg.ProgramFolder, program), settings: filepath.Join(cfg.DataFolder, name+".jsonc"),
+		name: name, program: filepath.Join(cfg.ProgramFolder, program), settings: filepath.Join(cfg.DataFolder, name+".jsonc"), values: settings,
 		data: filepath.Join(cfg.DataFolder, name), address: address,
 	}
-	if err := os.WriteFile(p.settings, text, 0o600); err != nil {
+	if err := p.writeSettings(); err != nil {
 		return nil, err
 	}
+	var err error
 	p.logFile, err = os.Create(filepath.Join(cfg.DataFolder, name+".log"))
 	return p, err
 }
 
+// writeSettings replaces the settings file.
+func (p *process) writeSettings() error {
+	text, err := json.MarshalIndent(p.values, "", "  ")
+	if err != nil {
+		return err
+	}
+	next := p.settings + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, p.settings)
+}
+
+// changeSettings changes one setting in the settings file.
+func (p *process) changeSettings(name string, value any) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.values[name] = value
+	return p.writeSettings()
+}
+
 // start starts the program unless it is running.
 func (p *process) start() error {
 	p.mu.Lock()
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -280,7 +280,7 @@
 	}
 	d.controlAddresses = addresses
 	for n := range d.cfg.Cores {
-		if err := d.addCore(n, true); err != nil {
+		if err := d.addCore(n); err != nil {
 			return err
 		}
 	}
@@ -309,21 +309,21 @@
 	return nil
 }
 
-// coreSettings returns the settings of a core process.
-func (d *deployment) coreSettings(n int, bootstrap bool) map[string]any {
+// coreSettings returns the settings of a core process at the first start of the deployment.
+func (d *deployment) coreSettings(n int) map[string]any {
 	address := d.address(1, n)
 	return map[string]any{
 		"Name": fmt.Sprint("core-", n), "FailureDomain": failureDomain(n), "Address": address,
 		"ControlAddress": fmt.Sprintf("%s:%d", address, controlPort), "PeerPort": peerPort,
 		"PeerListen": fmt.Sprintf("%s:%d", d.address(5, n), peerPort), "Seeds": d.controlAddresses, "Secret": secret,
-		"DataFolder": fmt.Sprintf("%s/core-%d", d.cfg.DataFolder, n), "Bootstrap": bootstrap, "TolerateLostVMs": (d.cfg.Cores - 1) / 2,
+		"DataFolder": fmt.Sprintf("%s/core-%d", d.cfg.DataFolder, n), "Bootstrap": true, "TolerateLostVMs": (d.cfg.Cores - 1) / 2,
 		"Bounds": map[string]any{"OrderLeaseMillis": 3000, "WeightsMillis": weightsBound.Milliseconds()},
 	}
 }
 
 // addCore starts a core process with a proxy in front of its peer listener.
-func (d *deployment) addCore(n int, bootstrap bool) error {
-	p, err := newProcess(d.cfg, fmt.Sprint("core-", n), "bluebellcore", d.controlAddresses[n], d.coreSettings(n, bootstrap))
+func (d *deployment) addCore(n int) error {
+	p, err := newProcess(d.cfg, fmt.Sprint("core-", n), "bluebellcore", d.controlAddresses[n], d.coreSettings(n))
 	if err != nil {
 		return err
 	}
@@ -369,15 +369,8 @@
 // disableBootstrap rewrites the settings of the core processes so that a process started from now
 // on joins the existing deployment instead of bootstrapping a new one.
 func (d *deployment) disableBootstrap() error {
-	for n, p := range d.cores {
-		joining, err := newProcess(d.cfg, "next-"+p.name, "bluebellcore", d.controlAddresses[n], d.coreSettings(n, false))
-		if err != nil {
-			return err
-		}
-		if err := os.Rename(joining.settings, p.settings); err != nil {
-			return err
-		}
-		if err := joining.logFile.Close(); err != nil {
+	for _, p := range d.cores {
+		if err := p.changeSettings("Bootstrap", false); err != nil {
 			return err
 		}
 	}
