Answer calls that a stopping entry accepts before its stop ends

A caller whose call arrived during a planned stop lost its connection without an answer when no endpoint had answered by the end of the stop.

The deadline of calls that arrive during a stop is now 0.1 s before its end at the latest. They are refused or fail with an answer, and endpoints are told the time that is really left. Calls that arrived before the stop and have no answer by its end are still cut.

TestCallAcceptedWhileStoppingIsAnsweredBeforeTheEnd failed before (EOF) and passes.

--- a/bluebellgate/internal/bluebellfrontend/frontend.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend.go
@@ -69,6 +69,9 @@
 	stopMargin = 500 * time.Millisecond
 	// stopPollInterval is how often a stopping entry closes the connections that have become idle.
 	stopPollInterval = 10 * time.Millisecond
+	// stopAnswerTime is the time that is reserved before that for answers to calls that no endpoint has
+	// answered.
+	stopAnswerTime = 100 * time.Millisecond
 	// readyTimeout limits reading the header of a health check.
 	readyTimeout = 2 * time.Second
 )
@@ -116,6 +119,8 @@
 	// stopping is set when a planned stop begins: the health check fails and connections close
 	// after their next response. closed is set when new calls are refused as well.
 	stopping, closed atomic.Bool
+	// stopBy is when open calls are aborted, nil before a planned stop.
+	stopBy atomic.Pointer[time.Time]
 }
 
 // New returns a Frontend that does not serve yet.
@@ -174,10 +179,11 @@
 // its next response move callers to other entries. Accepted calls are finished; those that are
 // not finished by StopTimeout less stopMargin are aborted.
 func (f *Frontend) stop(callers net.Listener) error {
+	stopBy := time.Now().Add(f.cfg.StopTimeout - stopMargin)
+	f.stopBy.Store(&stopBy)
 	f.stopping.Store(true)
 	f.cfg.Logger.Info("planned stop started", "Within", f.cfg.StopTimeout)
 	delay := min(stopAcceptDelay, f.cfg.StopTimeout/2)
-	stopBy := time.Now().Add(f.cfg.StopTimeout - stopMargin)
 	time.Sleep(delay)
 	f.closed.Store(true)
 	// While calls are being finished, new connections are accepted and their calls refused, since the
@@ -295,7 +301,7 @@
 	request := &bluebellrelay.Request{
 		Call: call, Route: route, Method: r.Method, URI: uri, Host: r.Host, Header: r.Header,
 		Target: routing.Deployment.Target(route.TargetFor(f.cfg.Random())), Revision: routing.Revision,
-		Deadline: start.Add(callTimeout(call.TimeLeft, route.Timeout)),
+		Deadline: f.deadline(start.Add(callTimeout(call.TimeLeft, route.Timeout))),
 	}
 	if routing.Deployment.RequiresKeys() && !route.Public {
 		if request.Customer = routing.Deployment.CustomerByKey(call.Key); request.Customer == nil {
@@ -325,6 +331,15 @@
 	return host
 }
 
+// deadline returns the deadline of a call: latest, or a little before the end of a planned stop that has
+// begun.
+func (f *Frontend) deadline(latest time.Time) time.Time {
+	if by := f.stopBy.Load(); by != nil && by.Add(-stopAnswerTime).Before(latest) {
+		return by.Add(-stopAnswerTime)
+	}
+	return latest
+}
+
 // callTimeout returns the time limit of a call: the shorter of left, which is the time that the
 // caller still waits (0 if not given), and the timeout of the route.
 func callTimeout(left, timeout time.Duration) time.Duration {
--- a/bluebellgate/internal/bluebellfrontend/stop_test.go
+++ b/bluebellgate/internal/bluebellfrontend/stop_test.go
@@ -73,3 +73,20 @@
 	require.NoError(t, <-e.ended)
 	require.Len(t, e.runs(), 1)
 }
+
+// A stopping entry has less time than the caller of a call that it still accepts. If no endpoint answers
+// until then, the caller is told so instead of losing its connection.
+func TestCallAcceptedWhileStoppingIsAnsweredBeforeTheEnd(t *testing.T) {
+	e := startEntry(t, 1)
+	e.behave(bluebellstub.Unresponsive)
+	e.stop()
+	stopped := time.Now()
+	time.Sleep(100 * time.Millisecond)
+	c := e.send(http.MethodPost, "/slow/x", "order", bluebellplatform.Call{Key: "k", TimeLeft: testTimeout})
+	require.NoError(t, c.err)
+	require.Equal(t, http.StatusGatewayTimeout, c.status)
+	require.True(t, c.closes)
+	require.Less(t, time.Since(stopped), 8*time.Second)
+	require.Greater(t, time.Since(stopped), 8*time.Second*5/6, "the endpoint has nearly all of the time")
+	require.NoError(t, <-e.ended)
+}
