--- a/bluebellgate/internal/bluebellfrontend/frontend.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend.go
@@ -66,7 +66,7 @@
 	stoppingRetryAfter = 50 * time.Millisecond
 	// stopMargin is the last part of the stop timeout, in which calls that are still open are
 	// aborted.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 400 * time.Millisecond
 	// stopPollInterval is how often a stopping entry closes the connections that have become idle.
 	stopPollInterval = 10 * time.Millisecond
 	// stopAnswerTime is the time that is reserved before that for answers to calls that no endpoint has
