Probe the gates of the soak in rounds

With 150 gates, 1,500 calls one after the other took longer than the 20 s in which a deployment must serve. Each round now calls all gates, 8 at a time; ten rounds in succession must be served, as many calls as before.

--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -11,10 +11,12 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"bluebellhaven.org/bluebellfake/bluebellstub"
 	"bluebellhaven.org/bluebellsoak/bluebellanswer"
@@ -35,6 +37,8 @@
 	// servedPerGate is the number of calls for each gate that must be served in succession until
 	// the deployment counts as serving.
 	servedPerGate = 10
+	// concurrentProbes is the number of these calls that are made at a time.
+	concurrentProbes = 8
 	// minCallers is the least number of callers. With more gates than that there is one for each, and all
 	// together make as many calls.
 	minCallers = 30
@@ -451,28 +455,37 @@
 	}
 }
 
-// waitUntilServing makes calls through the gates in turn until servedPerGate calls for each gate
-// are served in succession, and reports whether that happens within timeout. With declare set, it
-// also sends a declaration at first and after each call that is not served.
+// waitUntilServing makes rounds of a call through each gate until all calls of servedPerGate rounds are
+// served in succession, and reports whether that happens within timeout. With declare set, it also sends
+// a declaration at first and after each round in which a call is not served.
 func (d *deployment) waitUntilServing(ctx context.Context, timeout time.Duration, declare bool) bool {
 	deadline := time.Now().Add(timeout)
-	consecutive, n := 0, 0
-	for consecutive < servedPerGate*len(d.callers.gates) && time.Now().Before(deadline) && ctx.Err() == nil {
+	consecutive := 0
+	for n := 0; consecutive < servedPerGate && time.Now().Before(deadline) && ctx.Err() == nil; n++ {
 		if declare && consecutive == 0 {
 			d.operator.declare(d.controlAddresses[n%len(d.controlAddresses)])
 		}
-		n++
-		o := d.probe(ctx, n%len(d.callers.gates), fmt.Sprintf("probe-%v-%d", declare, n))
-		d.callers.mu.Lock()
-		d.callers.outcomes = append(d.callers.outcomes, o)
-		d.callers.mu.Unlock()
+		var failed atomic.Bool
+		probes := pool.New().WithMaxGoroutines(concurrentProbes)
+		for gate := range d.callers.gates {
+			probes.Go(func() {
+				o := d.probe(ctx, gate, fmt.Sprintf("probe-%v-%d-%d", declare, n, gate))
+				d.callers.mu.Lock()
+				d.callers.outcomes = append(d.callers.outcomes, o)
+				d.callers.mu.Unlock()
+				if o.status != http.StatusOK || !o.complete {
+					failed.Store(true)
+				}
+			})
+		}
+		probes.Wait()
 		consecutive++
-		if o.status != http.StatusOK || !o.complete {
+		if failed.Load() {
 			consecutive = 0
 			time.Sleep(meanCallPause)
 		}
 	}
-	return consecutive >= servedPerGate*len(d.callers.gates)
+	return consecutive >= servedPerGate
 }
 
 // probe makes an idempotent call on a new connection.
