--- a/bluebell/bluebelllink/link.go
+++ b/bluebell/bluebelllink/link.go
@@ -209,15 +209,25 @@
 		return
 	}
 	l.listed = list
-	isNew := func(e Endpoint) bool { return !slices.Contains(l.endpoints, e) }
-	isGone := func(e Endpoint) bool { return !slices.Contains(list, e) }
-	added := slices.Clone(list)
-	if added = slices.DeleteFunc(added, func(e Endpoint) bool { return !isNew(e) }); len(added) > 0 {
-		l.probed = 0
+	isListed, wasListed, ids := map[Endpoint]bool{}, map[Endpoint]bool{}, map[string]bool{}
+	for _, e := range l.endpoints {
+		wasListed[e] = true
+	}
+	var added, kept []Endpoint
+	for _, e := range list {
+		isListed[e], ids[e.ID] = true, true
+		if !wasListed[e] {
+			added, l.probed = append(added, e), 0
+		}
+	}
+	for _, e := range l.endpoints {
+		if isListed[e] {
+			kept = append(kept, e)
+		}
 	}
-	l.endpoints = append(t.probeOrder(added), slices.DeleteFunc(slices.Clone(l.endpoints), isGone)...)
+	l.endpoints = append(t.probeOrder(added), kept...)
 	for id := range l.failed {
-		if !slices.ContainsFunc(list, func(e Endpoint) bool { return e.ID == id }) {
+		if !ids[id] {
 			delete(l.failed, id)
 		}
 	}
