--- a/bluebellgate/internal/bluebellgateway/cluster_test.go
+++ b/bluebellgate/internal/bluebellgateway/cluster_test.go
@@ -26,6 +26,7 @@
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellpeer"
 	"bluebellhaven.org/bluebell/bluebellprocess"
+	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebellfake/bluebellstub"
 	"bluebellhaven.org/bluebellgate/internal/bluebellgateway"
 	"bluebellhaven.org/platform/bluebellplatform"
@@ -66,6 +67,8 @@
 	endpoints []*bluebellstub.Endpoint
 	gates     []*gate
 	calls     atomic.Int64
+	// suspects has what entries report of calls that may crash endpoints.
+	suspects *bluebellquarantine.Ledger
 	// others are addresses of further endpoints that the test has registered.
 	others []string
 }
@@ -84,12 +87,12 @@
 // by startGate.
 func startCluster(t *testing.T, endpoints int) *cluster {
 	t.Helper()
-	c := &cluster{t: t, port: freePort(t), coreHost: newHost(), started: time.Now()}
+	c := &cluster{t: t, port: freePort(t), coreHost: newHost(), started: time.Now(), suspects: bluebellquarantine.NewLedger()}
 	c.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: c.now})
 	coreAddress := bluebellprocess.HostPort(c.coreHost, c.port)
 	c.core = bluebellfeed.NewSource(bluebellfeed.SourceConfig{
 		Registry: c.registry, Directory: bluebelldirectory.New(), Epoch: 1, Cores: func() []string { return []string{coreAddress} },
-		Now: c.now, After: time.After,
+		Suspects: c.suspects, Now: c.now, After: time.After,
 	})
 	c.core.SetDeployment(1, &pb.Deployment{Version: 1, Document: declaration(t)})
 	for i := range endpoints {
@@ -176,7 +179,7 @@
 	client  *http.Client
 	cut     atomic.Int32
 	mu      sync.Mutex
-	open    []net.Conn
+	open    []*cuttableConn
 	// coreCut is set if core processes cannot be reached; toCore are the connections to them.
 	coreCut bool
 	toCore  []net.Conn
@@ -227,6 +230,7 @@
 	g.cut.Store(int32(k))
 	if k == reset {
 		for _, conn := range g.open {
+			conn.reset.Store(true)
 			_ = conn.Close()
 		}
 		g.open = nil
@@ -286,11 +290,11 @@
 	}
 }
 
-// cuttableConn loses what is sent while its entry's connections hang.
+// cuttableConn loses what is sent while its entry's connections hang, and fails once it was reset.
 type cuttableConn struct {
 	net.Conn
-	gate *gate
-	lost atomic.Bool
+	gate        *gate
+	lost, reset atomic.Bool
 }
 
 func (c *cuttableConn) hangs() bool {
@@ -303,6 +307,9 @@
 func (c *cuttableConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		if err != nil && c.reset.Load() {
+			return n, syscall.ECONNRESET
+		}
 		if err != nil || !c.hangs() {
 			return n, err
 		}
--- a/bluebellgate/internal/bluebellgateway/handover_test.go
+++ b/bluebellgate/internal/bluebellgateway/handover_test.go
@@ -537,3 +537,37 @@
 		require.True(t, got.whole(), "%d %v", got.status, got.err)
 	}
 }
+
+// Connections that an entry loses with its links, and those to helpers, accuse no call of crashing
+// endpoints. A crash that a helper sees does.
+func TestLostLinksAccuseNoCall(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 3)
+	a := c.startGate("a")
+	c.startGate("b")
+	c.fakeHelper(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		panic(http.ErrAbortHandler)
+	})
+	for range 4 {
+		c.behave(bluebellstub.Unresponsive)
+		var wait sync.WaitGroup
+		for range 3 {
+			wait.Go(func() { a.do(http.MethodPost, "/read/x", "suspect") })
+		}
+		require.Eventually(t, func() bool { return c.activeCalls() >= 3 }, testTimeout, time.Millisecond)
+		a.setCut(reset)
+		c.behave(bluebellstub.Normal)
+		wait.Wait()
+		time.Sleep(300 * time.Millisecond)
+		a.setCut(connected)
+		time.Sleep(time.Second)
+	}
+	require.Empty(t, c.suspects.Suspects(c.now()))
+	client := peerClient(secret)
+	c.behave(bluebellstub.Truncating)
+	_, result, err := c.offerTo(c.gates[1], client, bluebellhandover.Offer{Revision: 1, Target: "app", TimeLeft: time.Second}, "k", "/once/x")
+	require.NoError(t, err)
+	require.Equal(t, bluebellhandover.Failed, result.Outcome)
+	require.Eventually(t, func() bool { return len(c.suspects.Suspects(c.now())) == 1 }, testTimeout, 10*time.Millisecond)
+}
