Check links with endpoints that are open to calls

The tracker of links chose endpoints by its own rules. An entry that registers as an endpoint, or an endpoint that loads weights, could keep links from being lost, or end the loss, although no call could be sent there. The placer now names the endpoints.

--- a/bluebell/bluebellplacement/health.go
+++ b/bluebell/bluebellplacement/health.go
@@ -84,6 +84,23 @@
 	return p.cfg.Links(target)
 }
 
+// OpenEndpoints returns the endpoints of each target that are open to calls, in the order of Fleet.
+func (p *Placer) OpenEndpoints() map[string][]bluebelllink.Endpoint {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	open := make(map[string][]bluebelllink.Endpoint, len(p.targets))
+	for name, t := range p.targets {
+		for i := range t.members {
+			if m := &t.members[i]; m.open {
+				open[name] = append(open[name], bluebelllink.Endpoint{
+					ID: m.endpoint.ID, Address: m.endpoint.Address, FailureDomain: m.endpoint.FailureDomain, StartUnixMillis: m.endpoint.StartUnixMillis,
+				})
+			}
+		}
+	}
+	return open
+}
+
 // ForgetFailures forgets all failures of the endpoints of a target, which were failures of this
 // entry's links.
 func (p *Placer) ForgetFailures(target string) {
--- a/bluebell/bluebellplacement/links_test.go
+++ b/bluebell/bluebellplacement/links_test.go
@@ -93,3 +93,23 @@
 	require.Len(t, picked, 3)
 	p.ForgetFailures("unknown")
 }
+
+// Links are checked with endpoints that are open to calls. An entry that registers as an endpoint is none:
+// connections to it say nothing about the links.
+func TestLinksAreThoseToOpenEndpoints(t *testing.T) {
+	p := bluebellplacement.New(bluebellplacement.Config{Self: "10.0.0.1:7700", CallerPort: "8005"})
+	endpoint := func(id, domain, address string, state bluebellfleet.State) bluebellfleet.Endpoint {
+		return bluebellfleet.Endpoint{ID: id, Target: "app", FailureDomain: domain, Address: address, State: state, StartUnixMillis: 7}
+	}
+	p.Update(bluebellplacement.Fleet{
+		Entries: []string{"10.0.0.1:7700", "10.0.0.2:7700"}, DomainsOut: []string{"out"}, Loading: []string{"loads"},
+		Endpoints: []bluebellfleet.Endpoint{
+			endpoint("drains", "a", "10.0.1.1:1", bluebellfleet.Draining), endpoint("entry", "a", "10.0.0.2:8005", bluebellfleet.Serving),
+			endpoint("loads", "a", "10.0.1.2:1", bluebellfleet.Serving), endpoint("open", "a", "10.0.1.3:1", bluebellfleet.Serving),
+			endpoint("out", "out", "10.0.1.4:1", bluebellfleet.Serving),
+		},
+	})
+	require.Equal(t, map[string][]bluebelllink.Endpoint{
+		"app": {{ID: "open", Address: "10.0.1.3:1", FailureDomain: "a", StartUnixMillis: 7}},
+	}, p.OpenEndpoints())
+}
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -322,7 +322,7 @@
 		}
 	}
 	g.placer.Update(fleet)
-	g.updateLinks(endpoints)
+	g.updateLinks()
 	g.guard.SetAlone(!g.follower.KnowsLeader())
 	addresses := make(map[string]bool, len(endpoints))
 	for _, e := range endpoints {
--- a/bluebellgate/internal/bluebellgateway/links.go
+++ b/bluebellgate/internal/bluebellgateway/links.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"bluebellhaven.org/bluebell/bluebellfeed"
-	"bluebellhaven.org/bluebell/bluebellfleet"
 	"bluebellhaven.org/bluebell/bluebelllink"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellpeer"
@@ -71,19 +70,9 @@
 		"Helpers", g.helpers.Available(c.Target))
 }
 
-// updateLinks passes the endpoints to which calls may be sent to the tracker of links. g.mu must be held.
-func (g *Gateway) updateLinks(endpoints []bluebellfleet.Endpoint) {
-	open := map[string][]bluebelllink.Endpoint{}
-	for i := range endpoints {
-		e := &endpoints[i]
-		if e.State != bluebellfleet.Serving || slices.Contains(g.deployment.GetDomainsOut(), e.FailureDomain) {
-			continue
-		}
-		open[e.Target] = append(open[e.Target], bluebelllink.Endpoint{
-			ID: e.ID, Address: e.Address, FailureDomain: e.FailureDomain, StartUnixMillis: e.StartUnixMillis,
-		})
-	}
-	g.links.Update(g.now(), open)
+// updateLinks passes the endpoints to which calls may be sent to the tracker of links.
+func (g *Gateway) updateLinks() {
+	g.links.Update(g.now(), g.placer.OpenEndpoints())
 	entries := map[string]bool{}
 	for _, e := range g.follower.OtherEntries() {
 		entries[e.Address] = true
