Hand calls over to entries that have slots of brittle endpoints

Callers of entries without a share of the slots of brittle endpoints were refused, as many as all calls of those entries, although other entries had slots left. Limits named by endpoints have the same gap, which stays (docs/PLATFORM.md).

Such a call is now handed over to one of the entries that the placer names as having a share, in the same way and with the same bounds as for lost links.

--- a/bluebellgate/internal/bluebellhandover/doc.go
+++ b/bluebellgate/internal/bluebellhandover/doc.go
@@ -11,7 +11,7 @@
 //
 // The origin:
 //
-//	helper, ok := helpers.Pick(target, asked)
+//	helper, ok := helpers.Pick(target, asked, nil)
 //	offer.Encode(header)
 //	result, err := bluebellhandover.DecodeResult(answerHeader)
 //
--- a/bluebellgate/internal/bluebellhandover/handover_test.go
+++ b/bluebellgate/internal/bluebellhandover/handover_test.go
@@ -104,7 +104,7 @@
 func (w *world) picks(asked ...string) map[string]int {
 	counts := map[string]int{}
 	for w.random = 0; w.random < 1; w.random += 1. / 64 {
-		if entry, ok := w.helpers.Pick("app", asked); ok {
+		if entry, ok := w.helpers.Pick("app", asked, nil); ok {
 			counts[entry]++
 		}
 	}
@@ -117,7 +117,7 @@
 	require.Equal(t, map[string]int{"b/1": 16, "b/2": 16, "c/1": 16, "c/2": 16}, w.picks())
 	require.Equal(t, map[string]int{"c/2": 64}, w.picks("b/1", "b/2", "c/1"))
 	require.Empty(t, w.picks("b/1", "b/2", "c/1", "c/2"))
-	entry, ok := w.helpers.Pick("llm", nil)
+	entry, ok := w.helpers.Pick("llm", nil, nil)
 	require.True(t, ok)
 	require.NotEmpty(t, entry, "a loss concerns one target")
 }
@@ -165,7 +165,7 @@
 	counts := map[string]int{}
 	for i := range 94 {
 		w.random = (float64(i) + 0.5) / 94
-		entry, ok := w.helpers.Pick("app", nil)
+		entry, ok := w.helpers.Pick("app", nil, nil)
 		require.True(t, ok)
 		counts[entry]++
 	}
--- a/bluebellgate/internal/bluebellhandover/helpers.go
+++ b/bluebellgate/internal/bluebellhandover/helpers.go
@@ -43,12 +43,14 @@
 
 // Pick returns an entry that may run a call of a target and is not among those asked. It is a random
 // one, so that the calls of many origins spread over all helpers. Entries of the own failure domain are
-// preferred if there are enough of them.
-func (h *Helpers) Pick(target string, asked []string) (entry string, ok bool) {
+// preferred if there are enough of them. If holders are given, it is one of them.
+func (h *Helpers) Pick(target string, asked, holders []string) (entry string, ok bool) {
 	candidates, near := h.candidates(target)
-	isAsked := func(e bluebellfeed.EntryState) bool { return slices.Contains(asked, e.Address) }
+	excluded := func(e bluebellfeed.EntryState) bool {
+		return slices.Contains(asked, e.Address) || len(holders) > 0 && !slices.Contains(holders, e.Address)
+	}
 	for _, list := range [][]bluebellfeed.EntryState{near, candidates} {
-		list = slices.DeleteFunc(slices.Clone(list), isAsked)
+		list = slices.DeleteFunc(slices.Clone(list), excluded)
 		if len(list) > 0 {
 			return list[min(int(h.cfg.Random()*float64(len(list))), len(list)-1)].Address, true
 		}
--- a/bluebellgate/internal/bluebellrelay/handover.go
+++ b/bluebellgate/internal/bluebellrelay/handover.go
@@ -94,11 +94,12 @@
 		(c.helperReserved || len(c.unopened) >= maxUnopened || c.linkState() == bluebelllink.Lost)
 }
 
-// needsHelper reports whether no endpoint was picked because of this entry's links, or perhaps because of
-// them: connections could not be opened, and the endpoints have all failed or been tried.
+// needsHelper reports whether no endpoint was picked because only other entries have a share of the
+// endpoints' slots, because of this entry's links, or perhaps because of them: connections could not be
+// opened, and the endpoints have all failed or been tried.
 func (c *activeCall) needsHelper(result bluebellplacement.PickResult) bool {
 	switch result {
-	case bluebellplacement.LinksLost:
+	case bluebellplacement.LinksLost, bluebellplacement.AllShared:
 		return true
 	case bluebellplacement.AllSuspect, bluebellplacement.AllUnfit:
 		return len(c.unopened) > 0 || c.linkState() == bluebelllink.Checking
@@ -139,7 +140,7 @@
 	defer func() { c.helper = "" }()
 	var asked []string
 	for len(asked) < maxHelpers && ctx.Err() == nil && c.timeLeft()-handoverMargin >= minTimeLeft {
-		helper, ok := cfg.Handover.Helpers.Pick(c.request.Target.Name, asked)
+		helper, ok := cfg.Handover.Helpers.Pick(c.request.Target.Name, asked, c.holders)
 		if !ok {
 			break
 		}
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -101,6 +101,8 @@
 	// set if the next attempt is reserved for another entry.
 	reserved       *bluebellplacement.Choice
 	helperReserved bool
+	// holders are the entries that have a share of the endpoints' slots, set if only they have one.
+	holders []string
 	// helper is the address of the entry that makes the current attempt, "" if it is this one.
 	helper string
 	// unopened holds the IDs of the endpoints to which no connection could be opened, unheard those of
@@ -302,6 +304,7 @@
 	if !c.prefersHelper() {
 		choice, result = c.nextEndpoint(ctx)
 	}
+	c.holders = choice.Holders
 	if c.needsHelper(result) {
 		if result, taken := c.handOver(ctx); taken {
 			return result
