Refuse calls before their bodies arrive

A call that no deployment or entry could serve (401, 404, 503 while starting or stopping) was told so only when its body had arrived, or not at all if the caller never sent the rest; its connection then stayed open for good, and a planned stop waited for it.

The HTTP server reads up to 256 KiB of an unread body before it sends an answer, without a deadline. The connection of such a call is now closed behind the answer, for which the server reads no body first, and stays open for the rest for 2 s at most. Bodies of up to 4 KiB, which mostly come with the header, are read as before, so that their connections are kept.

TestCallIsRefusedBeforeItsBodyArrives failed before (no answer within 1 s, connection open after 10 s) and passes.

--- a/bluebellgate/internal/bluebellfrontend/bodies_test.go
+++ b/bluebellgate/internal/bluebellfrontend/bodies_test.go
@@ -64,3 +64,28 @@
 	}
 	require.Equal(t, http.StatusRequestEntityTooLarge, e.do(http.MethodPost, "/once/x", strings.Repeat("x", size+1)).status)
 }
+
+// A call that is refused before its body has arrived gets its answer at once.
+func TestCallIsRefusedBeforeItsBodyArrives(t *testing.T) {
+	e := startEntry(t, 1)
+	for name, framing := range map[string]string{
+		"Length": "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 10_000), "Chunks": "Transfer-Encoding: chunked\r\n\r\n3e8\r\n" + strings.Repeat("x", 500),
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := e.sendRaw(t, head("/nowhere/x", "call")+framing)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+			reader := bufio.NewReader(conn)
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusNotFound, response.StatusCode)
+			require.True(t, response.Close)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(testTimeout)))
+			_, err = reader.ReadByte()
+			require.ErrorIs(t, err, io.EOF, "the rest of the body is not awaited for ever")
+		})
+	}
+	conn := e.sendRaw(t, head("/nowhere/x", "call")+"Content-Length: 5\r\n\r\norder")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.False(t, response.Close, "the connection of a call with a short body is kept")
+}
--- a/bluebellgate/internal/bluebellfrontend/frontend.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend.go
@@ -57,6 +57,12 @@
 	// fullRetryAfter is the retry delay sent to callers while the bodies of other calls take all the
 	// memory for bodies.
 	fullRetryAfter = 500 * time.Millisecond
+	// maxAwaitedBytes is the length of the body up to which a refused call's connection is kept. Such a
+	// body mostly arrives with its header.
+	maxAwaitedBytes = 4 << 10
+	// refusedBodyTimeout is how long the connection of a refused call stays open for the rest of a
+	// longer body, so that the caller reads the answer before the connection is reset.
+	refusedBodyTimeout = 2 * time.Second
 	// stopAcceptDelay is how long a stopping entry still accepts calls after its health check
 	// fails. The load balancer checks each second and removes an entry after two failures. A
 	// call accepted later might not finish before the stop ends.
@@ -275,6 +281,13 @@
 	for name, values := range bluebellplatform.RefusalHeader(call.ID, refused.retryAfter) {
 		w.Header()[name] = values
 	}
+	if r.ContentLength < 0 || r.ContentLength > maxAwaitedBytes {
+		// The HTTP server would read the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTimeout)); err != nil {
+			f.cfg.Logger.Warn("read deadline of a refused call not set", "Call", call.ID, "Error", err)
+		}
+	}
 	f.cfg.CountStatus(refused.status)
 	w.WriteHeader(refused.status)
 	f.cfg.Logger.Info("call refused", "Call", call.ID, "Outcome", "refused", "Status", refused.status, "Host", r.Host,
