Limit the framing of a body against its payload

An entry spent up to 42 s of a busy processor on answers that consist of chunks of 4 bytes without end, until all calls together had buffered 24 MiB of them; callers of all other calls waited for it.

Cause: headers, events and payload were limited, and the framing of chunks was not. It may now take half of the payload and 64 KiB.

--- a/bluebellgate/internal/bluebelltransport/limit.go
+++ b/bluebellgate/internal/bluebelltransport/limit.go
@@ -14,6 +14,9 @@
 	// maxHeadBytes limits the status line, header and trailers of one response, with the
 	// informational responses before it and the framing of its chunks.
 	maxHeadBytes = 64 << 10
+	// maxFramingBytes limits the framing of a buffered body, in addition to half of its payload: an
+	// endpoint may send chunks of a few bytes without end.
+	maxFramingBytes = 64 << 10
 	// maxEventBytes limits one event of a stream.
 	maxEventBytes = 256 << 10
 	// maxSkippedBytes limits the bytes read and dropped of one response to another call.
@@ -31,6 +34,7 @@
 var (
 	errHeadTooLarge    = errors.New("header of the response is too large")
 	errBodyTooLarge    = errors.New("response body is larger than the limit")
+	errFramingTooLarge = errors.New("response body consists of too small chunks")
 	errEventTooLarge   = errors.New("event is larger than 256 KiB")
 	errNotEvent        = errors.New("stream has a line that belongs to no event")
 	errSkippedTooLarge = errors.New("response to another call is too large")
@@ -55,6 +59,9 @@
 	return nil
 }
 
+// consumed returns the number of bytes that have been read from the connection and are not buffered.
+func (c *conn) consumed() int64 { return c.received - int64(c.reader.Buffered()) }
+
 // buffered counts the bytes of all buffered responses.
 type buffered struct {
 	limit int64
@@ -80,6 +87,7 @@
 	if length := x.response.ContentLength; length >= 0 {
 		step = min(length+1, bufferStep)
 	}
+	start := x.conn.consumed()
 	for size := int64(0); ; step = bufferStep {
 		if !x.client.buffered.reserve(step) {
 			return nil, ErrBufferFull
@@ -91,6 +99,8 @@
 		switch {
 		case size > limit:
 			return nil, errBodyTooLarge
+		case x.conn.consumed()-start-size > maxFramingBytes+size/2:
+			return nil, errFramingTooLarge
 		case errors.Is(err, io.EOF):
 			return slices.Concat(pieces...), nil
 		case err != nil:
--- a/bluebellgate/internal/bluebelltransport/pool.go
+++ b/bluebellgate/internal/bluebelltransport/pool.go
@@ -74,6 +74,8 @@
 	// headLeft is the number of bytes that may still be read while headers are, 0 while there
 	// is no limit.
 	headLeft atomic.Int64
+	// received is the number of bytes that have been read.
+	received int64
 	// usableUntil is the time after which the endpoint may close the idle connection.
 	usableUntil time.Time
 }
@@ -185,6 +187,7 @@
 	for {
 		n, err := c.Conn.Read(b)
 		if n > 0 && err == nil {
+			c.received += int64(n)
 			err = c.countHead(n)
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.extendDeadline == nil {
