Leave a silent endpoint only for an entry that has agreed

What callers saw: while new connections to endpoints were refused, a stream on an open connection whose endpoint was silent for 1.5 s was broken off after 1.2 s.

For endpoints, one is reserved first.

The question is an offer without a call; it goes by the same checks (stop, revision, limit, links).

--- a/bluebellgate/internal/bluebellfrontend/peers.go
+++ b/bluebellgate/internal/bluebellfrontend/peers.go
@@ -89,6 +89,10 @@
 	}
 	held := &heldBody{bodies: &f.bodies}
 	defer held.release()
+	if offer.Query {
+		f.answerQuery(w, r, offer)
+		return
+	}
 	request, refused := f.readRequest(w, r, held, routing, start)
 	if refused != nil {
 		f.decline(w, r, offer, refused.cause)
@@ -118,6 +122,16 @@
 	}
 }
 
+// answerQuery tells an origin whether this entry would take a call.
+func (f *Frontend) answerQuery(w http.ResponseWriter, r *http.Request, offer bluebellhandover.Offer) {
+	if !f.cfg.Relay.Linked(offer.Target) {
+		f.decline(w, r, offer, errors.New("links lost"))
+		return
+	}
+	bluebellhandover.Result{Outcome: bluebellhandover.Accepted}.Encode(w.Header())
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // decline answers that the call has not run here and that another entry may run it. The body is read
 // first: if the connection were closed with the body unread, the origin might not get the answer.
 func (f *Frontend) decline(w http.ResponseWriter, r *http.Request, offer bluebellhandover.Offer, cause error) {
--- a/bluebellgate/internal/bluebellgateway/handover_test.go
+++ b/bluebellgate/internal/bluebellgateway/handover_test.go
@@ -364,8 +364,14 @@
 	require.Error(t, err)
 	_, _, err = c.offerTo(b, bluebelltransport.NewClient(bluebelltransport.Config{}), good, "k", "/once/x")
 	require.Error(t, err, "a caller that finds the port is not served")
-	require.Len(t, c.runs(), ran)
-	status, result, err := c.offerTo(b, client, good, "k", "/once/x")
+	query := good
+	query.Query = true
+	status, result, err := c.offerTo(b, client, query, "k", "/once/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNoContent, status)
+	require.Equal(t, bluebellhandover.Accepted, result.Outcome)
+	require.Len(t, c.runs(), ran, "a query runs nothing")
+	status, result, err = c.offerTo(b, client, good, "k", "/once/x")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, 1, result.Received)
@@ -388,6 +394,9 @@
 	_, result, err := c.offerTo(b, peerClient(secret), bluebellhandover.Offer{Revision: 1, Target: "app", TimeLeft: time.Second}, "k", "/once/x")
 	require.NoError(t, err)
 	require.Equal(t, bluebellhandover.Declined, result.Outcome)
+	_, result, err = c.offerTo(b, peerClient(secret), bluebellhandover.Offer{Revision: 1, Target: "app", Query: true}, "k", "/once/x")
+	require.NoError(t, err)
+	require.Equal(t, bluebellhandover.Declined, result.Outcome)
 	require.Len(t, c.runs(), ran)
 }
 
--- a/bluebellgate/internal/bluebellhandover/handover_test.go
+++ b/bluebellgate/internal/bluebellhandover/handover_test.go
@@ -18,6 +18,7 @@
 func TestHeaderRoundTrip(t *testing.T) {
 	offers := []bluebellhandover.Offer{
 		{Revision: 1<<63 + 1, Target: "app", Tried: []string{"i-1", `a "quoted", one`, "líne\nbreak"}, Silent: []string{"i-1"}, TimeLeft: 1500 * time.Microsecond, Waited: time.Second, ResumeAfter: "7"},
+		{Revision: 1, Target: "app", Query: true},
 		{},
 	}
 	for _, offer := range offers {
@@ -34,6 +35,7 @@
 		{Outcome: bluebellhandover.Refused, RetryAfter: time.Minute},
 		{Outcome: bluebellhandover.Declined},
 		{Outcome: bluebellhandover.Failed, Received: 2},
+		{Outcome: bluebellhandover.Accepted},
 	} {
 		h := http.Header{}
 		result.Encode(h)
--- a/bluebellgate/internal/bluebellhandover/header.go
+++ b/bluebellgate/internal/bluebellhandover/header.go
@@ -21,6 +21,7 @@
 	headerTimeLeft    = prefix + "Time-Left"
 	headerWaited      = prefix + "Waited"
 	headerResumeAfter = prefix + "Resume-After"
+	headerQuery       = prefix + "Query"
 	headerOutcome     = prefix + "Outcome"
 	headerEndpoints   = prefix + "Endpoints"
 	headerReceived    = prefix + "Received"
@@ -45,6 +46,8 @@
 	TimeLeft, Waited time.Duration
 	// ResumeAfter is the ID of the last event that the caller has received, "" for none.
 	ResumeAfter string
+	// Query only asks whether the helper would take a call of Target. There is no call to run.
+	Query bool
 }
 
 // Encode adds the offer to the header of a call.
@@ -58,11 +61,14 @@
 	if o.ResumeAfter != "" {
 		h.Set(headerResumeAfter, o.ResumeAfter)
 	}
+	if o.Query {
+		h.Set(headerQuery, "1")
+	}
 }
 
 // DecodeOffer decodes the offer in the header of a call.
 func DecodeOffer(h http.Header) (Offer, error) {
-	o := Offer{Target: h.Get(headerTarget), Tried: list(h, headerTried), Silent: list(h, headerSilent), ResumeAfter: h.Get(headerResumeAfter)}
+	o := Offer{Target: h.Get(headerTarget), Tried: list(h, headerTried), Silent: list(h, headerSilent), ResumeAfter: h.Get(headerResumeAfter), Query: h.Get(headerQuery) != ""}
 	var err, leftErr, waitedErr error
 	o.Revision, err = strconv.ParseUint(h.Get(headerRevision), 10, 64)
 	o.TimeLeft, leftErr = millis(h, headerTimeLeft)
@@ -86,9 +92,11 @@
 	Refused
 	// Failed means that the call may have run.
 	Failed
+	// Accepted answers a query: the helper would take a call.
+	Accepted
 )
 
-var outcomes = [...]string{"Answered", "Declined", "Refused", "Failed"}
+var outcomes = [...]string{"Answered", "Declined", "Refused", "Failed", "Accepted"}
 
 func (o Outcome) String() string { return outcomes[o] }
 
--- a/bluebellgate/internal/bluebellrelay/handover.go
+++ b/bluebellgate/internal/bluebellrelay/handover.go
@@ -28,6 +28,8 @@
 	// helperConnectTimeout is how long a connection to another entry may take to open and to be
 	// authenticated.
 	helperConnectTimeout = 250 * time.Millisecond
+	// queryTimeout is how long another entry may take to say whether it would take a call.
+	queryTimeout = 100 * time.Millisecond
 	// handoverMargin is the part of the time left that is kept for the way to a helper and back.
 	handoverMargin = 5 * time.Millisecond
 	// helperWaitShare is the share of the objective for which a call may wait in the queue of a
@@ -91,7 +93,7 @@
 // prefersHelper reports whether the next attempt is to be that of another entry.
 func (c *activeCall) prefersHelper() bool {
 	return c.mayHandOver() && c.reserved == nil &&
-		(c.helperReserved || len(c.unopened) >= maxUnopened || c.linkState() == bluebelllink.Lost)
+		(c.helperReserved != "" || len(c.unopened) >= maxUnopened || c.linkState() == bluebelllink.Lost)
 }
 
 // needsHelper reports whether no endpoint was picked because only other entries have a share of the
@@ -107,22 +109,68 @@
 	return false
 }
 
-// reserveHelper reserves a retry for an attempt of another entry.
+// reserveHelper reserves a retry for an attempt of another entry. The entry is asked first: the call is at
+// an endpoint or another entry, which may go on, and leaves it only for one that takes the call.
 func (c *activeCall) reserveHelper() bool {
-	target := c.request.Target.Name
-	if !c.mayHandOver() || !c.relay.cfg.Handover.Helpers.Available(target) || !c.relay.takeRetry(target) {
+	if !c.mayHandOver() {
+		return false
+	}
+	cfg, target := &c.relay.cfg, c.request.Target.Name
+	asked := []string{c.helper}
+	for len(asked) <= maxHelpers {
+		helper, ok := cfg.Handover.Helpers.Pick(target, asked, nil)
+		if !ok {
+			return false
+		}
+		asked = append(asked, helper)
+		if !c.agrees(helper) {
+			continue
+		}
+		if !c.relay.takeRetry(target) {
+			cfg.CountEvent("repeats_denied", target)
+			return false
+		}
+		c.helperReserved = helper
+		return true
+	}
+	return false
+}
+
+// agrees asks an entry whether it would take a call.
+func (c *activeCall) agrees(helper string) bool {
+	cfg, start := &c.relay.cfg, c.relay.cfg.Now()
+	header := http.Header{}
+	bluebellhandover.Offer{Revision: c.request.Revision, Target: c.request.Target.Name, Query: true}.Encode(header)
+	exchange, err := cfg.Handover.Client.Do(context.Background(), bluebelltransport.Request{
+		Address: helper, Method: http.MethodGet, URI: "/", Host: c.request.Host, Header: header,
+		MatchResponse:  func(int, http.Header) bool { return true },
+		ConnectTimeout: helperConnectTimeout, HeaderDeadline: time.Now().Add(helperConnectTimeout + queryTimeout),
+	})
+	if err != nil {
+		c.recordDecline(helper, err.Error(), start)
+		return false
+	}
+	defer exchange.Close()
+	answer, err := bluebellhandover.DecodeResult(exchange.Header())
+	err = errors.Join(err, exchange.Discard(maxDiscardBytes, time.Now().Add(discardTime)))
+	if err != nil || answer.Outcome != bluebellhandover.Accepted {
+		c.recordDecline(helper, "declined", start)
 		return false
 	}
-	c.helperReserved = true
 	return true
 }
 
+// Linked reports whether this entry has not lost the links to a target.
+func (r *Relay) Linked(target string) bool {
+	return r.cfg.Links == nil || r.cfg.Links.State(target) != bluebelllink.Lost
+}
+
 // endpointWithoutHelper returns an endpoint for a call that no other entry takes. Lost links are used
-// only if answers still arrive on open connections.
+// only if answers still arrive on open connections, or if the call would be broken off otherwise.
 func (c *activeCall) endpointWithoutHelper(ctx context.Context) (bluebellplacement.Choice, bluebellplacement.PickResult) {
 	cfg := &c.relay.cfg
 	if c.linkState() == bluebelllink.Lost {
-		if c.request.Offer != nil || !cfg.Links.Live(cfg.Now(), c.request.Target.Name) {
+		if c.request.Offer != nil || !c.headerSent && !cfg.Links.Live(cfg.Now(), c.request.Target.Name) {
 			return bluebellplacement.Choice{}, bluebellplacement.LinksLost
 		}
 		c.ignoreLinks = true
@@ -136,11 +184,15 @@
 		return resultFinal, false
 	}
 	cfg := &c.relay.cfg
-	c.helperReserved = false
+	reserved := c.helperReserved
+	c.helperReserved = ""
 	defer func() { c.helper = "" }()
 	var asked []string
 	for len(asked) < maxHelpers && ctx.Err() == nil && c.timeLeft()-handoverMargin >= minTimeLeft {
-		helper, ok := cfg.Handover.Helpers.Pick(c.request.Target.Name, asked, c.holders)
+		helper, ok := reserved, true
+		if len(asked) > 0 || reserved == "" {
+			helper, ok = cfg.Handover.Helpers.Pick(c.request.Target.Name, asked, c.holders)
+		}
 		if !ok {
 			break
 		}
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -98,9 +98,9 @@
 	// because they sent nothing.
 	tried, silent []string
 	// reserved is the endpoint that is reserved for the next attempt, or nil. helperReserved is
-	// set if the next attempt is reserved for another entry.
+	// the address of another entry that has agreed to make the next attempt, "" if there is none.
 	reserved       *bluebellplacement.Choice
-	helperReserved bool
+	helperReserved string
 	// holders are the entries that have a share of the endpoints' slots, set if only they have one.
 	holders []string
 	// helper is the address of the entry that makes the current attempt, "" if it is this one.
@@ -193,7 +193,7 @@
 // mayRetry reports whether the call may be sent to another endpoint. It takes a retry from
 // the target's budget if an endpoint may have received the call.
 func (c *activeCall) mayRetry() bool {
-	if c.reserved != nil || c.helperReserved {
+	if c.reserved != nil || c.helperReserved != "" {
 		return true
 	}
 	if !c.retryAllowed(c.runs) {
