Forget a crash that is recorded while links are being lost

TestLostLinksAccuseNoCall failed once (1 of 6 runs, beside busy processes): a call whose connection was reset with the links stayed suspect of crashing its endpoint.

Cause, by reading: the state of the links was checked before the crash was recorded. If they were lost in between, the crashes were forgotten before this one was recorded. The state is now checked afterwards, so that either this call forgets its crash or the loss does.

The race itself was not reproduced on purpose.

--- a/bluebellgate/internal/bluebellrelay/quarantine.go
+++ b/bluebellgate/internal/bluebellrelay/quarantine.go
@@ -78,11 +78,15 @@
 		cfg.Guard.RecordEnded(now, incarnation(choice), c.subjects)
 	case outcome == bluebellplacement.Answered || outcome == bluebellplacement.Errored:
 		cfg.Guard.RecordServed(now, c.subjects)
-	case outcome != bluebellplacement.Abandoned && isCrash(err) && c.linkState() == bluebelllink.Linked && (!c.begun.Load() || now-c.begunAt < justBegun):
+	case outcome != bluebellplacement.Abandoned && isCrash(err) && (!c.begun.Load() || now-c.begunAt < justBegun):
 		cfg.CountEvent("endpoint_crashes", c.request.Target.Name)
 		// From now on the whole call is suspect, and a later answer to it clears it.
 		c.subjects = c.relay.subjects(c.request, true)
 		cfg.Guard.RecordCrash(now, incarnation(choice), c.subjects)
+		// When the links are lost after this, the crashes until then are forgotten.
+		if c.linkState() != bluebelllink.Linked {
+			cfg.Guard.ForgetCrashes(now, map[uint64]bool{incarnation(choice): true})
+		}
 	}
 }
 
