--- a/bluebellgate/internal/bluebellgateway/stranded_test.go
+++ b/bluebellgate/internal/bluebellgateway/stranded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -26,6 +27,21 @@
 	return c, a, b
 }
 
+// startPair starts two entries that have their links and of which the first knows that the other helps.
+func startPair(t *testing.T, endpoints int) (c *cluster, a, b *gate) {
+	t.Helper()
+	c, a, b = startStranded(t, endpoints)
+	a.setCut(connected)
+	require.Eventually(t, func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.open) > 0
+	}, testTimeout, time.Millisecond)
+	// Links are checked each half second at most.
+	time.Sleep(600 * time.Millisecond)
+	return c, a, b
+}
+
 // A stream that has begun can get no other answer, also if another entry runs it. It must not be broken
 // off before its time limit.
 func TestBegunStreamAtHelperIsNotCutBeforeItsLimit(t *testing.T) {
@@ -96,8 +112,7 @@
 // An open connection may live on while new ones are refused. A stream on it that is silent for a second
 // must not end because another entry might take it and then does not.
 func TestSilentStreamIsNotGivenUpForHelperThatDeclines(t *testing.T) {
-	c := startCluster(t, 2)
-	a, b := c.startGate("a"), c.startGate("b")
+	c, a, b := startPair(t, 2)
 	c.behave(bluebellstub.Pausing)
 	for _, e := range c.endpoints {
 		e.SetPauseTime(1500 * time.Millisecond)
@@ -113,3 +128,40 @@
 	require.NoError(t, got.err)
 	require.True(t, got.whole(), "body %q", got.body)
 }
+
+// A stream that has begun at an endpoint to which the links are then lost goes on through another entry.
+func TestBegunStreamGoesOnThroughHelper(t *testing.T) {
+	for _, k := range []cut{reset, hanging} {
+		t.Run(k.String(), func(t *testing.T) {
+			c, a, _ := startPair(t, 3)
+			for _, e := range c.endpoints {
+				e.SetProcessingTime(50 * time.Millisecond)
+			}
+			ended := make(chan call, 1)
+			r, id := a.request(context.Background(), http.MethodPost, "/stream/again/x", "prompt", 3*time.Second)
+			go func() { ended <- a.send(r, id) }()
+			require.Eventually(t, func() bool { return c.runs()[id] == 1 }, testTimeout, time.Millisecond)
+			time.Sleep(100 * time.Millisecond)
+			a.setCut(k)
+			a.load(20*time.Millisecond, 0, time.Second)
+			got := <-ended
+			require.NoError(t, got.err)
+			require.True(t, got.whole(), "body %q", got.body)
+			require.Equal(t, 2, c.runs()[id])
+		})
+	}
+}
+
+// An endpoint that an entry could not reach has not had the call: another entry may send it there.
+func TestHelperUsesUnreachedEndpointsOfSmallTarget(t *testing.T) {
+	for _, endpoints := range []int{1, 2, 3} {
+		t.Run(fmt.Sprint(endpoints), func(t *testing.T) {
+			_, a, _ := startPair(t, endpoints)
+			a.setCut(reset)
+			for range 20 {
+				got := a.do(http.MethodPost, "/once/x", "order")
+				require.True(t, got.whole(), "status %d", got.status)
+			}
+		})
+	}
+}
