Add a failing test for a silent stream whose next endpoint crashes

A caller's resumable stream was broken off 1.2 s after its endpoint had fallen silent, and before that endpoint went on (after 1.4 s).

i-3-2 had just crashed; the entry suspected it for 0.5 s. The second attempt may have run, so the route's two attempts are used up. A third attempt at the endpoint that was left involves no further endpoint. Not mended here.

--- a/bluebellgate/internal/bluebellfrontend/silent_test.go
+++ b/bluebellgate/internal/bluebellfrontend/silent_test.go
@@ -68,6 +68,24 @@
 	require.Equal(t, eventsText(got.id, bluebellstub.StreamEvents), got.body)
 }
 
+// If the endpoint to which a silent stream is moved crashes, the stream must not end either: the endpoint
+// that was left may go on, and no further endpoint runs the call.
+func TestSilentEndpointIsTriedAgainAfterCrash(t *testing.T) {
+	e := startEntry(t, 2)
+	e.endpoints[0].SetBehaviour(bluebellstub.Pausing)
+	e.endpoints[0].SetPauseTime(longPause)
+	e.endpoints[1].SetBehaviour(bluebellstub.Unresponsive)
+	ended := make(chan call, 1)
+	go func() { ended <- e.do(http.MethodPost, "/stream/again/x", "prompt") }()
+	require.Eventually(t, func() bool { return len(e.endpoints[1].Runs()) > 0 }, testTimeout, time.Millisecond)
+	require.NotEmpty(t, e.endpoints[0].Runs())
+	e.endpoints[0].SetBehaviour(bluebellstub.Normal)
+	e.endpoints[1].Stop()
+	got := <-ended
+	require.NoError(t, got.err)
+	require.Equal(t, eventsText(got.id, bluebellstub.StreamEvents), got.body)
+}
+
 // A stream that has begun can get no other answer. It must not be broken off before its time limit.
 func TestBegunStreamIsNotCutBeforeItsLimit(t *testing.T) {
 	e := startEntry(t, 1)
