--- a/bluebellsoak/bluebellchaos/faults.go
+++ b/bluebellsoak/bluebellchaos/faults.go
@@ -13,6 +13,7 @@
 
 	"bluebellhaven.org/bluebellfake/bluebellstub"
 	"bluebellhaven.org/bluebellsoak/bluebellanswer"
+	"bluebellhaven.org/platform/bluebellplatform"
 )
 
 const (
@@ -250,13 +251,14 @@
 	return d.backends[i : i+1]
 }
 
-// removeEndpoint lets an endpoint say that it leaves, stops it once it is drained and starts its next
+// removeEndpoint lets an endpoint say that it leaves, in its registrations and answers, stops it once it is drained and starts its next
 // incarnation after the time hold.
 func removeEndpoint(d *deployment, n int, hold time.Duration) error {
 	b := d.backends[n%len(d.backends)]
 	b.crashMu.Lock()
 	defer b.crashMu.Unlock()
 	b.endpoint().Drain()
+	b.endpoint().Say(bluebellplatform.LeavingHeader("1"))
 	time.Sleep(drainTime)
 	for deadline := time.Now().Add(clientTimeout); b.endpoint().ActiveCalls() > 0 && time.Now().Before(deadline); {
 		time.Sleep(holdPollInterval)
