--- a/bluebellgate/internal/bluebellhandover/header.go
+++ b/bluebellgate/internal/bluebellhandover/header.go
@@ -33,7 +33,7 @@
 
 // Offer is what an origin tells a helper about a call.
 type Offer struct {
-	// Origin is the name with which the origin has authenticated. It is not encoded.
+	// Origin is the address of the origin's connection, for logs. It is not encoded.
 	Origin string
 	// Revision is that of the deployment by which the call was routed to Target.
 	Revision uint64
