Return to a silent endpoint when the next one fails

A stream was broken off 1.2 s after its endpoint had fallen silent, and before that went on, when the endpoint to which it was moved crashed: that attempt may have run, and used up the attempts of the route.

The attempts of a route limit the endpoints that get a call. Going back to the endpoint that was left involves no further one, so a stream that has begun may do that, within the retry budget and the number of sends.

--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -85,8 +85,9 @@
 	// FirstEventBy is the time by which the answer should begin: busy engines that are
 	// expected to take longer are not picked. 0 means no limit.
 	FirstEventBy time.Duration
-	// Tried holds the IDs of endpoints that are not to be picked again.
-	Tried []string
+	// Tried holds the IDs of endpoints that are not to be picked again. If Only is not empty, no
+	// others than those with these IDs are picked.
+	Tried, Only []string
 	// HomesOnly restricts the choice to the prompt's home and alternate homes. It is set
 	// for as long as the call may wait for them.
 	HomesOnly bool
@@ -520,7 +521,7 @@
 			limited.leaving++
 			continue
 		}
-		tried := slices.Contains(r.Tried, m.endpoint.ID)
+		tried := slices.Contains(r.Tried, m.endpoint.ID) || len(r.Only) > 0 && !slices.Contains(r.Only, m.endpoint.ID)
 		if said != nil {
 			if from := said.pause.allowedFrom(now); now < from {
 				limited.addPause(from, tried)
--- a/bluebellgate/internal/bluebellrelay/handover.go
+++ b/bluebellgate/internal/bluebellrelay/handover.go
@@ -87,7 +87,7 @@
 
 // mayHandOver reports whether the next attempt may be that of another entry.
 func (c *activeCall) mayHandOver() bool {
-	return c.request.Offer == nil && c.relay.cfg.Handover.Helpers != nil
+	return c.request.Offer == nil && c.relay.cfg.Handover.Helpers != nil && !c.returns()
 }
 
 // prefersHelper reports whether the next attempt is to be that of another entry.
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -196,7 +196,7 @@
 	if c.reserved != nil || c.helperReserved != "" {
 		return true
 	}
-	if !c.retryAllowed(c.runs) {
+	if !c.retryAllowed(c.runs) && !c.mayReturn() {
 		return false
 	}
 	if c.received > 0 && !c.relay.takeRetry(c.request.Target.Name) {
@@ -213,9 +213,23 @@
 	if c.sends >= maxSends || runs >= c.request.Route.Attempts || c.timeLeft() < minTimeLeft {
 		return false
 	}
-	return runs == 0 || c.request.Offer == nil && !c.sentEventWithoutID && c.request.Route.Repeatable()
+	return runs == 0 || c.mayRepeat()
 }
 
+// mayRepeat reports whether the call may run once more.
+func (c *activeCall) mayRepeat() bool {
+	return c.request.Offer == nil && !c.sentEventWithoutID && c.request.Route.Repeatable()
+}
+
+// mayReturn reports whether a stream that has used up its attempts may go back to an endpoint that was
+// left because it was silent, which involves no further endpoint.
+func (c *activeCall) mayReturn() bool {
+	return c.headerSent && len(c.silent) > 0 && c.sends < maxSends && c.timeLeft() >= minTimeLeft && c.mayRepeat()
+}
+
+// returns reports whether the next attempt may only be at an endpoint that was left.
+func (c *activeCall) returns() bool { return c.runs >= c.request.Route.Attempts }
+
 // timeLeft returns the time that remains for attempts.
 func (c *activeCall) timeLeft() time.Duration { return time.Until(c.request.Deadline) - answerMargin }
 
@@ -227,17 +241,21 @@
 		c.reserved = nil
 		return choice, bluebellplacement.Picked
 	}
-	choice, result := c.selectEndpoint(ctx, c.tried)
+	if c.returns() {
+		return c.selectEndpoint(ctx, bluebellplacement.Request{Only: c.silent})
+	}
+	choice, result := c.selectEndpoint(ctx, bluebellplacement.Request{Tried: c.tried})
 	if result == bluebellplacement.Picked || len(c.silent) == 0 {
 		return choice, result
 	}
-	return c.selectEndpoint(ctx, slices.DeleteFunc(slices.Clone(c.tried), func(id string) bool { return slices.Contains(c.silent, id) }))
+	others := slices.DeleteFunc(slices.Clone(c.tried), func(id string) bool { return slices.Contains(c.silent, id) })
+	return c.selectEndpoint(ctx, bluebellplacement.Request{Tried: others})
 }
 
-// placementRequest describes the call to the placer.
-func (c *activeCall) placementRequest(tried []string) bluebellplacement.Request {
+// placementRequest adds the description of the call to a request to the placer.
+func (c *activeCall) placementRequest(r bluebellplacement.Request) bluebellplacement.Request {
 	cfg := &c.relay.cfg
-	r := bluebellplacement.Request{Target: c.request.Target.Name, Tried: tried, IgnoreLinks: c.ignoreLinks}
+	r.Target, r.IgnoreLinks = c.request.Target.Name, c.ignoreLinks
 	if c.request.Target.Engine != nil {
 		r.Model = c.request.Call.Model
 		describePrompt(&r, c.request.Call)
@@ -246,10 +264,10 @@
 	return r
 }
 
-// selectEndpoint waits for an endpoint that can take the call and is not among those tried.
-func (c *activeCall) selectEndpoint(ctx context.Context, tried []string) (bluebellplacement.Choice, bluebellplacement.PickResult) {
+// selectEndpoint waits for an endpoint that can take the call, of those that the request allows.
+func (c *activeCall) selectEndpoint(ctx context.Context, among bluebellplacement.Request) (bluebellplacement.Choice, bluebellplacement.PickResult) {
 	cfg := &c.relay.cfg
-	r := c.placementRequest(tried)
+	r := c.placementRequest(among)
 	now := cfg.Now()
 	w := bluebellqueue.Waiter{
 		Priority: c.request.priority(), Arrived: now, ObjectiveEnd: c.start + c.request.Route.Objective, Deadline: now + c.timeLeft(),
@@ -257,10 +275,10 @@
 	}
 	until := bluebellqueue.WaitUntil(w)
 	call := &waitingCall{waiter: w, request: r, unfitUntil: until}
-	if len(tried) > 0 && !w.MayHaveRun {
+	if len(r.Tried) > 0 && !w.MayHaveRun {
 		call.unfitUntil = min(until, now+registrationWait)
 	}
-	if r.SharedTokens >= minHomeWaitTokens && len(tried) == 0 {
+	if r.SharedTokens >= minHomeWaitTokens && c.sends == 0 && len(r.Tried) == 0 {
 		call.homesOnlyUntil = bluebellqueue.HomesOnlyUntil(w)
 	}
 	choice, result := c.relay.waitQueue(r.Target).wait(ctx, call, until)
--- a/bluebellgate/internal/bluebellrelay/silence.go
+++ b/bluebellgate/internal/bluebellrelay/silence.go
@@ -76,7 +76,7 @@
 		cfg.CountEvent("repeats_denied", c.request.Target.Name)
 		return false
 	}
-	choice, result := c.relay.trySelect(c.placementRequest(c.tried))
+	choice, result := c.relay.trySelect(c.placementRequest(bluebellplacement.Request{Tried: c.tried}))
 	if result == bluebellplacement.LinksLost {
 		return c.reserveHelper()
 	}
