Give each run of the soak a network of its own

Runs of the soak and its tests on one machine at the same time failed with "address already in use": the loopback network depended on the seed alone, so that a run beside another one with the same seed, or with one that differs by 200, took its addresses.

A run now takes the first network from there on that no other run holds with a listener.

--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -58,6 +59,11 @@
 	// settleTime is how long endpoints may still begin a late call after all callers have stopped.
 	settleTime = time.Second
 	secret     = "the secret of a drill on loopback"
+	// firstNetwork is the second number of the first loopback network that a run may have, and networks
+	// their number. networkGroup is the group of addresses of which one is held while a network is used.
+	firstNetwork = 20
+	networks     = 200
+	networkGroup = 6
 )
 
 // Config configures Run.
@@ -111,9 +117,12 @@
 
 // deployment is a running deployment with its callers, its operator and its faults.
 type deployment struct {
-	cfg   Config
-	rng   *rand.Rand
-	cores []*process
+	cfg Config
+	rng *rand.Rand
+	// network is the second number of the addresses, held by networkLock while the deployment runs.
+	network     uint64
+	networkLock net.Listener
+	cores       []*process
 	// links holds the proxies in front of the peer listeners of the core processes.
 	links            []*proxy
 	gates            []*process
@@ -130,10 +139,9 @@
 
 // address returns the loopback address with index n in a group: 1 for core processes, 2 for
 // gates, 3 for the proxies in front of endpoints, 4 for endpoints, 5 for the peer listeners behind
-// the proxies of core processes. The network depends on the seed modulo 200, so that runs
-// with different seeds can share a machine.
+// the proxies of core processes. Runs on one machine have different networks.
 func (d *deployment) address(group, n int) string {
-	return fmt.Sprintf("127.%d.%d.%d", 20+d.cfg.Seed%200, group, n+1)
+	return fmt.Sprintf("127.%d.%d.%d", d.network, group, n+1)
 }
 
 // Run starts a deployment, injects faults for cfg.Duration and returns a report. An error means
@@ -278,6 +286,9 @@
 	if err := os.MkdirAll(d.cfg.DataFolder, 0o700); err != nil {
 		return err
 	}
+	if err := d.takeNetwork(); err != nil {
+		return err
+	}
 	var addresses []string
 	for n := range d.cfg.Cores {
 		addresses = append(addresses, fmt.Sprintf("%s:%d", d.address(1, n), controlPort))
@@ -547,6 +558,22 @@
 	}
 }
 
+// takeNetwork takes a network that no other run on this machine uses. It is held by a listener.
+func (d *deployment) takeNetwork() error {
+	for n := range uint64(networks) {
+		d.network = firstNetwork + (d.cfg.Seed+n)%networks
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", d.address(networkGroup, 0), peerPort))
+		if err == nil {
+			d.networkLock = listener
+			return nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
+	return errors.New("all networks are in use")
+}
+
 // stopAll stops all processes, proxies and endpoints.
 func (d *deployment) stopAll() {
 	for _, p := range append(append([]*process(nil), d.cores...), d.gates...) {
@@ -562,4 +589,7 @@
 			b.proxy.close()
 		}
 	}
+	if d.networkLock != nil {
+		_ = d.networkLock.Close()
+	}
 }
