Wait for the list of entries in a test as for the sums

It read the list of entries as soon as the sums had arrived, but a core process makes the list every 200 ms and the sums every 30 ms, so the list may come later. Nothing is wrong with that: limits are shared by the entries that are listed so far.

--- a/bluebell/bluebellfeed/loads_test.go
+++ b/bluebell/bluebellfeed/loads_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,7 +28,9 @@
 	eventually(t, "each learns what the other has in flight, through two core processes", func() bool {
 		return callsAt(near, "i-1") == 1 && callsAt(far, "i-1") == 1
 	})
-	require.Equal(t, []string{"a/e2", "b/e1"}, near.Entries(), "limits are shared by the entries of all core processes")
+	eventually(t, "limits are shared by the entries of all core processes", func() bool {
+		return slices.Equal([]string{"a/e2", "b/e1"}, near.Entries())
+	})
 	primaryPolls := func(name string) bool { return d.cores[name].primaryPolls.Load() > 0 }
 	require.True(t, primaryPolls("b/c2") || primaryPolls("b/c3"))
 	require.Zero(t, d.cores["a/c1"].polledAsPrimary("b/e1"), "the entry reports to no core process of another domain")
