Ask no further entries while none can be reached

What cannot be served is to be refused at once.

After three entries in succession that could not be reached, none is asked for a second, in which calls are refused at once and the entry is not ready. Found by a second reader.

TestCutOffEntryAsksFewHelpers did not compile before (there was no such state) and passes; the tests of the gateway pass under the race detector.

--- a/bluebellgate/internal/bluebellhandover/handover_test.go
+++ b/bluebellgate/internal/bluebellhandover/handover_test.go
@@ -173,3 +173,26 @@
 	}
 	require.Len(t, counts, 94)
 }
+
+// An entry that is cut off from the other entries too asks a few of them, and not another one with each call.
+func TestCutOffEntryAsksFewHelpers(t *testing.T) {
+	var entries []bluebellfeed.EntryState
+	for n := range 294 {
+		entries = append(entries, linked(fmt.Sprint("b/", n)))
+	}
+	w := newWorld(entries...)
+	for n := range 3 {
+		require.NotEmpty(t, w.picks())
+		w.helpers.Unreachable(entries[n].Address, "app")
+	}
+	require.Empty(t, w.picks())
+	require.False(t, w.helpers.Available("app"))
+	w.now += 1001 * time.Millisecond
+	require.NotEmpty(t, w.picks(), "the next call finds out whether entries can be reached again")
+	w.helpers.Unreachable(entries[9].Address, "app")
+	require.Empty(t, w.picks())
+	w.now += 1001 * time.Millisecond
+	w.helpers.Reached()
+	w.helpers.Unreachable(entries[9].Address, "app")
+	require.NotEmpty(t, w.picks(), "one unreachable entry says little about the others")
+}
--- a/bluebellgate/internal/bluebellhandover/helpers.go
+++ b/bluebellgate/internal/bluebellhandover/helpers.go
@@ -8,9 +8,14 @@
 	"bluebellhaven.org/bluebell/bluebellfeed"
 )
 
-// declineRetention is how long an entry that has declined a call of a target, or could not be
-// reached, is not asked again.
-const declineRetention = time.Second
+const (
+	// declineRetention is how long an entry that has declined a call of a target, or could not be
+	// reached, is not asked again.
+	declineRetention = time.Second
+	// cutOffEntries is the number of entries in succession that could not be reached from which on none
+	// is asked for declineRetention.
+	cutOffEntries = 3
+)
 
 // HelpersConfig configures Helpers.
 type HelpersConfig struct {
@@ -32,6 +37,10 @@
 	mu sync.Mutex
 	// declinedAt holds when entries last declined calls of a target.
 	declinedAt map[declined]time.Duration
+	// unreachable counts the entries that could not be reached since one was. unreachableAt is when
+	// the last of them could not.
+	unreachable   int
+	unreachableAt time.Duration
 }
 
 type declined struct{ entry, target string }
@@ -69,10 +78,31 @@
 	return slices.ContainsFunc(h.cfg.Entries(), func(e bluebellfeed.EntryState) bool { return !e.Lost(target) })
 }
 
-// Declined records that an entry has declined a call of a target, or could not be reached.
+// Declined records that an entry has declined a call of a target.
 func (h *Helpers) Declined(entry, target string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.unreachable = 0
+	h.exclude(entry, target)
+}
+
+// Unreachable records that no connection to an entry could be opened for a call of a target.
+func (h *Helpers) Unreachable(entry, target string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unreachable, h.unreachableAt = h.unreachable+1, h.cfg.Now()
+	h.exclude(entry, target)
+}
+
+// Reached records that an entry has taken a call.
+func (h *Helpers) Reached() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unreachable = 0
+}
+
+// exclude makes an entry one that is not asked for declineRetention. h.mu must be held.
+func (h *Helpers) exclude(entry, target string) {
 	now := h.cfg.Now()
 	for d, at := range h.declinedAt {
 		if now-at > declineRetention {
@@ -88,6 +118,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now, regions := h.cfg.Now(), h.cfg.Regions()
+	if h.unreachable >= cutOffEntries && now-h.unreachableAt <= declineRetention {
+		return nil, nil
+	}
 	lostNear := 1 // This entry.
 	for _, e := range h.cfg.Entries() {
 		isNear := e.FailureDomain != "" && e.FailureDomain == h.cfg.FailureDomain
--- a/bluebellgate/internal/bluebellrelay/handover.go
+++ b/bluebellgate/internal/bluebellrelay/handover.go
@@ -147,7 +147,7 @@
 		ConnectTimeout: helperConnectTimeout, HeaderDeadline: time.Now().Add(helperConnectTimeout + queryTimeout),
 	})
 	if err != nil {
-		c.recordDecline(helper, err.Error(), start)
+		c.recordUnreachable(helper, err, start)
 		return false
 	}
 	defer exchange.Close()
@@ -231,10 +231,11 @@
 	})
 	var failure *bluebelltransport.Error
 	if errors.As(err, &failure) && !failure.MaybeSent && !callerLeft(ctx) {
-		c.recordDecline(helper, err.Error(), start)
+		c.recordUnreachable(helper, err, start)
 		return resultFinal, false
 	}
 	c.sends++
+	cfg.Handover.Helpers.Reached()
 	cfg.CountEvent("calls_handed_over", c.request.Target.Name)
 	if err != nil {
 		cfg.Logger.Info("call handed over", "Call", c.request.Call.ID, "Helper", helper, "Outcome", "lost", "Attempt", c.sends, "Links", c.linkState())
@@ -271,6 +272,14 @@
 	return resultFinal, true
 }
 
+// recordUnreachable records that no connection to an entry could be opened.
+func (c *activeCall) recordUnreachable(helper string, err error, start time.Duration) {
+	cfg := &c.relay.cfg
+	cfg.Handover.Helpers.Unreachable(helper, c.request.Target.Name)
+	cfg.CountEvent("helpers_unreachable", c.request.Target.Name)
+	cfg.Logger.Info("call not taken", "Call", c.request.Call.ID, "Helper", helper, "Cause", err, "Took", (cfg.Now() - start).Round(time.Millisecond))
+}
+
 // recordDecline records that an entry has not run the call and does not want it.
 func (c *activeCall) recordDecline(helper, cause string, start time.Duration) {
 	cfg := &c.relay.cfg
