--- a/bluebellgate/internal/bluebellgateway/cluster_test.go
+++ b/bluebellgate/internal/bluebellgateway/cluster_test.go
@@ -216,7 +216,10 @@
 	g.setCut(connected)
 	go func() { g.ended <- gateway.Run(ctx) }()
 	c.t.Cleanup(func() {
-		cancel()
+		// The entries stop side by side.
+		for _, other := range c.gates {
+			other.stop()
+		}
 		require.NoError(c.t, <-g.ended)
 	})
 	c.gates = append(c.gates, g)
