Count a caller's connection from the beginning of its dial

Cause: the connection was accepted and the gate killed before the dialer's goroutine ran again, which took the time at which the connection was opened. The check allows a kill between that time and the end of the call.

--- a/bluebellsoak/bluebellchaos/caller.go
+++ b/bluebellsoak/bluebellchaos/caller.go
@@ -68,11 +68,13 @@
 
 // connect opens a connection to the address of a gate.
 func connect(ctx context.Context, address string) (*connection, error) {
+	// The connection may be accepted, and its gate killed, before the dialer returns.
+	opened := time.Now()
 	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &connection{conn: conn, reader: bufio.NewReader(conn), opened: time.Now()}, nil
+	return &connection{conn: conn, reader: bufio.NewReader(conn), opened: opened}, nil
 }
 
 // close closes the connection.
