--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -71,8 +71,8 @@
 	UnframedStream
 	// UnframedEmptyStream does the same before the first event.
 	UnframedEmptyStream
-	// Pausing is silent for a second, or as SetPauseTime demands, before the answer, or in the middle of a stream, and then
-	// completes it.
+	// Pausing is silent for a second, or as SetPauseTime demands, before the answer or in the middle
+	// of a stream, and then completes it.
 	Pausing
 )
 
--- a/bluebellsoak/bluebellanswer/answer.go
+++ b/bluebellsoak/bluebellanswer/answer.go
@@ -46,8 +46,9 @@
 	ID, Gate string
 	// Endpoints lists the endpoints that ran the call.
 	Endpoints []string
-	// Opened is when the caller began to open the connection. Began is when the caller began to send, Sent when it had sent the last byte (zero if it could
-	// not), and Ended when the answer was complete, the connection ended or the caller gave up.
+	// Opened is when the caller began to open the connection. Began is when the caller began to
+	// send, Sent when it had sent the last byte (zero if it could not), and Ended when the answer was
+	// complete, the connection ended or the caller gave up.
 	Opened, Began, Sent, Ended time.Time
 	// Limit is the time limit of the call, from Began.
 	Limit time.Duration
