Name no header of the platform in a test of the hand-over

Nothing outside platform/ is to know the platform's names; a test used one as a header that does not belong to the hand-over. Any other does: it is Accept now, and the test is as strict.

--- a/bluebellgate/internal/bluebellhandover/handover_test.go
+++ b/bluebellgate/internal/bluebellhandover/handover_test.go
@@ -22,13 +22,13 @@
 		{},
 	}
 	for _, offer := range offers {
-		h := http.Header{"Try-Id": {"x"}}
+		h := http.Header{"Accept": {"x"}}
 		offer.Encode(h)
 		got, err := bluebellhandover.DecodeOffer(h)
 		require.NoError(t, err)
 		require.Equal(t, offer, got)
 		bluebellhandover.Strip(h)
-		require.Equal(t, http.Header{"Try-Id": {"x"}}, h)
+		require.Equal(t, http.Header{"Accept": {"x"}}, h)
 	}
 	for _, result := range []bluebellhandover.Result{
 		{Outcome: bluebellhandover.Answered, Endpoints: []string{"i-1"}, Received: 1},
