--- /dev/null
+++ b/review/standin/main.go
@@ -0,0 +1,60 @@
+// Command standin runs the cases of the review as scripts: it starts the project's programs as separate
+// processes on loopback, with stand-ins for consumers, replicas and the operator, and checks one rule.
+//
+// It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0
+// it does the same without the disruption.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// result is the outcome of a case.
+type result struct {
+	broken bool
+	text   string
+}
+
+var cases = map[string]func(s *site, trouble bool) (result, error){}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FILE")
+		os.Exit(2)
+	}
+	os.Exit(run(os.Args[1], os.Args[2]))
+}
+
+func run(name, path string) int {
+	file, err := os.Create(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	rec := &record{file: file, start: time.Now()}
+	defer func() { _ = file.Close() }()
+	s, err := newSite(rec, 284)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	defer s.stopAll()
+	trouble := os.Getenv("TROUBLE") != "0"
+	rec.line("case %s, with the disruption: %v", name, trouble)
+	outcome, err := cases[name](s, trouble)
+	switch {
+	case err != nil:
+		rec.line("the case could not run: %v", err)
+		fmt.Println("could not run:", err)
+		return 2
+	case outcome.broken:
+		rec.line("BROKEN: %s", outcome.text)
+		fmt.Println("BROKEN:", outcome.text)
+		return 1
+	}
+	rec.line("held: %s", outcome.text)
+	fmt.Println("held:", outcome.text)
+	return 0
+}
