--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,7 +35,7 @@
 	}
 	rec := &record{file: file, start: time.Now()}
 	defer func() { _ = file.Close() }()
-	s, err := newSite(rec, 284)
+	s, err := newSite(rec)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -22,19 +22,20 @@
 	evacMillis   = 5000
 	contact      = 3 * time.Second
 	heartbeat    = 1200 * time.Millisecond
+	gateMemoryMB = 284
+	coreMemoryMB = 280
 )
 
 var zones = []string{"gyor", "papa", "tata"}
 
 // site is a small deployment on loopback: three core processes and some gates.
 type site struct {
-	dir      string
-	network  int
-	hold     net.Listener
-	rec      *record
-	cores    []*process
-	gates    []*process
-	memoryMB int
+	dir     string
+	network int
+	hold    net.Listener
+	rec     *record
+	cores   []*process
+	gates   []*process
 }
 
 // record writes the lines of record.txt.
@@ -95,12 +96,12 @@
 }
 
 // newSite takes a free loopback network and a temporary folder.
-func newSite(rec *record, memoryMB int) (*site, error) {
+func newSite(rec *record) (*site, error) {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
-	s := &site{dir: dir, rec: rec, memoryMB: memoryMB}
+	s := &site{dir: dir, rec: rec}
 	for s.network = 20 + os.Getpid()%200; s.network < 240; s.network++ {
 		if s.hold, err = net.Listen("tcp", fmt.Sprintf("127.%d.9.1:7700", s.network)); err == nil {
 			return s, nil
@@ -169,12 +170,15 @@
 		seeds = append(seeds, s.ip(1, i)+":8000")
 		regions[zones[i]] = "hu-west"
 	}
-	data := filepath.Join(s.dir, p.name)
+	data, memory := filepath.Join(s.dir, p.name), gateMemoryMB
+	if class == "core" {
+		memory = coreMemoryMB
+	}
 	fields := map[string]any{
 		"node": p.name, "zone": zone, "ip": p.ip, "zones": regions, "seeds": seeds, "bootstrap": true, "data_dir": data,
 		"listen":     map[string]any{"control": p.ip + ":8000", "front": p.ip + ":8005", "ready": p.ip + ":8002"},
 		"port_range": []any{7700, 7715}, "heartbeat_ms": heartbeat.Milliseconds(),
-		"limits": map[string]any{"memory_mb": s.memoryMB, "cores": 1}, "tolerate": map[string]any{"machines": 1},
+		"limits": map[string]any{"memory_mb": memory, "cores": 1}, "tolerate": map[string]any{"machines": 1},
 		"bounds": map[string]any{
 			"grace_s": 8, "lease_ms": 3000, "version_ms": 10000, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 52,
 			"cold_over": 1.5, "cold_slack": 5, "reuse_after_s": 2,
