--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,12 @@
 #!/usr/bin/env bash
 # Case 1: a stale order undoes an acknowledged evacuation. See claim.txt.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 there is no
+# disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-standin evac review/1/record.txt
+if [ "${TROUBLE:-1}" = 0 ]; then
+  trouble=false
+else
+  trouble=true
+fi
+[ -x target/review-standin ] || exit 2
+exec target/review-standin -trouble=$trouble evac review/1/record.txt
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,12 @@
 #!/usr/bin/env bash
 # Case 3: KV cache of a tenant that has become isolated is used for other tenants. See claim.txt.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 there is no
+# disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-standin wall review/3/record.txt
+if [ "${TROUBLE:-1}" = 0 ]; then
+  trouble=false
+else
+  trouble=true
+fi
+[ -x target/review-standin ] || exit 2
+exec target/review-standin -trouble=$trouble wall review/3/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,11 +1,12 @@
 // Command standin runs the cases of the review as scripts: it starts the project's programs as separate
 // processes on loopback, with stand-ins for consumers, replicas and the operator, and checks one rule.
 //
-// It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0
-// it does the same without the disruption.
+// It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
+// -trouble=false it does the same without the disruption.
 package main
 
 import (
+	"flag"
 	"fmt"
 	"os"
 	"time"
@@ -20,14 +21,16 @@
 var cases = map[string]func(s *site, trouble bool) (result, error){}
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FILE")
+	trouble := flag.Bool("trouble", true, "whether the disruption happens")
+	flag.Parse()
+	if flag.NArg() != 2 || cases[flag.Arg(0)] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin [-trouble=false] CASE FILE")
 		os.Exit(2)
 	}
-	os.Exit(run(os.Args[1], os.Args[2]))
+	os.Exit(run(flag.Arg(0), flag.Arg(1), *trouble))
 }
 
-func run(name, path string) int {
+func run(name, path string, trouble bool) int {
 	file, err := os.Create(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -41,7 +44,6 @@
 		return 2
 	}
 	defer s.stopAll()
-	trouble := os.Getenv("TROUBLE") != "0"
 	rec.line("case %s, with the disruption: %v", name, trouble)
 	outcome, err := cases[name](s, trouble)
 	switch {
