--- a/review/standin/standins.go
+++ b/review/standin/standins.go
@@ -25,19 +25,37 @@
 	stop                    context.CancelFunc
 	// run serves a request that the replica begins to run.
 	run func(w http.ResponseWriter, r *http.Request)
+	// special, if not nil, serves calls of the system itself, and reports whether it has served one.
+	special func(w http.ResponseWriter, r *http.Request) bool
+	// describe, if not nil, changes what a heartbeat says.
+	describe func(body map[string]any)
 
 	mu    sync.Mutex
 	state string
 }
 
 func (s *site) startReplica(n int, service, zone string, models []map[string]any, run func(w http.ResponseWriter, r *http.Request)) (*replica, error) {
+	return s.startReplicaWith(n, replicaConfig{service: service, zone: zone, models: models, run: run})
+}
+
+// replicaConfig describes a replica, with fields as in replica.
+type replicaConfig struct {
+	service, zone string
+	models        []map[string]any
+	run           func(w http.ResponseWriter, r *http.Request)
+	special       func(w http.ResponseWriter, r *http.Request) bool
+	describe      func(body map[string]any)
+}
+
+// startReplicaWith starts a replica that is not an ordinary one.
+func (s *site) startReplicaWith(n int, with replicaConfig) (*replica, error) {
 	listener, err := net.Listen("tcp", fmt.Sprintf("%s:8080", s.ip(3, n)))
 	if err != nil {
 		return nil, err
 	}
 	r := &replica{
-		site: s, id: fmt.Sprintf("i-%08x", 0x5a000000+n), service: service, zone: zone, addr: listener.Addr().String(), born: time.Now().UnixMilli(),
-		models: models, state: "ready", run: run,
+		site: s, id: fmt.Sprintf("i-%08x", 0x5a000000+n), service: with.service, zone: with.zone, addr: listener.Addr().String(), born: time.Now().UnixMilli(),
+		models: with.models, state: "ready", run: with.run, special: with.special, describe: with.describe,
 	}
 	r.next.Store(int64(n))
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
@@ -56,6 +74,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.special != nil && r.special(w, q) {
+		return
+	}
 	if q.URL.Path == "/report" {
 		header.Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"stage": "dual", "models": r.models, "busy": false, "seq": 0, "queued": 0, "running": 0})
@@ -65,20 +86,28 @@
 	r.run(w, q)
 }
 
+// heartbeat returns what the next heartbeat says.
+func (r *replica) heartbeat() map[string]any {
+	r.mu.Lock()
+	state := r.state
+	r.mu.Unlock()
+	body := map[string]any{
+		"service": r.service, "addr": r.addr, "zone": r.zone, "version": "v1", "slots": 64, "state": state, "cold_left_ms": 0, "seq": r.seq.Add(1), "born": r.born,
+	}
+	if r.models != nil {
+		body["models"], body["stage"] = r.models, "dual"
+	}
+	if r.describe != nil {
+		r.describe(body)
+	}
+	return body
+}
+
 // beat registers the replica every heartbeat until ctx is done, at the next node after a failure.
 func (r *replica) beat(ctx context.Context) {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for ctx.Err() == nil {
-		r.mu.Lock()
-		state := r.state
-		r.mu.Unlock()
-		body := map[string]any{
-			"service": r.service, "addr": r.addr, "zone": r.zone, "version": "v1", "slots": 64, "state": state, "cold_left_ms": 0, "seq": r.seq.Add(1), "born": r.born,
-		}
-		if r.models != nil {
-			body["models"], body["stage"] = r.models, "dual"
-		}
-		text, _ := json.Marshal(body)
+		text, _ := json.Marshal(r.heartbeat())
 		core := r.site.cores[int(r.next.Load())%len(r.site.cores)]
 		request, _ := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+core.ip+":8000/instances/"+r.id, bytes.NewReader(text))
 		request.Header.Set("Content-Type", "application/json")
