--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Case 5: stores that send bytes without end make all core processes exceed their memory. See claim.txt.
+# Case 5: a replica leaves that the restarted core does not know. See claim.txt.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 there is no
 # disruption.
 cd "$(dirname "$0")/../.." || exit 2
@@ -9,4 +9,4 @@
   trouble=true
 fi
 [ -x target/review-standin ] || exit 2
-exec target/review-standin -trouble=$trouble endless review/5/record.txt
+exec target/review-standin -trouble=$trouble leave review/5/record.txt
