bluebellchaos: failing test of a call that is repeated and crashes endpoints

TestRepeatedCallReachesFewEndpoints plays it with the real programs: one call, repeated with new IDs at six gates, quick and slow, on each kind of route, beside sound calls of the same customer; three endpoints run the service, refuse connections while they are down, and do not register.

The stand-in endpoint no longer registers once it has ended, and can crash before the header of its answer; the proxy can refuse connections as a server that is not running does.

--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -14,6 +14,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -108,6 +109,9 @@
 	StartUnixMillis int64
 	// Crashes, if not nil, reports whether a call crashes the endpoint when its answer begins.
 	Crashes func(call bluebellplatform.IncomingCall) bool
+	// CrashAfter is how long such a call runs before the crash. If it is not 0, the endpoint crashes
+	// without having sent the header of its answer.
+	CrashAfter time.Duration
 	// OnCrash, if not nil, is called after such a crash.
 	OnCrash func()
 }
@@ -151,6 +155,8 @@
 	// weights are the loaded versions by model, and orders the accepted orders to load others.
 	weights map[string]uint64
 	orders  []Order
+	// ended is set once the endpoint has crashed or was stopped.
+	ended bool
 }
 
 // Order is an accepted order to load a version of a model's weights.
@@ -185,12 +191,20 @@
 
 // Stop closes the listener and all connections at once, as a crash does.
 func (e *Endpoint) Stop() {
-	_ = e.server.Close()
+	e.end()
 	// The server does not know the listener yet if it has only just started.
 	_ = e.listener.Close()
 	<-e.done
 }
 
+// end closes all connections. The endpoint no longer registers.
+func (e *Endpoint) end() {
+	e.mu.Lock()
+	e.ended = true
+	e.mu.Unlock()
+	_ = e.server.Close()
+}
+
 // Address returns the address on which the endpoint listens.
 func (e *Endpoint) Address() string { return e.listener.Addr().String() }
 
@@ -263,8 +277,14 @@
 }
 
 // Register tries the control addresses in order until one of them accepts a registration.
-// If none does, it returns the error of the last one.
+// If none does, it returns the error of the last one. An endpoint that has ended does not register.
 func (e *Endpoint) Register(ctx context.Context, client *http.Client, controlAddresses []string) error {
+	e.mu.Lock()
+	ended := e.ended
+	e.mu.Unlock()
+	if ended {
+		return errors.New("endpoint has ended")
+	}
 	path, body, err := bluebellplatform.EncodeRegistration(e.NextRegistration(), 0)
 	if err != nil {
 		return err
@@ -385,12 +405,16 @@
 	return slices.Clone(e.orders)
 }
 
-// crash begins the answer to a call and then closes the listener and all connections. It does
-// not return.
+// crash begins the answer to a call, or runs it for Config.CrashAfter, and then closes the listener and
+// all connections. It does not return.
 func (e *Endpoint) crash(w http.ResponseWriter, call bluebellplatform.IncomingCall) {
-	writeHeader(w, bluebellplatform.AnswerHeader(call.CallID, e.cfg.ID+"."+call.CallID), http.StatusOK)
-	_ = http.NewResponseController(w).Flush()
-	_ = e.server.Close()
+	if e.cfg.CrashAfter > 0 {
+		time.Sleep(e.cfg.CrashAfter)
+	} else {
+		writeHeader(w, bluebellplatform.AnswerHeader(call.CallID, e.cfg.ID+"."+call.CallID), http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+	}
+	e.end()
 	if e.cfg.OnCrash != nil {
 		e.cfg.OnCrash()
 	}
--- a/bluebellsoak/bluebellchaos/load.go
+++ b/bluebellsoak/bluebellchaos/load.go
@@ -105,6 +105,11 @@
 // newRequest returns the request of a call, with a prompt that begins with the shared blocks. The key
 // of the customer is sent with each call, also on a connection that the caller reuses.
 func newRequest(gate string, o outcome, shared []bluebellplatform.Block) (*http.Request, error) {
+	return newPrompt(gate, o, append(slices.Clone(shared), bluebellplatform.Block{ID: o.id, Tokens: 100}))
+}
+
+// newPrompt returns the request of a call with the given blocks.
+func newPrompt(gate string, o outcome, blocks []bluebellplatform.Block) (*http.Request, error) {
 	r, err := http.NewRequest(http.MethodPost, "http://"+gate+o.path, strings.NewReader(o.requestBody))
 	if err != nil {
 		return nil, err
@@ -112,7 +117,7 @@
 	r.Host = hostName
 	r.Header = bluebellplatform.CallerHeader(bluebellplatform.Call{
 		ID: o.id, Key: customerKey, TimeLeft: statedTimeout, Model: model, PromptTokens: 300, MaxOutputTokens: 5,
-		Blocks: append(slices.Clone(shared), bluebellplatform.Block{ID: o.id, Tokens: 100}),
+		Blocks: blocks,
 	})
 	return r, nil
 }
@@ -124,6 +129,11 @@
 	if err != nil {
 		return o
 	}
+	return send(client, r, o)
+}
+
+// send makes a call and adds what the caller observes to o.
+func send(client *http.Client, r *http.Request, o outcome) outcome {
 	response, err := client.Do(r)
 	if err != nil {
 		return o
--- a/bluebellsoak/bluebellchaos/proxy.go
+++ b/bluebellsoak/bluebellchaos/proxy.go
@@ -43,12 +43,12 @@
 
 // proxy is a TCP proxy in front of one address that can impair its connections.
 type proxy struct {
-	listener   net.Listener
 	target     string
 	goroutines sync.WaitGroup
 
-	mu   sync.Mutex
-	mode mode
+	mu       sync.Mutex
+	listener net.Listener
+	mode     mode
 	// conns holds the open connections to clients and to the server.
 	conns map[net.Conn]bool
 	// stalled holds connections on which data may have been dropped. They carry no data again,
@@ -63,10 +63,30 @@
 		return nil, fmt.Errorf("proxy: %w", err)
 	}
 	p := &proxy{listener: listener, target: target, conns: map[net.Conn]bool{}, stalled: map[net.Conn]bool{}}
-	p.goroutines.Go(p.accept)
+	p.goroutines.Go(func() { p.accept(listener) })
 	return p, nil
 }
 
+// refuse closes the listener, so that new connections are refused as if the server were not running.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+}
+
+// listenAgain ends the effect of refuse.
+func (p *proxy) listenAgain() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listener, err := net.Listen("tcp", p.listener.Addr().String())
+	if err != nil {
+		return fmt.Errorf("proxy: %w", err)
+	}
+	p.listener = listener
+	p.goroutines.Go(func() { p.accept(listener) })
+	return nil
+}
+
 // setMode changes the mode. modeReset resets the open connections; the modes that drop data
 // mark them as stalled.
 func (p *proxy) setMode(m mode) {
@@ -93,14 +113,14 @@
 
 // close stops listening, resets all connections and waits for their goroutines.
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.refuse()
 	p.setMode(modeReset)
 	p.goroutines.Wait()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- /dev/null
+++ b/bluebellsoak/bluebellchaos/repeat_test.go
@@ -0,0 +1,53 @@
+package bluebellchaos_test
+
+import (
+	"context"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebellsoak/bluebellchaos"
+)
+
+const (
+	quickWork = 30 * time.Millisecond
+	slowWork  = 900 * time.Millisecond
+)
+
+// A call that crashes all endpoints of a service in turn made entries believe that they had lost their own
+// links, so that they withdrew the crashes and let its repeats through.
+func TestRepeatedCallReachesFewEndpoints(t *testing.T) {
+	bin := build(t)
+	for i, c := range []struct {
+		name, path string
+		work       time.Duration
+	}{
+		{"quick read", "/read/", quickWork}, {"slow read", "/read/", slowWork},
+		{"quick order", "/once/", quickWork}, {"slow order", "/once/", slowWork},
+		{"quick stream", "/stream/again/", quickWork}, {"slow stream", "/stream/again/", slowWork},
+		{"stream with a header", "/stream/", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			requireFewReached(t, bin, uint64(1+i), bluebellchaos.Repeated{Path: c.path, Work: c.work, Interval: 500 * time.Millisecond})
+		})
+	}
+}
+
+// requireFewReached runs a deployment with a repeated call and requires that few of its attempts reach
+// endpoints after the third crash.
+func requireFewReached(t *testing.T, bin string, seed uint64, repeated bluebellchaos.Repeated) {
+	t.Helper()
+	report, err := bluebellchaos.RunRepeated(context.Background(), bluebellchaos.Config{
+		ProgramFolder: bin, DataFolder: filepath.Join(t.TempDir(), "soak"), Seed: seed, Duration: 16 * time.Second, Gates: 6, Cores: 3, Endpoints: 6,
+	}, repeated)
+	require.NoError(t, err)
+	require.Empty(t, report.Findings)
+	require.Empty(t, report.Untrue)
+	require.GreaterOrEqual(t, len(report.Crashes), 3)
+	late := report.Late(contactTime)
+	t.Logf("%d attempts, %d reached endpoints, %d late, %d crashes", report.Attempts, len(report.Reached), len(late), len(report.Crashes))
+	require.LessOrEqual(t, len(late), maxReachedLate, "%d crashes in all", len(report.Crashes))
+}
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -104,9 +104,10 @@
 	// crashMu is held from a crash until the endpoint has started again, so that crashes of the
 	// same backend do not overlap.
 	crashMu sync.Mutex
-	// crashes and onCrash are the fields of the same names of the endpoint's configuration.
-	crashes func(call bluebellplatform.IncomingCall) bool
-	onCrash func()
+	// crashes, crashAfter and onCrash are the fields of the same names of the endpoint's configuration.
+	crashes    func(call bluebellplatform.IncomingCall) bool
+	crashAfter time.Duration
+	onCrash    func()
 
 	mu      sync.Mutex
 	current *bluebellstub.Endpoint
@@ -131,6 +132,8 @@
 	callers          *callers
 	operator         *operator
 	timeline         *timeline
+	// otherPrograms holds the programs of every second process, if it is not "".
+	otherPrograms string
 	// varied is set if the versions of the declaration differ and some endpoints are of spare targets.
 	varied     bool
 	faultCount int
@@ -338,7 +341,7 @@
 
 // addCore starts a core process with a proxy in front of its peer listener.
 func (d *deployment) addCore(n int) error {
-	p, err := newProcess(d.cfg, fmt.Sprint("core-", n), "bluebellcore", d.controlAddresses[n], d.coreSettings(n))
+	p, err := newProcess(d.programs(n), fmt.Sprint("core-", n), "bluebellcore", d.controlAddresses[n], d.coreSettings(n))
 	if err != nil {
 		return err
 	}
@@ -350,6 +353,15 @@
 	return p.start()
 }
 
+// programs returns the configuration with the folder of the programs of process n.
+func (d *deployment) programs(n int) Config {
+	cfg := d.cfg
+	if n%2 == 1 && d.otherPrograms != "" {
+		cfg.ProgramFolder = d.otherPrograms
+	}
+	return cfg
+}
+
 // stopTimeout returns how long a planned stop of a gate may take, which depends on the seed.
 func (d *deployment) stopTimeout() time.Duration {
 	return []time.Duration{8 * time.Second, 5 * time.Second, 3 * time.Second}[d.cfg.Seed%3]
@@ -365,7 +377,7 @@
 func (d *deployment) addGate(n int) error {
 	address := d.address(2, n)
 	d.callers.gates = append(d.callers.gates, fmt.Sprintf("%s:%d", address, callerPort))
-	p, err := newProcess(d.cfg, gateName(n), "bluebellgate", d.callers.gates[n], map[string]any{
+	p, err := newProcess(d.programs(n), gateName(n), "bluebellgate", d.callers.gates[n], map[string]any{
 		"Name": gateName(n), "FailureDomain": failureDomain(n), "Address": address,
 		"CallerAddress": fmt.Sprintf("%s:%d", address, callerPort), "ReadyAddress": fmt.Sprintf("%s:%d", address, readyPort),
 		"PeerPort": peerPort, "Seeds": d.controlAddresses, "Secret": secret,
@@ -407,7 +419,7 @@
 	e, err := startStub(bluebellstub.Config{
 		ID: fmt.Sprintf("i-%d-%d", b.index, b.starts), Target: b.target, FailureDomain: failureDomain(b.index),
 		Listen: b.listen, Advertise: b.advertisedAddress(), Weights: weights, ProcessingTime: 4 * time.Millisecond, StartUnixMillis: time.Now().UnixMilli(),
-		Crashes: b.crashes, OnCrash: b.onCrash,
+		Crashes: b.crashes, CrashAfter: b.crashAfter, OnCrash: b.onCrash,
 	})
 	if err != nil {
 		return err
