Log what each crash of an endpoint counts for

On call, the logs could not tell whether a crash was recorded as evidence, withdrawn, or counted together with others, so the hypotheses of the incident could not be told apart.

--- a/bluebell/bluebellquarantine/judge.go
+++ b/bluebell/bluebellquarantine/judge.go
@@ -34,8 +34,25 @@
 	return Strikes
 }
 
+// Charge is the evidence against the strongest suspect, for logs.
+type Charge struct {
+	Subject
+	// Crashes is the number of crashes that no convicted subject explains, and Counted that of those
+	// at different moments. Needed is how many convict the subject.
+	Crashes, Counted, Needed int
+	// Others is the number of moments at which endpoints crashed in the same time.
+	Others int
+}
+
 // Judge returns the subjects to convict. History holds the records of earlier verdicts by key.
 func Judge(suspects []Suspect, history map[Key]Record) []Subject {
+	convicted, _ := Weigh(suspects, history)
+	return convicted
+}
+
+// Weigh returns the subjects to convict, as Judge, and the charge against the strongest suspect of the
+// others, which is zero if there is none.
+func Weigh(suspects []Suspect, history map[Key]Record) ([]Subject, Charge) {
 	all := allCrashes(suspects)
 	open := make([]Suspect, 0, len(suspects))
 	var known explanation
@@ -54,8 +71,12 @@
 			left[i] = known.unexplained(s)
 		}
 		best := strongest(left)
-		if best < 0 || !conclusive(left[best], history[left[best].Key], all) {
-			return convicted
+		if best < 0 {
+			return convicted, Charge{}
+		}
+		charge := charge(left[best], history[left[best].Key], all)
+		if charge.Counted == 0 || charge.Counted < charge.Needed {
+			return convicted, charge
 		}
 		convicted = append(convicted, open[best].Subject)
 		known = known.with(open[best])
@@ -105,19 +126,18 @@
 	return best
 }
 
-// conclusive reports whether a suspect has enough crashes, given those of all suspects.
-func conclusive(s Suspect, r Record, all []Crash) bool {
-	count := moments(s.Crashes)
-	if count == 0 {
-		return false
+// charge returns the evidence against a suspect, given the crashes of all suspects.
+func charge(s Suspect, r Record, all []Crash) Charge {
+	c := Charge{Subject: s.Subject, Crashes: len(s.Crashes), Counted: moments(s.Crashes), Needed: r.strikes()}
+	if c.Counted == 0 {
+		return c
 	}
 	since := s.Crashes[0].At
-	around := moments(slices.DeleteFunc(slices.Clone(all), func(c Crash) bool { return c.At < since-sameMoment }))
-	needed := r.strikes()
-	if 2*count < around {
-		needed = max(doubtFactor*needed, Strikes)
+	c.Others = moments(slices.DeleteFunc(slices.Clone(all), func(c Crash) bool { return c.At < since-sameMoment }))
+	if 2*c.Counted < c.Others {
+		c.Needed = max(doubtFactor*c.Needed, Strikes)
 	}
-	return count >= needed
+	return c
 }
 
 // allCrashes returns the crashes of all suspects, ordered by time and each once.
--- a/bluebellcore/internal/bluebelljudge/judge.go
+++ b/bluebellcore/internal/bluebelljudge/judge.go
@@ -54,6 +54,8 @@
 	cfg Config
 	// accusedSince holds since when the evidence has been sufficient, by subject.
 	accusedSince map[bluebellquarantine.Key]time.Duration
+	// logged is the last charge that was logged.
+	logged bluebellquarantine.Charge
 }
 
 // New returns a Judge.
@@ -100,7 +102,9 @@
 	suspects := j.cfg.Ledger.Suspects(now)
 	accusedSince := map[bluebellquarantine.Key]time.Duration{}
 	var list []*pb.SetQuarantine
-	for _, s := range bluebellquarantine.Judge(suspects, history) {
+	convicted, charge := bluebellquarantine.Weigh(suspects, history)
+	j.logCharge(charge)
+	for _, s := range convicted {
 		since, known := j.accusedSince[s.Key]
 		if !known {
 			since = now
@@ -120,6 +124,16 @@
 	return list
 }
 
+// logCharge logs the evidence against the strongest suspect when it has changed and consists of several
+// crashes.
+func (j *Judge) logCharge(c bluebellquarantine.Charge) {
+	if c == j.logged || c.Crashes < 2 {
+		return
+	}
+	j.logged = c
+	j.cfg.Logger.Info("suspect", "Key", c.Key, "Depth", c.Depth, "Crashes", c.Crashes, "Counted", c.Counted, "Needed", c.Needed, "Others", c.Others)
+}
+
 // history converts the quarantines to the monotonic clock of this process.
 func (j *Judge) history(now time.Duration, quarantines []*pb.Quarantine) map[bluebellquarantine.Key]bluebellquarantine.Record {
 	wall := j.cfg.WallClock().UnixNano()
--- a/bluebellsoak/bluebellchaos/repeat.go
+++ b/bluebellsoak/bluebellchaos/repeat.go
@@ -72,6 +72,28 @@
 	}},
 }
 
+// RepeatedOf returns the repeated call, and what happens beside it, that a seed selects.
+func RepeatedOf(seed uint64) Repeated {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	r := Repeated{
+		Path:     []string{oncePath, readPath, resumablePath, streamPath}[rng.IntN(4)],
+		Work:     []time.Duration{0, 30 * time.Millisecond, 150 * time.Millisecond, 900 * time.Millisecond}[rng.IntN(4)],
+		Interval: []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second}[rng.IntN(3)],
+	}
+	if n := rng.IntN(len(Disruptions) + 1); n < len(Disruptions) {
+		r.Disruption = &Disruptions[n]
+	}
+	return r
+}
+
+func (r Repeated) String() string {
+	beside := "nothing"
+	if r.Disruption != nil {
+		beside = r.Disruption.Name
+	}
+	return fmt.Sprintf("%s for %v, each %v, beside: %s", r.Path, r.Work, r.Interval, beside)
+}
+
 // RepeatReport is the result of RunRepeated.
 type RepeatReport struct {
 	// Crashes holds the times at which the repeated call crashed endpoints.
@@ -95,19 +117,79 @@
 	ID string
 }
 
-// Late returns the IDs of the attempts that reached endpoints later than contact after the third crash, and
-// after the end of the disruptions that excuse processes.
-func (r RepeatReport) Late(contact time.Duration) []string {
+const (
+	// contactTime is within what time of the third crash all processes have to know the call.
+	contactTime = 3 * time.Second
+	// maxLate is how many attempts may reach endpoints later.
+	maxLate = 3
+	// minServedShare is the share of the sound calls made from settledTime after the third crash that
+	// have to be served, as a share of those before the first one.
+	minServedShare = 0.5
+	settledTime    = 2 * contactTime
+)
+
+// Violations describes each violation of a guarantee.
+func (r RepeatReport) Violations() []string {
+	broken := slices.Clone(r.Findings)
+	if len(r.Untrue) > 0 {
+		broken = append(broken, fmt.Sprintf("attempts were refused as not run, but reached an endpoint: %v", r.Untrue))
+	}
+	if late := r.Late(); len(late) > maxLate {
+		broken = append(broken, fmt.Sprintf("%d attempts reached endpoints later than %v after the third crash, %d may", len(late), contactTime, maxLate))
+	}
+	if before, after := r.servedShares(); after < minServedShare*before {
+		broken = append(broken, fmt.Sprintf("%.2f of the sound calls are served after the third crash, %.2f before the first", after, before))
+	}
+	return broken
+}
+
+// servedShares returns the share of sound calls that were served before the first crash and from
+// settledTime after the third.
+func (r RepeatReport) servedShares() (before, after float64) {
 	if len(r.Crashes) < 3 {
-		return nil
+		return 0, 1
 	}
+	var calls, served [2]float64
+	for _, s := range r.Sound {
+		period := 0
+		switch {
+		case s.At.After(r.lateFrom().Add(settledTime - contactTime)):
+			period = 1
+		case !s.At.Before(r.Crashes[0]):
+			continue
+		}
+		calls[period]++
+		if s.Served {
+			served[period]++
+		}
+	}
+	return served[0] / max(calls[0], 1), served[1] / max(calls[1], 1)
+}
+
+// lateFrom is when all processes have to know the call: contactTime after the third crash, and after the
+// end of the disruptions that excuse processes.
+func (r RepeatReport) lateFrom() time.Time {
 	from := r.Crashes[2]
 	if r.CalmFrom.After(from) {
 		from = r.CalmFrom
 	}
+	return from.Add(contactTime)
+}
+
+func (r RepeatReport) String() string {
+	before, after := r.servedShares()
+	return fmt.Sprintf("%d attempts, %d reached endpoints, %d late, %d crashes, sound calls served %.2f before and %.2f after",
+		r.Attempts, len(r.Reached), len(r.Late()), len(r.Crashes), before, after)
+}
+
+// Late returns the IDs of the attempts that reached endpoints although all processes had to know the call.
+func (r RepeatReport) Late() []string {
+	if len(r.Crashes) < 3 {
+		return nil
+	}
 	var late []string
 	for _, reached := range r.Reached {
-		if reached.At.After(from.Add(contact)) && !slices.Contains(late, reached.ID) {
+		if reached.At.After(r.lateFrom()) && !slices.Contains(late, reached.ID) {
 			late = append(late, reached.ID)
 		}
 	}
--- a/bluebellsoak/bluebellchaos/repeat_test.go
+++ b/bluebellsoak/bluebellchaos/repeat_test.go
@@ -44,10 +44,7 @@
 		ProgramFolder: bin, DataFolder: filepath.Join(t.TempDir(), "soak"), Seed: seed, Duration: 16 * time.Second, Gates: 6, Cores: 3, Endpoints: 6,
 	}, repeated)
 	require.NoError(t, err)
-	require.Empty(t, report.Findings)
-	require.Empty(t, report.Untrue)
 	require.GreaterOrEqual(t, len(report.Crashes), 3)
-	late := report.Late(contactTime)
-	t.Logf("%d attempts, %d reached endpoints, %d late, %d crashes", report.Attempts, len(report.Reached), len(late), len(report.Crashes))
-	require.LessOrEqual(t, len(late), maxReachedLate, "%d crashes in all", len(report.Crashes))
+	t.Log(report)
+	require.Empty(t, report.Violations())
 }
--- a/bluebellsoak/main.go
+++ b/bluebellsoak/main.go
@@ -25,6 +25,8 @@
 	Gates     int           `arg:"--gates" default:"3"`
 	Cores     int           `arg:"--cores" default:"3"`
 	Endpoints int           `arg:"--endpoints" default:"6"`
+	Repeated  bool          `arg:"--repeated" help:"repeat one call that crashes endpoints, in a way that the seed selects, instead of random faults"`
+	OtherBin  string        `arg:"--other-bin" help:"folder of the programs that every second process runs, with --repeated"`
 }
 
 // Description returns the text at the head of the help.
@@ -39,7 +41,7 @@
 	defer stop()
 	findings := 0
 	for seed := args.Seed; seed < args.Seed+args.Seeds && ctx.Err() == nil; seed++ {
-		report, err := bluebellchaos.Run(ctx, bluebellchaos.Config{
+		result, broken, err := args.run(ctx, bluebellchaos.Config{
 			ProgramFolder: args.Bin, DataFolder: fmt.Sprintf("%s/seed-%d", args.Data, seed), Seed: seed, Duration: args.Duration,
 			Gates: args.Gates, Cores: args.Cores, Endpoints: args.Endpoints,
 		})
@@ -47,8 +49,8 @@
 			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
 			os.Exit(1)
 		}
-		fmt.Printf("seed %d: %v\n", seed, report)
-		for _, finding := range report.Findings {
+		fmt.Printf("seed %d: %s\n", seed, result)
+		for _, finding := range broken {
 			findings++
 			fmt.Printf("seed %d: BROKEN: %s\n", seed, finding)
 		}
@@ -57,3 +59,15 @@
 		os.Exit(1)
 	}
 }
+
+// run runs one seed and returns the result and the violations.
+func (a arguments) run(ctx context.Context, cfg bluebellchaos.Config) (result string, broken []string, err error) {
+	if a.Repeated {
+		repeated := bluebellchaos.RepeatedOf(cfg.Seed)
+		repeated.OtherProgramFolder = a.OtherBin
+		report, err := bluebellchaos.RunRepeated(ctx, cfg, repeated)
+		return fmt.Sprintf("%v: %v", repeated, report), report.Violations(), err
+	}
+	report, err := bluebellchaos.Run(ctx, cfg)
+	return report.String(), report.Findings, err
+}
