Keep the crashes that an entry has recorded when its links seem lost

Cause: when two endpoints of a service had failed and new connections to the others were refused, an entry concluded that it had lost its own links and withdrew the crashes it had recorded, also those that it recorded while it was still checking. A call that crashes all three endpoints of a service within a third of a second looks just like that, so each round of crashes deleted its own evidence.

Crashes now stay recorded. What shows that a lost connection was no crash is the endpoint itself: a core process does not count the crash of an incarnation that has registered 1.5 s after it or later, which a crashed one does not do. The earlier heartbeat that arrives late is covered by that time. Entries that really lose their links stop using them after the first failures and hand their calls over, so until the endpoints have registered again their lost connections make up one moment, which convicts nothing.

Exchange between versions: nothing on the wire changes. An old entry beside a new core process goes on withdrawing; a new entry beside an old core process reports crashes that the old one cannot refute, until the core is replaced.

--- a/bluebell/bluebellquarantine/guard.go
+++ b/bluebell/bluebellquarantine/guard.go
@@ -88,24 +88,6 @@
 	}
 }
 
-// ForgetCrashes forgets the crashes of the given incarnations since a time: this entry had lost its
-// links to them, which looks the same.
-func (g *Guard) ForgetCrashes(since time.Duration, incarnations map[uint64]bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	wasLink := func(c Crash) bool { return c.At >= since && incarnations[c.Endpoint] }
-	for key, s := range g.suspects {
-		if !slices.ContainsFunc(s.Crashes, wasLink) {
-			continue
-		}
-		if s = s.withoutCrashes(wasLink); len(s.Crashes) == 0 {
-			delete(g.suspects, key)
-			continue
-		}
-		g.suspects[key] = s
-	}
-}
-
 // makeRoom evicts the suspect with the fewest crashes, and of those the one whose last crash is
 // the oldest, if there are MaxSubjects. g.mu must be held.
 func (g *Guard) makeRoom() {
--- a/bluebell/bluebellquarantine/ledger.go
+++ b/bluebell/bluebellquarantine/ledger.go
@@ -17,10 +17,21 @@
 	// maxListed bounds the suspects that entries are asked about, and maxSummed those in a sum.
 	maxListed = 64
 	maxSummed = 512
+	// aliveMargin is how long after a crash a registration of the incarnation must be received to
+	// show that there was no crash. One that was sent before may arrive later than the crash.
+	aliveMargin = 1500 * time.Millisecond
 )
 
+// LedgerConfig configures a Ledger.
+type LedgerConfig struct {
+	// Registered returns when the incarnations of endpoints last registered. It may be nil.
+	Registered func() map[uint64]time.Duration
+}
+
 // Ledger adds up what processes report. It is safe for concurrent use.
 type Ledger struct {
+	cfg LedgerConfig
+
 	mu      sync.Mutex
 	reports map[string]processReport
 	// all and own are the sums of all reports and of those of entries, as of summedAt.
@@ -39,8 +50,8 @@
 }
 
 // NewLedger returns a ledger without reports.
-func NewLedger() *Ledger {
-	return &Ledger{reports: map[string]processReport{}, summedAt: -time.Hour}
+func NewLedger(cfg LedgerConfig) *Ledger {
+	return &Ledger{cfg: cfg, reports: map[string]processReport{}, summedAt: -time.Hour}
 }
 
 // Record replaces the report of an entry.
@@ -110,7 +121,23 @@
 			l.listed = append(l.listed, s.Key)
 		}
 	}
-	l.all, l.own = sorted(cleared(all)), sorted(own)
+	l.all, l.own = sorted(l.withoutRefuted(cleared(all))), sorted(own)
+}
+
+// withoutRefuted returns the suspects without the crashes of incarnations that have registered since:
+// only a connection to them was lost.
+func (l *Ledger) withoutRefuted(suspects map[Key]Suspect) map[Key]Suspect {
+	if l.cfg.Registered == nil || len(suspects) == 0 {
+		return suspects
+	}
+	registered := l.cfg.Registered()
+	for key, s := range suspects {
+		suspects[key] = s.withoutCrashes(func(c Crash) bool {
+			at, known := registered[c.Endpoint]
+			return known && at-c.At >= aliveMargin
+		})
+	}
+	return suspects
 }
 
 // sorted returns the suspects with the most crashes, most first.
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -114,7 +114,7 @@
 	n.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: n.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
 	n.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: n.now, MaxEndpoints: bluebellcontrol.MaxEndpoints})
 	directory := bluebelldirectory.New()
-	suspects := bluebellquarantine.NewLedger()
+	suspects := bluebellquarantine.NewLedger(bluebellquarantine.LedgerConfig{Registered: n.registeredIncarnations})
 	n.source = bluebellfeed.NewSource(bluebellfeed.SourceConfig{
 		Registry: n.registry, Directory: directory, Epoch: rand.Uint64(), Cores: n.recentCores, Domain: n.domainOf,
 		PeerLoads: func() []bluebellfeed.PeerLoads { return n.follower.PeerLoads() }, Suspects: suspects, Now: n.now, After: time.After,
@@ -243,6 +243,16 @@
 // already have been elected.
 func (n *Node) isLeader() bool { return n.voter.Status().Leader == n.id }
 
+// registeredIncarnations returns when the incarnations of the endpoints that are not gone last registered.
+func (n *Node) registeredIncarnations() map[uint64]time.Duration {
+	endpoints := n.registry.Endpoints()
+	at := make(map[uint64]time.Duration, len(endpoints))
+	for _, e := range endpoints {
+		at[bluebellquarantine.Incarnation(e.ID, e.StartUnixMillis)] = e.ReceivedAt
+	}
+	return at
+}
+
 // cores returns the addresses of all known core processes, including this one.
 func (n *Node) cores() []string {
 	return append(n.otherCores(), n.address)
--- a/bluebellgate/internal/bluebellgateway/links.go
+++ b/bluebellgate/internal/bluebellgateway/links.go
@@ -11,7 +11,6 @@
 	"bluebellhaven.org/bluebell/bluebelllink"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellpeer"
-	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebellgate/internal/bluebellhandover"
 	"bluebellhaven.org/bluebellgate/internal/bluebelltransport"
 )
@@ -20,9 +19,6 @@
 	// linkDialTimeout is how long a connection that shows whether links hold may take to open: the
 	// longest time that calls allow.
 	linkDialTimeout = 400 * time.Millisecond
-	// linkLossLead is how long before the first failure that led to the loss of links connections may
-	// have been lost: failures are seen in any order.
-	linkLossLead = 500 * time.Millisecond
 	// maxEntryAnswers limits the bytes of all answers of other entries that are buffered.
 	maxEntryAnswers = 16 << 20
 )
@@ -50,8 +46,9 @@
 	}()
 }
 
-// linksChanged logs that links were lost or are back. What was recorded of endpoints meanwhile says
-// nothing about them and is forgotten.
+// linksChanged logs that links were lost or are back. Failures of endpoints that were recorded meanwhile
+// say nothing about them and are forgotten. Crashes stay recorded: if all endpoints of a target have
+// crashed, that looks like a loss of links, and endpoints that go on refute them by registering.
 func (g *Gateway) linksChanged(c bluebelllink.Change) {
 	scope := g.metrics.Scope.Tagged(map[string]string{"target": c.Target})
 	if !c.Lost {
@@ -60,11 +57,6 @@
 		g.cfg.Logger.Info("links back", "Target", c.Target, "LostFor", c.LostFor.Round(time.Millisecond))
 		return
 	}
-	incarnations := make(map[uint64]bool, len(c.Endpoints))
-	for _, e := range c.Endpoints {
-		incarnations[bluebellquarantine.Incarnation(e.ID, e.StartUnixMillis)] = true
-	}
-	g.guard.ForgetCrashes(c.FailedSince-linkLossLead, incarnations)
 	scope.Counter("links_lost").Inc(1)
 	g.cfg.Logger.Warn("links lost", "Target", c.Target, "Endpoints", len(c.Endpoints), "FailingFor", (g.now() - c.FailedSince).Round(time.Millisecond),
 		"Helpers", g.helpers.Available(c.Target))
--- a/bluebellgate/internal/bluebellrelay/quarantine.go
+++ b/bluebellgate/internal/bluebellrelay/quarantine.go
@@ -8,7 +8,6 @@
 	"syscall"
 	"time"
 
-	"bluebellhaven.org/bluebell/bluebelllink"
 	"bluebellhaven.org/bluebell/bluebellplacement"
 	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebellgate/internal/bluebelltransport"
@@ -83,13 +82,8 @@
 		// From now on the whole call is suspect, and a later answer to it clears it.
 		c.subjects = c.relay.subjects(c.request, true)
 		cfg.Guard.RecordCrash(now, incarnation(choice), c.subjects)
-		links := c.linkState()
-		// When the links are lost after this, the crashes until then are forgotten.
-		if links != bluebelllink.Linked {
-			cfg.Guard.ForgetCrashes(now, map[uint64]bool{incarnation(choice): true})
-		}
 		cfg.Logger.Warn("endpoint crashed", "Call", c.request.Call.ID, "Subject", c.subjects[len(c.subjects)-1].Key, "Endpoint", choice.Endpoint.ID,
-			"Incarnation", choice.Endpoint.StartUnixMillis, "Attempt", c.sends, "Links", links, "Counted", links == bluebelllink.Linked)
+			"Incarnation", choice.Endpoint.StartUnixMillis, "Attempt", c.sends, "Links", c.linkState())
 	}
 }
 
