Count crashes one by one where an endpoint was alive after the one before

Callers saw a quick call crash up to nine endpoints before it was refused. Cause: crashes within 0.25 s of each other counted once, to protect calls that are at several endpoints when a domain or an entry's connections end, and a call that is sent to one endpoint after the other crashes three in that time.

Crashes now say when their endpoint was last known to be alive: when the connection was opened or last carried bytes. A crash of an endpoint that was alive after another crash has a cause of its own. An attempt after a crash uses a new connection, since one that was idle does not show that the endpoint lives. The rule for crashes at one moment stays as it was.

With crashes that follow each other so closely, a sound call that was at the same endpoints is not cleared by an answer in between. While another call was at each crash of the strongest suspect, six crashes are needed, so that answers tell them apart once endpoints are back; then all of them are convicted.

--- a/bluebell/bluebellquarantine/guard.go
+++ b/bluebell/bluebellquarantine/guard.go
@@ -74,17 +74,17 @@
 
 // RecordCrash records that an incarnation of an endpoint closed the connection before the answer
 // to a call with these subjects had begun.
-func (g *Guard) RecordCrash(now time.Duration, incarnation uint64, subjects []Subject) {
+func (g *Guard) RecordCrash(crash Crash, subjects []Subject) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.ended, incarnation)
+	delete(g.ended, crash.Endpoint)
 	for _, s := range subjects {
 		suspect, known := g.suspects[s.Key]
 		if !known {
 			g.makeRoom()
 			suspect = Suspect{Subject: s, ServedAt: g.served[s.Key]}
 		}
-		g.suspects[s.Key] = suspect.withCrash(Crash{Endpoint: incarnation, At: now})
+		g.suspects[s.Key] = suspect.withCrash(crash)
 	}
 }
 
--- a/bluebell/bluebellquarantine/judge.go
+++ b/bluebell/bluebellquarantine/judge.go
@@ -8,7 +8,8 @@
 const (
 	// Strikes is the number of crashes at different moments that convict a subject.
 	Strikes = 3
-	// doubtFactor multiplies Strikes while most crashes have other causes.
+	// doubtFactor multiplies Strikes while most crashes have other causes, and while another call was
+	// there at each of them.
 	doubtFactor = 2
 	// EvidenceRetention is how long a crash counts.
 	EvidenceRetention = 5 * time.Minute
@@ -42,6 +43,8 @@
 	Crashes, Counted, Needed int
 	// Others is the number of moments at which endpoints crashed in the same time.
 	Others int
+	// Rivals is the number of other calls that were there at each of the crashes.
+	Rivals int
 }
 
 // Judge returns the subjects to convict. History holds the records of earlier verdicts by key.
@@ -74,14 +77,35 @@
 		if best < 0 {
 			return convicted, Charge{}
 		}
-		charge := charge(left[best], history[left[best].Key], all)
+		rivals := rivals(left, best)
+		charge := charge(left[best], history[left[best].Key], all, len(rivals))
 		if charge.Counted == 0 || charge.Counted < charge.Needed {
 			return convicted, charge
 		}
-		convicted = append(convicted, open[best].Subject)
-		known = known.with(open[best])
-		open = slices.Delete(open, best, best+1)
+		guilty := append(rivals, best)
+		slices.Sort(guilty)
+		for _, i := range slices.Backward(guilty) {
+			convicted = append(convicted, open[i].Subject)
+			known = known.with(open[i])
+			open = slices.Delete(open, i, i+1)
+		}
+	}
+}
+
+// rivals returns the positions of the other calls that were there at each crash of the one at position
+// best. The crashes do not tell which of them is the cause; once endpoints are back, answers do.
+func rivals(suspects []Suspect, best int) []int {
+	if suspects[best].Depth != CallDepth {
+		return nil
+	}
+	var list []int
+	for i, s := range suspects {
+		missing := func(c Crash) bool { return !slices.ContainsFunc(s.Crashes, c.same) }
+		if i != best && s.Depth == CallDepth && len(s.Crashes) > 0 && !slices.ContainsFunc(suspects[best].Crashes, missing) {
+			list = append(list, i)
+		}
 	}
+	return list
 }
 
 // explanation holds the crashes of convicted subjects.
@@ -126,15 +150,16 @@
 	return best
 }
 
-// charge returns the evidence against a suspect, given the crashes of all suspects.
-func charge(s Suspect, r Record, all []Crash) Charge {
-	c := Charge{Subject: s.Subject, Crashes: len(s.Crashes), Counted: moments(s.Crashes), Needed: r.strikes()}
+// charge returns the evidence against a suspect, given the crashes of all suspects and the number of
+// rivals.
+func charge(s Suspect, r Record, all []Crash, rivals int) Charge {
+	c := Charge{Subject: s.Subject, Crashes: len(s.Crashes), Counted: moments(s.Crashes), Needed: r.strikes(), Rivals: rivals}
 	if c.Counted == 0 {
 		return c
 	}
 	since := s.Crashes[0].At
 	c.Others = moments(slices.DeleteFunc(slices.Clone(all), func(c Crash) bool { return c.At < since-sameMoment }))
-	if 2*c.Counted < c.Others {
+	if 2*c.Counted < c.Others || rivals > 0 {
 		c.Needed = max(doubtFactor*c.Needed, Strikes)
 	}
 	return c
--- a/bluebell/bluebellquarantine/quarantine_test.go
+++ b/bluebell/bluebellquarantine/quarantine_test.go
@@ -45,7 +45,7 @@
 // crash lets the calls with the given subjects end in a crash, each at another entry.
 func (d *deployment) crash(now time.Duration, endpoint uint64, calls ...[]quarantine.Subject) {
 	for i, subjects := range calls {
-		d.guards[(int(endpoint)+i)%len(d.guards)].RecordCrash(now, endpoint, subjects)
+		d.guards[(int(endpoint)+i)%len(d.guards)].RecordCrash(quarantine.Crash{At: now, Endpoint: endpoint}, subjects)
 	}
 }
 
@@ -109,7 +109,7 @@
 	g := d.guards[0]
 	for n := range 5 {
 		at := second * time.Duration(2*n+1)
-		g.RecordCrash(at, 7, []quarantine.Subject{block("subject", 1)})
+		g.RecordCrash(quarantine.Crash{At: at, Endpoint: 7}, []quarantine.Subject{block("subject", 1)})
 		g.RecordAnswer(at+second/2, at+second/4, 7)
 	}
 	require.Empty(t, g.Report(11*second))
@@ -157,7 +157,7 @@
 	g := quarantine.NewGuard()
 	g.SetVerdicts(second, []quarantine.Verdict{{Subject: known, Until: 100 * second}})
 	for n := range 3 {
-		g.RecordCrash(second*time.Duration(n+2), uint64(n+1), []quarantine.Subject{seen})
+		g.RecordCrash(quarantine.Crash{At: second * time.Duration(n+2), Endpoint: uint64(n + 1)}, []quarantine.Subject{seen})
 	}
 	_, blocked := g.Blocked(6*second, []quarantine.Subject{seen})
 	require.False(t, blocked, "while a core process answers, the verdict is the leader's")
@@ -201,7 +201,7 @@
 		if n%(2*quarantine.MaxSubjects) == 0 {
 			subjects = append(subjects, poisoned)
 		}
-		g.RecordCrash(time.Duration(n)*time.Millisecond, uint64(n/1000+1), subjects)
+		g.RecordCrash(quarantine.Crash{At: time.Duration(n) * time.Millisecond, Endpoint: uint64(n/1000 + 1)}, subjects)
 		g.RecordServed(time.Duration(n)*time.Millisecond, []quarantine.Subject{block(fmt.Sprint(rng.Uint64()), 1)})
 	}
 	require.LessOrEqual(t, len(g.Report(5*second)), quarantine.MaxSubjects)
@@ -237,10 +237,10 @@
 func TestAnswerEndedByConnectionClearsLater(t *testing.T) {
 	subject := block("subject", 1)
 	g := quarantine.NewGuard()
-	g.RecordCrash(second, 1, []quarantine.Subject{subject})
+	g.RecordCrash(quarantine.Crash{At: second, Endpoint: 1}, []quarantine.Subject{subject})
 	g.RecordEnded(2*second, 2, []quarantine.Subject{subject})
 	require.Len(t, g.Report(2*second), 1)
-	g.RecordCrash(3*second, 2, []quarantine.Subject{block("other", 1)})
+	g.RecordCrash(quarantine.Crash{At: 3 * second, Endpoint: 2}, []quarantine.Subject{block("other", 1)})
 	g.RecordAnswer(5*second, 4*second, 2)
 	require.Len(t, g.Report(5*second), 2, "the endpoint has crashed since")
 	g.RecordEnded(6*second, 3, []quarantine.Subject{subject})
@@ -256,9 +256,9 @@
 	registered := map[uint64]time.Duration{sound: 19 * time.Second, other: 20 * time.Second}
 	l := quarantine.NewLedger(quarantine.LedgerConfig{Registered: func() map[uint64]time.Duration { return registered }})
 	g := quarantine.NewGuard()
-	g.RecordCrash(10*time.Second, replaced, []quarantine.Subject{shared})
-	g.RecordCrash(20*time.Second, sound, []quarantine.Subject{shared, own})
-	g.RecordCrash(21*time.Second, other, []quarantine.Subject{shared})
+	g.RecordCrash(quarantine.Crash{At: 10 * time.Second, Endpoint: replaced}, []quarantine.Subject{shared})
+	g.RecordCrash(quarantine.Crash{At: 20 * time.Second, Endpoint: sound}, []quarantine.Subject{shared, own})
+	g.RecordCrash(quarantine.Crash{At: 21 * time.Second, Endpoint: other}, []quarantine.Subject{shared})
 	l.Record("entry", 22*time.Second, g.Report(22*time.Second))
 	require.Len(t, l.Suspects(22*time.Second), 2)
 	registered[sound] = 21900 * time.Millisecond
@@ -269,3 +269,76 @@
 	require.NotContains(t, suspects[0].Crashes, quarantine.Crash{Endpoint: sound, At: 20 * time.Second})
 	require.Empty(t, suspects[1].Crashes)
 }
+
+// retried returns the crashes of a call that crashes endpoints in turn, each of which was alive after the
+// crash before.
+func retried(at time.Duration, firstEndpoint uint64, attempts int) []quarantine.Crash {
+	const work, connect = 30 * time.Millisecond, time.Millisecond
+	var crashes []quarantine.Crash
+	for n := range attempts {
+		crashes = append(crashes, quarantine.Crash{Endpoint: firstEndpoint + uint64(n), At: at, AliveAt: at - work})
+		at += connect + work
+	}
+	return crashes
+}
+
+// Crashes of a quick call that was sent to one endpoint after the other counted once, since they lie so close
+// together, so that the call crashed nine endpoints before it was convicted.
+func TestQuickRetriedCallIsConvictedAtThirdCrash(t *testing.T) {
+	call := quarantine.Call("customer", "h", "/x", nil, nil)
+	for _, entries := range []int{1, 6, 295} {
+		for attempts := 1; attempts <= 3; attempts++ {
+			d := newDeployment(entries)
+			crashes := 0
+			for repeat := 0; len(d.judge(time.Duration(repeat+1)*second, nil)) == 0; repeat++ {
+				for _, c := range retried(time.Duration(repeat+1)*second+second/2, uint64(1+10*repeat), attempts) {
+					d.guards[repeat%entries].RecordCrash(c, []quarantine.Subject{call})
+					crashes++
+				}
+			}
+			require.LessOrEqual(t, crashes, 4, "%d entries, %d attempts", entries, attempts)
+		}
+	}
+}
+
+// Endpoints of a domain that end together are not known to have been alive after each other's end, although
+// their ends are seen at different times.
+func TestEndpointsThatEndTogetherCountOnce(t *testing.T) {
+	call := quarantine.Call("customer", "h", "/x", nil, nil)
+	d := newDeployment(6)
+	for n := range 6 {
+		seen := second + time.Duration(n)*40*time.Millisecond
+		d.guards[n].RecordCrash(quarantine.Crash{Endpoint: uint64(n + 1), At: seen, AliveAt: second - time.Millisecond}, []quarantine.Subject{call})
+	}
+	require.Empty(t, d.judge(2*second, nil))
+}
+
+// A sound call of the same customer that was at each endpoint that another call crashed is not convicted in
+// its place: the answer that it gets once an endpoint is back tells them apart.
+func TestSoundCallAtTheSameCrashesIsNotConvicted(t *testing.T) {
+	deadly, sound := quarantine.Call("customer", "h", "/x", nil, nil), quarantine.Call("customer", "h", "/y", nil, nil)
+	for _, entries := range []int{1, 6, 295} {
+		d := newDeployment(entries)
+		for i, c := range retried(second, 1, 3) {
+			for _, subject := range []quarantine.Subject{deadly, sound} {
+				d.guards[i%entries].RecordCrash(c, []quarantine.Subject{subject})
+			}
+		}
+		require.Empty(t, d.judge(2*second, nil), "either may be the cause")
+		d.guards[entries-1].RecordServed(4*second, []quarantine.Subject{sound})
+		require.Equal(t, []quarantine.Subject{deadly}, d.judge(4*second, nil))
+	}
+}
+
+// Calls that no answer tells apart are all convicted in the end.
+func TestCallsThatAlwaysCrashTogetherAreConvicted(t *testing.T) {
+	calls := []quarantine.Subject{quarantine.Call("customer", "h", "/x", nil, nil), quarantine.Call("customer", "h", "/y", nil, nil)}
+	d := newDeployment(1)
+	for n := range 6 {
+		for _, c := range calls {
+			d.guards[0].RecordCrash(quarantine.Crash{Endpoint: uint64(n + 1), At: second * time.Duration(n+1)}, []quarantine.Subject{c})
+		}
+		require.Equal(t, n == 5, len(d.judge(second*time.Duration(n+1), nil)) > 0)
+	}
+	require.ElementsMatch(t, calls, d.judge(7*second, nil))
+}
--- a/bluebell/bluebellquarantine/subject.go
+++ b/bluebell/bluebellquarantine/subject.go
@@ -67,13 +67,16 @@
 	// Endpoint identifies the incarnation.
 	Endpoint uint64
 	At       time.Duration
+	// AliveAt is when the endpoint was last known to be alive before, 0 if unknown.
+	AliveAt time.Duration
 }
 
 const (
 	// sameCrash is within what time reports of one endpoint are about the same crash. A restart
 	// takes longer.
 	sameCrash = time.Second
-	// sameMoment is within what time crashes of different endpoints may have one cause.
+	// sameMoment is within what time crashes of different endpoints may have one cause, unless it is
+	// known that one of them was alive after the crash of the other.
 	sameMoment = 250 * time.Millisecond
 	// maxCrashes bounds the crashes that are kept for a subject.
 	maxCrashes = 12
@@ -89,12 +92,18 @@
 	ServedAt time.Duration
 }
 
-// withCrash returns the suspect with one more crash, unless it has it already.
+// withCrash returns the suspect with one more crash. Of two reports of the same crash it keeps the
+// tightest bounds.
 func (s Suspect) withCrash(c Crash) Suspect {
-	if s.ServedAt != 0 && c.At <= s.ServedAt || slices.ContainsFunc(s.Crashes, c.same) {
+	if s.ServedAt != 0 && c.At <= s.ServedAt {
 		return s
 	}
-	s.Crashes = append(slices.Clone(s.Crashes), c)
+	s.Crashes = slices.Clone(s.Crashes)
+	if i := slices.IndexFunc(s.Crashes, c.same); i >= 0 {
+		s.Crashes[i] = s.Crashes[i].with(c)
+		return s
+	}
+	s.Crashes = append(s.Crashes, c)
 	slices.SortFunc(s.Crashes, func(a, b Crash) int { return int(a.At - b.At) })
 	s.Crashes = s.Crashes[max(len(s.Crashes)-maxCrashes, 0):]
 	return s
@@ -122,12 +131,21 @@
 	return c.Endpoint == other.Endpoint && (c.At-other.At).Abs() < sameCrash
 }
 
-// moments returns the number of crashes that lie at least sameMoment apart. The crashes must be
-// ordered by time.
+// with returns the crash with what another report of it says.
+func (c Crash) with(other Crash) Crash {
+	c.At = min(c.At, other.At)
+	if c.AliveAt == 0 || other.AliveAt != 0 && other.AliveAt > c.AliveAt {
+		c.AliveAt = other.AliveAt
+	}
+	return c
+}
+
+// moments returns the number of crashes that cannot have one cause: they lie at least sameMoment apart, or
+// the endpoint of the later one was alive after the earlier one. The crashes must be ordered by time.
 func moments(crashes []Crash) int {
 	count, last := 0, time.Duration(0)
 	for _, c := range crashes {
-		if count == 0 || c.At-last >= sameMoment {
+		if count == 0 || c.At-last >= sameMoment || c.AliveAt != 0 && c.AliveAt >= last {
 			count, last = count+1, c.At
 		}
 	}
--- a/bluebellcore/internal/bluebelljudge/judge.go
+++ b/bluebellcore/internal/bluebelljudge/judge.go
@@ -131,7 +131,7 @@
 		return
 	}
 	j.logged = c
-	j.cfg.Logger.Info("suspect", "Key", c.Key, "Depth", c.Depth, "Crashes", c.Crashes, "Counted", c.Counted, "Needed", c.Needed, "Others", c.Others)
+	j.cfg.Logger.Info("suspect", "Key", c.Key, "Depth", c.Depth, "Crashes", c.Crashes, "Counted", c.Counted, "Needed", c.Needed, "Others", c.Others, "Rivals", c.Rivals)
 }
 
 // history converts the quarantines to the monotonic clock of this process.
--- a/bluebellgate/internal/bluebellrelay/quarantine.go
+++ b/bluebellgate/internal/bluebellrelay/quarantine.go
@@ -81,12 +81,22 @@
 		cfg.CountEvent("endpoint_crashes", c.request.Target.Name)
 		// From now on the whole call is suspect, and a later answer to it clears it.
 		c.subjects = c.relay.subjects(c.request, true)
-		cfg.Guard.RecordCrash(now, incarnation(choice), c.subjects)
+		c.crashed = true
+		cfg.Guard.RecordCrash(bluebellquarantine.Crash{Endpoint: incarnation(choice), At: now, AliveAt: c.aliveAt(err)}, c.subjects)
 		cfg.Logger.Warn("endpoint crashed", "Call", c.request.Call.ID, "Subject", c.subjects[len(c.subjects)-1].Key, "Endpoint", choice.Endpoint.ID,
 			"Incarnation", choice.Endpoint.StartUnixMillis, "Attempt", c.sends, "Links", c.linkState())
 	}
 }
 
+// aliveAt returns when the endpoint of a failed attempt was last known to be alive, 0 if unknown.
+func (c *activeCall) aliveAt(err error) time.Duration {
+	var failure *bluebelltransport.Error
+	if !errors.As(err, &failure) || failure.AliveAt.IsZero() {
+		return 0
+	}
+	return c.relay.cfg.Now() - time.Since(failure.AliveAt)
+}
+
 func incarnation(choice bluebellplacement.Choice) uint64 {
 	return bluebellquarantine.Incarnation(choice.Endpoint.ID, choice.Endpoint.StartUnixMillis)
 }
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -131,6 +131,9 @@
 	allowedAt time.Duration
 	// subjects are the parts of the call that may be in quarantine.
 	subjects []bluebellquarantine.Subject
+	// crashed is set once an attempt has ended in a crash. Later ones use new connections, which shows
+	// that their endpoints were alive after it.
+	crashed bool
 	// errorAnswer is an answer with an error status, which is delivered if no later attempt
 	// gives a better one.
 	errorAnswer *bufferedAnswer
@@ -363,6 +366,7 @@
 		HeaderDeadline: time.Now().Add(timeout),
 		ExtendDeadline: c.extendDeadline(choice, timeout),
 		AckTimeout:     ackTimeout(timeLeft, retryable),
+		NewConnection:  c.crashed,
 	})
 	if err != nil {
 		return c.handleTransportError(ctx, choice, err)
--- a/bluebellgate/internal/bluebelltransport/error.go
+++ b/bluebellgate/internal/bluebelltransport/error.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"time"
 )
 
 // Stage is the step of an exchange in which it failed.
@@ -33,6 +34,9 @@
 	// Timeout is set if a deadline or timeout expired, so that the endpoint may be unreachable
 	// or slow.
 	Timeout bool
+	// AliveAt is when the endpoint was last known to be alive: the connection was opened, or bytes
+	// arrived on it. It is zero if unknown.
+	AliveAt time.Time
 	Err     error
 }
 
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -46,6 +46,9 @@
 	// ExtendDeadline is called when a read deadline expires. It returns the new deadline, or a time
 	// in the past to fail the read. It may be nil.
 	ExtendDeadline func() time.Time
+	// NewConnection demands a connection that no earlier call has used, which opens only if the
+	// endpoint is alive.
+	NewConnection bool
 }
 
 // Exchange is a call whose response header has been read.
@@ -67,7 +70,7 @@
 // Do sends a call and reads the header of its response. When ctx is done, the connection is
 // closed, which cancels the call at the endpoint. The caller must close the exchange.
 func (c *Client) Do(ctx context.Context, r Request) (*Exchange, error) {
-	opened, err := c.connect(ctx, r.Address, r.ConnectTimeout)
+	opened, err := c.connect(ctx, r)
 	if err != nil {
 		return nil, &Error{Stage: Connecting, Timeout: isTimeout(err), Err: err}
 	}
@@ -188,7 +191,7 @@
 // fail closes the exchange and returns an Error for a call that the endpoint may have received.
 func (x *Exchange) fail(stage Stage, err error) error {
 	x.Close()
-	return &Error{Stage: stage, MaybeSent: true, Timeout: isTimeout(err), Err: err}
+	return &Error{Stage: stage, MaybeSent: true, Timeout: isTimeout(err), AliveAt: x.conn.aliveAt, Err: err}
 }
 
 // Status returns the status code of the response.
--- a/bluebellgate/internal/bluebelltransport/pool.go
+++ b/bluebellgate/internal/bluebelltransport/pool.go
@@ -76,6 +76,8 @@
 	headLeft atomic.Int64
 	// received is the number of bytes that have been read.
 	received int64
+	// aliveAt is when the connection was opened, or when bytes were last read.
+	aliveAt time.Time
 	// usableUntil is the time after which the endpoint may close the idle connection.
 	usableUntil time.Time
 }
@@ -134,9 +136,9 @@
 }
 
 // connect returns an idle connection that can be reused, or a new one.
-func (c *Client) connect(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
-	for {
-		idle := c.popIdle(address)
+func (c *Client) connect(ctx context.Context, r Request) (*conn, error) {
+	for !r.NewConnection {
+		idle := c.popIdle(r.Address)
 		if idle == nil {
 			break
 		}
@@ -146,7 +148,7 @@
 		}
 		_ = idle.Close()
 	}
-	return c.open(ctx, address, timeout)
+	return c.open(ctx, r.Address, r.ConnectTimeout)
 }
 
 // Open opens a connection without a call and keeps it idle.
@@ -176,7 +178,7 @@
 	if c.cfg.OnConnect != nil {
 		c.cfg.OnConnect(address)
 	}
-	opened := &conn{Conn: raw, address: address, ackTimeout: defaultAckTimeout}
+	opened := &conn{Conn: raw, address: address, ackTimeout: defaultAckTimeout, aliveAt: time.Now()}
 	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
 	return opened, nil
 }
@@ -188,6 +190,7 @@
 		n, err := c.Conn.Read(b)
 		if n > 0 && err == nil {
 			c.received += int64(n)
+			c.aliveAt = time.Now()
 			err = c.countHead(n)
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.extendDeadline == nil {
