Keep the crashes that an entry saw before it restarted

Cause: an entry keeps its evidence in memory; its first report after a restart replaced the last one of before, and core processes dropped the report of an entry that did not come back after 10 s.

A core process now notices by the numbers of an entry's reports that it has restarted, and keeps what it reported before. What an entry withdraws itself no longer counts.

TestEvidenceOfRestartedEntryStays failed before (one crash instead of two). TestReportOfEndedEntryExpires asserted that evidence is lost 10 s after an entry has ended, which is the fault; TestEvidenceOfEndedEntryStays replaces it and requires the same of the retention that crashes have.

--- a/bluebell/bluebellfeed/source.go
+++ b/bluebell/bluebellfeed/source.go
@@ -234,7 +234,7 @@
 	if r.Primary {
 		s.loads.record(r.Process, r.Report, r.Uses, r.LostTargets)
 		if now := s.cfg.Now(); s.cfg.Suspects != nil {
-			s.cfg.Suspects.Record(r.Process, now, decodeSuspicions(r.Suspicions, now))
+			s.cfg.Suspects.Record(r.Process, now, bluebellquarantine.Report{Number: r.Report, Suspects: decodeSuspicions(r.Suspicions, now)})
 		}
 	}
 }
--- a/bluebell/bluebellquarantine/doc.go
+++ b/bluebell/bluebellquarantine/doc.go
@@ -13,10 +13,15 @@
 // # Verdict
 //
 // Judge convicts a subject after Strikes crashes at different moments without a complete answer in
-// between. Endpoints that end together, as those of a failure domain do, count as one crash. The
-// crashes of a convicted subject accuse no other subject. Of subjects with the same crashes, the
-// most specific one is convicted, which refuses the fewest calls. If most crashes of the time have
-// other causes, it takes twice as many.
+// between. Endpoints that end together, as those of a failure domain do, count as one crash, unless one
+// of them is known to have been alive after another had crashed. The crashes of a convicted subject
+// accuse no other subject. Of subjects with the same crashes, the most specific one is convicted, which
+// refuses the fewest calls. If most crashes of the time have other causes, or another call was there at
+// each of them, it takes twice as many.
+//
+// A connection may also be lost while its endpoint goes on. The endpoint then answers later calls of the
+// entry, or registers again, and the crash no longer counts. Nothing else withdraws it: an entry whose
+// connections to all endpoints fail cannot tell lost links from endpoints that a call has crashed.
 //
 // The leader of the core processes stores verdicts in the replicated log (bluebellstate), so they
 // outlive every process, and entries receive them with the deployment. A verdict ends after its
@@ -36,11 +41,11 @@
 //	if verdict, blocked := guard.Blocked(now, subjects); blocked {
 //		// Refuse the call.
 //	}
-//	guard.RecordCrash(now, endpoint, subjects)
+//	guard.RecordCrash(bluebellquarantine.Crash{Endpoint: incarnation, At: now}, subjects)
 //	guard.RecordServed(now, subjects)
-//	report := guard.Report(now)
+//	suspects := guard.Report(now)
 //
-//	ledger.Record(entry, now, report)
+//	ledger.Record(entry, now, bluebellquarantine.Report{Number: number, Suspects: suspects})
 //	for _, s := range bluebellquarantine.Judge(ledger.Suspects(now), history) {
 //		// Propose the verdict on s.
 //	}
--- a/bluebell/bluebellquarantine/ledger.go
+++ b/bluebell/bluebellquarantine/ledger.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// reportRetention is how long the last report of a process counts. It covers the change of
-	// an entry to another core process.
-	reportRetention = 10 * time.Second
 	// sumInterval is how often the sums are made at most.
 	sumInterval = 50 * time.Millisecond
 	// maxListed bounds the suspects that entries are asked about, and maxSummed those in a sum.
@@ -28,12 +25,21 @@
 	Registered func() map[uint64]time.Duration
 }
 
+// Report is what an entry has observed until now.
+type Report struct {
+	// Number increases with each report of an entry and begins anew when it restarts, 0 if unknown.
+	Number   uint64
+	Suspects []Suspect
+}
+
 // Ledger adds up what processes report. It is safe for concurrent use.
 type Ledger struct {
 	cfg LedgerConfig
 
 	mu      sync.Mutex
 	reports map[string]processReport
+	// ended holds the last crashes that entries reported before they restarted.
+	ended map[string]processReport
 	// all and own are the sums of all reports and of those of entries, as of summedAt.
 	all, own []Suspect
 	// listed are the subjects that entries should report answers of.
@@ -44,6 +50,7 @@
 // processReport is the last report of an entry, or the sum that another core process has sent.
 type processReport struct {
 	at       time.Duration
+	number   uint64
 	suspects []Suspect
 	// relayed is set for the sum of another core process.
 	relayed bool
@@ -51,12 +58,28 @@
 
 // NewLedger returns a ledger without reports.
 func NewLedger(cfg LedgerConfig) *Ledger {
-	return &Ledger{cfg: cfg, reports: map[string]processReport{}, summedAt: -time.Hour}
+	return &Ledger{cfg: cfg, reports: map[string]processReport{}, ended: map[string]processReport{}, summedAt: -time.Hour}
 }
 
-// Record replaces the report of an entry.
-func (l *Ledger) Record(entry string, now time.Duration, suspects []Suspect) {
-	l.record(entry, processReport{at: now, suspects: suspects})
+// Record replaces the report of an entry. If the entry has restarted, which makes it forget what it has
+// observed, the crashes that it reported before still count.
+func (l *Ledger) Record(entry string, now time.Duration, r Report) {
+	l.mu.Lock()
+	if old := l.reports[entry]; r.Number != 0 && r.Number <= old.number {
+		l.ended[entry] = l.ended[entry].with(old)
+	}
+	l.mu.Unlock()
+	l.record(entry, processReport{at: now, number: r.Number, suspects: r.Suspects})
+}
+
+// with returns the report with the suspects of a later one of the same process.
+func (r processReport) with(later processReport) processReport {
+	sum := map[Key]Suspect{}
+	for _, s := range append(slices.Clone(r.suspects), later.suspects...) {
+		sum[s.Key] = sum[s.Key].merge(s)
+	}
+	later.suspects = sorted(sum)
+	return later
 }
 
 // RecordPeer replaces what another core process has added up.
@@ -67,10 +90,6 @@
 func (l *Ledger) record(process string, r processReport) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	old, known := l.reports[process]
-	if len(r.suspects) == 0 && (!known || len(old.suspects) == 0) {
-		return
-	}
 	l.reports[process] = r
 }
 
@@ -105,13 +124,16 @@
 		return
 	}
 	l.summedAt = now
-	maps.DeleteFunc(l.reports, func(_ string, r processReport) bool { return now-r.at > reportRetention })
 	all, own := map[Key]Suspect{}, map[Key]Suspect{}
-	for _, r := range l.reports {
-		for _, s := range r.suspects {
-			all[s.Key] = all[s.Key].merge(s)
-			if !r.relayed {
-				own[s.Key] = own[s.Key].merge(s)
+	for _, reports := range []map[string]processReport{l.reports, l.ended} {
+		maps.DeleteFunc(reports, func(_ string, r processReport) bool { return now-r.at > EvidenceRetention })
+		for _, r := range reports {
+			for _, s := range r.suspects {
+				s = s.withoutCrashes(func(c Crash) bool { return now-c.At > EvidenceRetention })
+				all[s.Key] = all[s.Key].merge(s)
+				if !r.relayed {
+					own[s.Key] = own[s.Key].merge(s)
+				}
 			}
 		}
 	}
--- a/bluebell/bluebellquarantine/quarantine_test.go
+++ b/bluebell/bluebellquarantine/quarantine_test.go
@@ -35,7 +35,7 @@
 	for range 2 {
 		now += 100 * time.Millisecond
 		for i, g := range d.guards {
-			d.ledger.Record(fmt.Sprint("entry-", i), now, g.Report(now))
+			d.ledger.Record(fmt.Sprint("entry-", i), now, quarantine.Report{Suspects: g.Report(now)})
 			g.SetListed(d.ledger.Listed(now))
 		}
 	}
@@ -207,17 +207,41 @@
 	require.LessOrEqual(t, len(g.Report(5*second)), quarantine.MaxSubjects)
 }
 
-// The evidence of an entry that has ended is forgotten; that of the others stays.
-func TestReportOfEndedEntryExpires(t *testing.T) {
+// The crashes that an entry saw count for as long as those of others after it has ended. The same crash from
+// two reports counts once.
+func TestEvidenceOfEndedEntryStays(t *testing.T) {
 	l := quarantine.NewLedger(quarantine.LedgerConfig{})
 	suspect := quarantine.Suspect{Subject: block("x", 1), Crashes: []quarantine.Crash{{Endpoint: 1, At: -5 * second}}}
-	l.Record("entry", second, []quarantine.Suspect{suspect})
+	l.Record("entry", second, quarantine.Report{Suspects: []quarantine.Suspect{suspect}})
 	l.RecordPeer("core", second, []quarantine.Suspect{suspect})
 	require.Len(t, l.Suspects(2*second), 1, "crashes from before the start of a core process count")
 	require.Len(t, l.Suspects(2 * second)[0].Crashes, 1, "the same crash from two reports counts once")
 	l.RecordPeer("core", 10*second, nil)
-	require.Len(t, l.Suspects(10*second), 1)
-	require.Empty(t, l.Suspects(12*second))
+	require.Len(t, l.Suspects(10 * second)[0].Crashes, 1)
+	require.Len(t, l.Suspects(quarantine.EvidenceRetention - 6*second)[0].Crashes, 1)
+	for _, s := range l.Suspects(quarantine.EvidenceRetention - 4*second) {
+		require.Empty(t, s.Crashes)
+	}
+	require.Empty(t, l.Suspects(quarantine.EvidenceRetention+2*second))
+}
+
+// An entry that restarts forgets the crashes that it saw, and its first report replaced the last one of
+// before: a call went on to crash endpoints. What it withdraws itself no longer counts.
+func TestEvidenceOfRestartedEntryStays(t *testing.T) {
+	call := quarantine.Call("customer", "h", "/x", nil, nil)
+	suspects := func(crashes ...quarantine.Crash) []quarantine.Suspect {
+		return []quarantine.Suspect{{Subject: call, Crashes: crashes}}
+	}
+	l := quarantine.NewLedger(quarantine.LedgerConfig{})
+	first, second, third := quarantine.Crash{Endpoint: 1, At: time.Second}, quarantine.Crash{Endpoint: 2, At: 2 * time.Second}, quarantine.Crash{Endpoint: 3, At: 3 * time.Second}
+	l.Record("entry", time.Second, quarantine.Report{Number: 7, Suspects: suspects(first)})
+	l.Record("entry", 2*time.Second, quarantine.Report{Number: 1, Suspects: suspects(second)})
+	l.Record("entry", 3*time.Second, quarantine.Report{Number: 2, Suspects: suspects(second)})
+	require.Len(t, l.Suspects(3 * time.Second)[0].Crashes, 2)
+	l.Record("entry", 4*time.Second, quarantine.Report{Number: 3, Suspects: suspects(second, third)})
+	require.Equal(t, []quarantine.Subject{call}, quarantine.Judge(l.Suspects(4*time.Second), nil))
+	l.Record("entry", 5*time.Second, quarantine.Report{Number: 4, Suspects: suspects(second)})
+	require.Empty(t, quarantine.Judge(l.Suspects(5*time.Second), nil), "it has withdrawn a crash")
 }
 
 func TestKeyRoundTrip(t *testing.T) {
@@ -259,7 +283,7 @@
 	g.RecordCrash(quarantine.Crash{At: 10 * time.Second, Endpoint: replaced}, []quarantine.Subject{shared})
 	g.RecordCrash(quarantine.Crash{At: 20 * time.Second, Endpoint: sound}, []quarantine.Subject{shared, own})
 	g.RecordCrash(quarantine.Crash{At: 21 * time.Second, Endpoint: other}, []quarantine.Subject{shared})
-	l.Record("entry", 22*time.Second, g.Report(22*time.Second))
+	l.Record("entry", 22*time.Second, quarantine.Report{Suspects: g.Report(22 * time.Second)})
 	require.Len(t, l.Suspects(22*time.Second), 2)
 	registered[sound] = 21900 * time.Millisecond
 	registered[other] = 22 * time.Second // may have been sent before the crash
--- a/bluebellcore/internal/bluebelljudge/judge_test.go
+++ b/bluebellcore/internal/bluebelljudge/judge_test.go
@@ -56,7 +56,7 @@
 // report lets an entry report suspects for a time, while the judge judges.
 func (c *core) report(d time.Duration, suspects ...bluebellquarantine.Suspect) {
 	for end := c.now + d; c.now < end; c.now += 100 * time.Millisecond {
-		c.ledger.Record("entry", c.now, suspects)
+		c.ledger.Record("entry", c.now, bluebellquarantine.Report{Suspects: suspects})
 		c.judge.Judge(context.Background())
 	}
 }
@@ -98,7 +98,7 @@
 func TestRefutedEvidenceLeadsToNoVerdict(t *testing.T) {
 	c := newCore()
 	c.report(300*time.Millisecond, crashed(second, 2*second, 3*second))
-	c.ledger.Record("other", c.now, []bluebellquarantine.Suspect{{Subject: subject, ServedAt: 4 * second}})
+	c.ledger.Record("other", c.now, bluebellquarantine.Report{Suspects: []bluebellquarantine.Suspect{{Subject: subject, ServedAt: 4 * second}}})
 	c.report(5*second, crashed(second, 2*second, 3*second))
 	require.Zero(t, c.proposals)
 }
