An error status of an endpoint no longer clears a call that crashes others

Callers saw a call crash more endpoints while another endpoint failed its calls with 500: that answer counted as proof that the call is sound, cleared all its crashes, and could lift a quarantine in force. Such an endpoint fails calls without having run them properly, so its answer says nothing. Found by looking for other places where something that says nothing deletes evidence, the class of the incident's cause.

An answer with a status of 500 or above is now no evidence, for or against.

--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -205,6 +205,13 @@
 	_ = e.server.Close()
 }
 
+// Ended reports whether the endpoint has crashed or was stopped.
+func (e *Endpoint) Ended() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ended
+}
+
 // Address returns the address on which the endpoint listens.
 func (e *Endpoint) Address() string { return e.listener.Addr().String() }
 
@@ -279,10 +286,7 @@
 // Register tries the control addresses in order until one of them accepts a registration.
 // If none does, it returns the error of the last one. An endpoint that has ended does not register.
 func (e *Endpoint) Register(ctx context.Context, client *http.Client, controlAddresses []string) error {
-	e.mu.Lock()
-	ended := e.ended
-	e.mu.Unlock()
-	if ended {
+	if e.Ended() {
 		return errors.New("endpoint has ended")
 	}
 	path, body, err := bluebellplatform.EncodeRegistration(e.NextRegistration(), 0)
--- a/bluebellgate/internal/bluebellgateway/cluster_test.go
+++ b/bluebellgate/internal/bluebellgateway/cluster_test.go
@@ -133,6 +133,9 @@
 func (c *cluster) register(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, e := range c.endpoints {
+			if e.Ended() {
+				continue
+			}
 			registration := e.NextRegistration()
 			registration.ReceivedAt = c.now()
 			c.registry.Merge(registration)
--- a/bluebellgate/internal/bluebellrelay/quarantine.go
+++ b/bluebellgate/internal/bluebellrelay/quarantine.go
@@ -14,7 +14,8 @@
 )
 
 // A call whose endpoint crashes before its answer has begun is evidence against its subjects, and
-// one that is answered completely clears them. See bluebellquarantine.
+// one that is answered completely clears them. An answer with a server error does neither: an endpoint that
+// fails its calls may not have run this one. See bluebellquarantine.
 
 // justBegun is how long after its first event a call may still be the cause of a crash.
 const justBegun = 300 * time.Millisecond
@@ -75,7 +76,7 @@
 	switch {
 	case outcome == bluebellplacement.Answered && c.unframed:
 		cfg.Guard.RecordEnded(now, incarnation(choice), c.subjects)
-	case outcome == bluebellplacement.Answered || outcome == bluebellplacement.Errored:
+	case outcome == bluebellplacement.Answered:
 		cfg.Guard.RecordServed(now, c.subjects)
 	case outcome != bluebellplacement.Abandoned && isCrash(err) && (!c.begun.Load() || now-c.begunAt < justBegun):
 		cfg.CountEvent("endpoint_crashes", c.request.Target.Name)
