An endpoint at the address of a crashed one does not show that it goes on

Callers could see a call crash more endpoints where endpoints take over addresses quickly: the new endpoint declines calls that name the crashed one, and an entry took that answer within a second of the crash as one of the crashed endpoint, so that only the connection seemed lost.

An answer that says that it is from another endpoint is no longer such a sign.

--- a/bluebellgate/internal/bluebellgateway/crash_test.go
+++ b/bluebellgate/internal/bluebellgateway/crash_test.go
@@ -56,6 +56,25 @@
 	require.Never(t, func() bool { return c.mostCrashes() == 0 }, time.Second, 10*time.Millisecond)
 }
 
+// An endpoint that has taken over the address of a crashed one, and so declines its calls, does not show that
+// the crashed one goes on: that cleared the crash.
+func TestEndpointAtSameAddressClearsNoCrash(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 1)
+	a := c.startGate("a")
+	c.behave(bluebellstub.Unresponsive)
+	crashed := c.endpoints[0]
+	a.crashOne(http.MethodPost, "/once/deadly")
+	other, err := bluebellstub.Start(bluebellstub.Config{ID: "i-other", Target: "app", Listen: crashed.Address()})
+	require.NoError(t, err)
+	t.Cleanup(other.Stop)
+	for range 20 {
+		require.NotEqual(t, http.StatusOK, a.do(http.MethodPost, "/once/sound", "sound").status)
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.Positive(t, c.mostCrashes())
+}
+
 // An entry that reaches no core process, as in a cut-off domain, refuses a call that has crashed all three
 // endpoints of its service, although new connections to them are refused.
 func TestCutOffEntryRefusesCallThatCrashesAllEndpoints(t *testing.T) {
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -376,7 +376,9 @@
 	if cfg.Links != nil {
 		cfg.Links.RecordAnswer(cfg.Now(), c.request.Target.Name)
 	}
-	cfg.Guard.RecordAnswer(cfg.Now(), waitStart, incarnation(choice))
+	if !bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header()).WrongEndpoint {
+		cfg.Guard.RecordAnswer(cfg.Now(), waitStart, incarnation(choice))
+	}
 	return c.handleAnswer(ctx, choice, exchange, retryable)
 }
 
