Report the suspects that matter first, and keep those that no longer fit

Callers could see a call crash more endpoints after many other calls had ended in crashes: an entry reports at most 64 suspects, those with the same number of crashes by their keys, so by chance. A call whose crashes different entries had seen, one each, was dropped from their reports before it had three.

Entries report subjects that others suspect too first, and then the latest. A core process keeps what a full report has no room for, within its bound. TestCallIsReportedBesideManySuspects, at 3, 6 and 295 entries, fails without either of the two.

--- a/bluebell/bluebellquarantine/guard.go
+++ b/bluebell/bluebellquarantine/guard.go
@@ -1,6 +1,7 @@
 package bluebellquarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -183,7 +184,8 @@
 }
 
 // Report returns what this entry has observed: its suspects, and the answers to calls with
-// subjects that any entry suspects or that are convicted.
+// subjects that any entry suspects or that are convicted. If there are too many suspects, those with the
+// most crashes are reported, of these the ones that other entries suspect too, and then the latest.
 func (g *Guard) Report(now time.Duration) []Suspect {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -203,7 +205,9 @@
 			list = append(list, Suspect{Subject: Subject{Key: key}, ServedAt: at})
 		}
 	}
-	slices.SortFunc(list, compareEvidence)
+	slices.SortFunc(list, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), compareBool(g.listed[b.Key], g.listed[a.Key]), cmp.Compare(b.lastCrash(), a.lastCrash()))
+	})
 	if len(list) <= maxReported {
 		return list
 	}
@@ -211,6 +215,17 @@
 	return append(list[:maxReported:maxReported], slices.DeleteFunc(list[maxReported:], func(s Suspect) bool { return len(s.Crashes) > 0 })...)
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // SetListed replaces the subjects that any entry suspects.
 func (g *Guard) SetListed(keys []Key) {
 	listed := make(map[Key]bool, len(keys))
--- a/bluebell/bluebellquarantine/ledger.go
+++ b/bluebell/bluebellquarantine/ledger.go
@@ -65,11 +65,35 @@
 // observed, the crashes that it reported before still count.
 func (l *Ledger) Record(entry string, now time.Duration, r Report) {
 	l.mu.Lock()
-	if old := l.reports[entry]; r.Number != 0 && r.Number <= old.number {
+	old := l.reports[entry]
+	if r.Number != 0 && r.Number <= old.number {
 		l.ended[entry] = l.ended[entry].with(old)
+		old = processReport{}
 	}
 	l.mu.Unlock()
-	l.record(entry, processReport{at: now, number: r.Number, suspects: r.Suspects})
+	l.record(entry, processReport{at: now, number: r.Number, suspects: r.Suspects}.completed(old))
+}
+
+// completed returns the report with what is missing in it for want of room, from the one before.
+func (r processReport) completed(old processReport) processReport {
+	reported := map[Key]bool{}
+	crashed := 0
+	for _, s := range r.suspects {
+		reported[s.Key] = true
+		if len(s.Crashes) > 0 {
+			crashed++
+		}
+	}
+	if crashed < maxReported {
+		return r
+	}
+	r.suspects = slices.Clone(r.suspects)
+	for _, s := range old.suspects {
+		if !reported[s.Key] && len(s.Crashes) > 0 && len(r.suspects) < maxSummed {
+			r.suspects = append(r.suspects, s)
+		}
+	}
+	return r
 }
 
 // with returns the report with the suspects of a later one of the same process.
--- a/bluebell/bluebellquarantine/quarantine_test.go
+++ b/bluebell/bluebellquarantine/quarantine_test.go
@@ -366,3 +366,33 @@
 	}
 	require.ElementsMatch(t, calls, d.judge(7*second, nil))
 }
+
+// A call whose crashes different entries have seen is reported by each of them, although many calls that ended
+// in crashes and came only once are suspect as well.
+func TestCallIsReportedBesideManySuspects(t *testing.T) {
+	deadly := quarantine.Call("customer", "h", "/deadly", nil, nil)
+	for _, entries := range []int{3, 6, 295} {
+		d := newDeployment(entries)
+		single := 0
+		// ended is a crash at which each entry has many calls that do not come again.
+		ended := func(at time.Duration, endpoint uint64) {
+			for _, g := range d.guards[:3] {
+				for range 30 {
+					single++
+					g.RecordCrash(quarantine.Crash{At: at, Endpoint: endpoint}, []quarantine.Subject{quarantine.Call("customer", "h", fmt.Sprint("/", single), nil, nil)})
+				}
+			}
+		}
+		for n := range 3 {
+			at := second * time.Duration(4*n+1)
+			ended(at, uint64(2*n+1))
+			d.judge(at+second, nil)
+			ended(at+2*second, uint64(2*n+2))
+			d.guards[n].RecordCrash(quarantine.Crash{At: at + 2*second, Endpoint: uint64(2*n + 2)}, []quarantine.Subject{deadly})
+			d.judge(at+3*second, nil)
+		}
+		suspects := d.ledger.Suspects(20 * second)
+		require.Equal(t, deadly.Key, suspects[0].Key)
+		require.Len(t, suspects[0].Crashes, 3, "%d entries", entries)
+	}
+}
