--- a/bluebellsoak/bluebellchaos/repeat.go
+++ b/bluebellsoak/bluebellchaos/repeat.go
@@ -94,6 +94,16 @@
 	return fmt.Sprintf("%s for %v, each %v, beside: %s", r.Path, r.Work, r.Interval, beside)
 }
 
+// CoreCutOff cuts all core processes off from all other processes, so that each gate decides by itself.
+var CoreCutOff = Disruption{"core processes are cut off", true, func(ctx context.Context, r *repeatRun) error {
+	for _, link := range r.links {
+		link.setMode(modeDropAll)
+		defer link.setMode(modePass)
+	}
+	<-ctx.Done()
+	return nil
+}}
+
 // RepeatReport is the result of RunRepeated.
 type RepeatReport struct {
 	// Crashes holds the times at which the repeated call crashed endpoints.
--- a/bluebellsoak/bluebellchaos/repeat_test.go
+++ b/bluebellsoak/bluebellchaos/repeat_test.go
@@ -39,6 +39,27 @@
 	}
 }
 
+// repeatRegressions are seeds of RepeatedOf that once broke the rule, each with its cause.
+var repeatRegressions = []uint64{
+	3,  // connections were reset: links that seemed lost withdrew crashes
+	14, // whole domains crashed, so that crashes of a retried call counted once
+	19, // killed gates forgot the crashes that they had seen
+}
+
+func TestRepeatedCallReachesFewEndpointsBesideDisruptions(t *testing.T) {
+	bin := build(t)
+	for _, seed := range repeatRegressions {
+		t.Run(bluebellchaos.RepeatedOf(seed).Disruption.Name, func(t *testing.T) {
+			t.Parallel()
+			requireFewReached(t, bin, seed, bluebellchaos.RepeatedOf(seed))
+		})
+	}
+	t.Run(bluebellchaos.CoreCutOff.Name, func(t *testing.T) {
+		t.Parallel()
+		requireFewReached(t, bin, 1, bluebellchaos.Repeated{Path: "/read/", Work: quickWork, Interval: 500 * time.Millisecond, Disruption: &bluebellchaos.CoreCutOff})
+	})
+}
+
 // requireFewReached runs a deployment with a repeated call and requires that few of its attempts reach
 // endpoints after the third crash.
 func requireFewReached(t *testing.T, bin string, seed uint64, repeated bluebellchaos.Repeated) {
