--- a/bluebellsoak/bluebellchaos/proxy.go
+++ b/bluebellsoak/bluebellchaos/proxy.go
@@ -43,11 +43,11 @@
 
 // proxy is a TCP proxy in front of one address that can impair its connections.
 type proxy struct {
-	target     string
 	goroutines sync.WaitGroup
 
 	mu       sync.Mutex
 	listener net.Listener
+	target   string
 	mode     mode
 	// conns holds the open connections to clients and to the server.
 	conns map[net.Conn]bool
@@ -87,6 +87,14 @@
 	return nil
 }
 
+// retarget resets all connections and connects new ones to another address.
+func (p *proxy) retarget(target string) {
+	p.setMode(modeReset)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target, p.mode = target, modePass
+}
+
 // setMode changes the mode. modeReset resets the open connections; the modes that drop data
 // mark them as stalled.
 func (p *proxy) setMode(m mode) {
@@ -156,7 +164,10 @@
 		reset(client)
 		return
 	}
-	server, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	server, err := net.Dial("tcp", target)
 	if err != nil {
 		reset(client)
 		return
