Tell entries of an endpoint that becomes cold again while it is cold

Cause: registrations were compared by whether the endpoint is cold, not until when, so entries were not told and treated it as warm from the end of its first cold time on. Class: a comparison that decides whether followers are told leaves a field out.

The end of the cold time is now compared, with a tolerance for the time that registrations take; the end that followers know is kept, so that small differences do not add up. An endpoint that has become cold again shortly before its cold time is over says so only with its next heartbeat: entries treat it as cold until it registers as warm, for 1.5 s at most.

Other comparisons of this kind were read: RateLimit.same, sameOwners, the list of loading endpoints, patches of the synchronised state and the tables of uses compare all that they pass on.

Exchange between versions: unchanged. An old core process does not tell entries; a new entry is then protected for 1.5 s only.

--- a/bluebell/bluebellfleet/fleet.go
+++ b/bluebell/bluebellfleet/fleet.go
@@ -40,6 +40,10 @@
 // heartbeats.
 const minSilence = 10 * time.Second
 
+// coldTolerance is by how much two registrations may differ in the end of the same cold time, because they
+// were on their way for different times.
+const coldTolerance = 200 * time.Millisecond
+
 // maxRecordsFactor times MaxEndpoints limits the records, including those of endpoints that are gone.
 const maxRecordsFactor = 4
 
@@ -169,6 +173,8 @@
 		e.Weights = mergeWeights(old.endpoint.Weights, e.Weights)
 	}
 	if old != nil && sameRouting(old.endpoint, e) {
+		// The end that followers know stays, so that small differences do not add up.
+		e.ColdUntil = old.endpoint.ColdUntil
 		r.put(e, false)
 		return Refreshed
 	}
@@ -408,6 +414,9 @@
 		}
 	}
 	cold := func(e Endpoint) bool { return e.ColdUntil > e.ReceivedAt }
+	if cold(a) && cold(b) && (a.ColdUntil-b.ColdUntil).Abs() > coldTolerance {
+		return false
+	}
 	return a.Target == b.Target && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
 		a.SoftwareVersion == b.SoftwareVersion && a.Slots == b.Slots && a.State == b.State &&
 		a.StartUnixMillis == b.StartUnixMillis && cold(a) == cold(b)
--- a/bluebell/bluebellfleet/fleet_test.go
+++ b/bluebell/bluebellfleet/fleet_test.go
@@ -167,3 +167,38 @@
 	require.Len(t, changes, 2, "followers learn of both")
 	require.Equal(t, bluebellfleet.Full, register("i-4", 1))
 }
+
+// An endpoint that becomes cold again while it is cold was told to no entry, which sent it calls as if it were
+// warm from the end of its first cold time on. Registrations that took longer are told to none.
+func TestEndpointThatBecomesColdAgainIsTold(t *testing.T) {
+	r, c := newRegistry()
+	register := func(sequence uint64, coldFor time.Duration) bluebellfleet.MergeResult {
+		e := endpoint("i-1", "a:1", 10, sequence)
+		e.ReceivedAt, e.ColdUntil = c.now, c.now+coldFor
+		return r.Merge(e)
+	}
+	c.now = time.Second
+	require.Equal(t, bluebellfleet.Changed, register(1, 3*time.Second))
+	_, cursor := r.RoutingChangesSince(0)
+	for sequence := uint64(2); sequence < 8; sequence++ {
+		c.now += 300 * time.Millisecond
+		require.Equal(t, bluebellfleet.Refreshed, register(sequence, 4*time.Second-c.now+time.Duration(sequence%4)*50*time.Millisecond))
+	}
+	changes, _ := r.RoutingChangesSince(cursor)
+	require.Empty(t, changes)
+	require.Equal(t, bluebellfleet.Changed, register(8, 3*time.Second))
+	changes, cursor = r.RoutingChangesSince(cursor)
+	require.Len(t, changes, 1)
+	require.Equal(t, c.now+3*time.Second, changes[0].ColdUntil)
+	for sequence := uint64(9); c.now < 5500*time.Millisecond; sequence++ {
+		c.now += 100 * time.Millisecond
+		register(sequence, 3*time.Second) // becomes cold again each time
+	}
+	changes, cursor = r.RoutingChangesSince(cursor)
+	require.Len(t, changes, 1)
+	require.InDelta(t, float64(c.now+3*time.Second), float64(changes[0].ColdUntil), float64(200*time.Millisecond))
+	c.now += 4 * time.Second
+	require.Equal(t, bluebellfleet.Changed, register(100, 0), "it is warm")
+	changes, _ = r.RoutingChangesSince(cursor)
+	require.Len(t, changes, 1)
+}
--- a/bluebell/bluebellplacement/cold.go
+++ b/bluebell/bluebellplacement/cold.go
@@ -9,14 +9,22 @@
 // entry.
 const assumedColdFor = 3 * time.Second
 
+// warmNoticeTime is how long after the end of its cold time an endpoint still counts as cold if no registration
+// says otherwise: a heartbeat and its propagation. It may have become cold again.
+const warmNoticeTime = 1500 * time.Millisecond
+
 // isCold reports whether an endpoint is cold: it was started recently, or may have been,
 // and can handle only a few calls per second.
 func (p *Placer) isCold(now time.Duration, m *member) bool {
 	e, s := m.endpoint, m.state
-	if now >= e.ColdUntil && s.disconnectedAt == 0 || p.fleet.ColdRates[e.Target] <= 0 {
+	coldUntil := e.ColdUntil
+	if coldUntil > 0 {
+		coldUntil += warmNoticeTime
+	}
+	if now >= coldUntil && s.disconnectedAt == 0 || p.fleet.ColdRates[e.Target] <= 0 {
 		return false
 	}
-	return now < e.ColdUntil || s.disconnectedAt > 0 && e.ReceivedAt <= s.disconnectedAt && now-s.disconnectedAt < assumedColdFor
+	return now < coldUntil || s.disconnectedAt > 0 && e.ReceivedAt <= s.disconnectedAt && now-s.disconnectedAt < assumedColdFor
 }
 
 // coldRate returns the number of calls per second that this entry may send to a cold
--- a/bluebell/bluebellplacement/placer_test.go
+++ b/bluebell/bluebellplacement/placer_test.go
@@ -452,3 +452,31 @@
 	_, result = p.Pick(second, prompt("doc"))
 	require.Equal(t, bluebellplacement.Picked, result)
 }
+
+// An endpoint whose cold time is over may have become cold again: until it registers as warm, or for a
+// heartbeat, it gets no more calls than a cold one.
+func TestEndpointIsColdUntilItRegistersAsWarm(t *testing.T) {
+	f := fleet(1)
+	f.Entries = []string{"e1"}
+	f.Endpoints[0].ColdUntil = 2 * second
+	p := placer(config, f)
+	pickedAt := func(now time.Duration) int {
+		n := 0
+		for range 10 {
+			if choice, result := p.Pick(now, prompt("doc")); result == bluebellplacement.Picked {
+				p.Sent(&choice, now)
+				p.Done(choice, now, bluebellplacement.Answered)
+				n++
+			}
+		}
+		return n
+	}
+	require.Equal(t, 1, pickedAt(3*second))
+	require.Equal(t, 10, pickedAt(4*second))
+	f.Endpoints[0].ColdUntil = 5 * second
+	p.Update(f)
+	require.LessOrEqual(t, pickedAt(5100*time.Millisecond), 1)
+	f.Endpoints[0].ColdUntil = 0
+	p.Update(f)
+	require.Equal(t, 10, pickedAt(5200*time.Millisecond))
+}
