Record that an endpoint has left although it is not registered

Cause: after a restart of all core processes an endpoint that was cut off from them is in no registry; its DELETE was acknowledged and nothing recorded, so entries went on using it. Class: a 200 for something that is not recorded.

The leave now records the incarnation that it names as gone, also in place of an earlier one, and passes that to entries and other core processes. A leave of an unknown endpoint that names no start time is refused with 503, so that the endpoint asks another core process.

TestLeaveOfUnknownEndpointIsRecorded fails before (nothing is passed on).

The other 200s of the control interface were read: declarations, domains and weights are agreed on first; a heartbeat is repeated. A leave is kept in memory and passed on at once, so it can still be lost if its core process is killed within the next poll.

Exchange between versions: the record is an ordinary registration in state Gone, which earlier releases apply when they have the incarnation.

--- a/bluebell/bluebellfleet/fleet.go
+++ b/bluebell/bluebellfleet/fleet.go
@@ -216,20 +216,30 @@
 	return true
 }
 
-// MarkGone records that an endpoint is gone. It reports whether the endpoint was registered.
-func (r *Registry) MarkGone(id string) bool {
+// MarkGone records that the incarnation of an endpoint with a start time is gone, whether or not it is
+// registered: other registries may have it. A start time of 0 stands for the registered incarnation. It
+// reports whether that or a later incarnation is recorded now.
+func (r *Registry) MarkGone(id string, startUnixMillis int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.records[id]
-	if old == nil {
+	var gone Endpoint
+	switch {
+	case old != nil && (startUnixMillis == 0 || startUnixMillis == old.endpoint.StartUnixMillis):
+		if old.endpoint.State == Gone {
+			return true
+		}
+		gone = old.endpoint.WithState(Gone)
+	case old != nil && startUnixMillis < old.endpoint.StartUnixMillis:
+		return true
+	case startUnixMillis == 0, old == nil && r.cfg.MaxEndpoints > 0 && len(r.records) >= maxRecordsFactor*r.cfg.MaxEndpoints:
 		return false
+	default:
+		gone = Endpoint{ID: id, State: Gone, StartUnixMillis: startUnixMillis}
 	}
-	if old.endpoint.State != Gone {
-		gone := old.endpoint.WithState(Gone)
-		gone.ReceivedAt = r.cfg.Now()
-		r.put(gone, true)
-		r.notify()
-	}
+	gone.ReceivedAt = r.cfg.Now()
+	r.put(gone, true)
+	r.notify()
 	return true
 }
 
--- a/bluebellcore/internal/bluebellcontrol/control.go
+++ b/bluebellcore/internal/bluebellcontrol/control.go
@@ -195,16 +195,16 @@
 }
 
 // leave marks an endpoint as gone. It ignores a request of an earlier incarnation (start) of
-// an endpoint that has restarted since.
+// an endpoint that has restarted since. An endpoint that is not registered here, as after a restart of all
+// core processes, may still be used by entries: it is recorded as gone too, or the request is refused if it
+// does not say which incarnation leaves.
 func (s *Server) leave(id string, body []byte) reply {
-	current, found := s.cfg.Registry.Endpoint(id)
-	startUnixMillis, hasStart := bluebellplatform.DecodeLeave(body)
-	if found && hasStart && startUnixMillis < current.StartUnixMillis {
-		return ok()
-	}
-	if s.cfg.Registry.MarkGone(id) {
-		s.cfg.Logger.Info("endpoint left", "ID", id, "State", bluebellfleet.Gone, "Born", current.StartUnixMillis, "Source", "endpoint")
+	startUnixMillis, _ := bluebellplatform.DecodeLeave(body)
+	if !s.cfg.Registry.MarkGone(id, startUnixMillis) {
+		s.cfg.Logger.Warn("leave not recorded: unknown endpoint without start time", "ID", id)
+		return failure(fasthttp.StatusServiceUnavailable, errors.New("the endpoint is not registered, and names no start time"))
 	}
+	s.cfg.Logger.Info("endpoint left", "ID", id, "State", bluebellfleet.Gone, "Born", startUnixMillis, "Source", "endpoint")
 	return ok()
 }
 
--- a/bluebellcore/internal/bluebellcontrol/control_test.go
+++ b/bluebellcore/internal/bluebellcontrol/control_test.go
@@ -220,7 +220,35 @@
 	require.Equal(t, http.StatusOK, status)
 	require.Empty(t, f.registry.Endpoints())
 	status, _ = f.do(t, bluebellplatform.Leave, "none", nil)
+	require.Equal(t, http.StatusServiceUnavailable, status, "nothing can be recorded")
+}
+
+// After a restart of all core processes, an endpoint that left before it had registered again was acknowledged
+// and not recorded: entries went on using it.
+func TestLeaveOfUnknownEndpointIsRecorded(t *testing.T) {
+	f := start(t)
+	entry := bluebellfleet.NewRegistry(bluebellfleet.Config{Now: func() time.Duration { return time.Second }})
+	e := bluebellfleet.Endpoint{ID: "i-1", Target: "a", Address: "10.0.0.1:1", FailureDomain: "d", State: bluebellfleet.Serving, StartUnixMillis: 100, Sequence: 7}
+	entry.Merge(e)
+	leave, err := bluebellplatform.EncodeLeave(100)
+	require.NoError(t, err)
+	for range 2 {
+		status, _ := f.do(t, bluebellplatform.Leave, "i-1", leave)
+		require.Equal(t, http.StatusOK, status)
+		changes, _ := f.registry.RoutingChangesSince(0)
+		require.Len(t, changes, 1)
+		entry.Merge(changes[0])
+		require.Empty(t, entry.Endpoints())
+	}
+	e.Sequence++
+	require.Equal(t, http.StatusOK, f.register(t, e))
+	require.Empty(t, f.registry.Endpoints(), "a heartbeat of before the leave")
+	e.StartUnixMillis, e.Sequence = 200, 1
+	require.Equal(t, http.StatusOK, f.register(t, e))
+	require.Len(t, f.registry.Endpoints(), 1, "the next incarnation")
+	status, _ := f.do(t, bluebellplatform.Leave, "i-1", leave)
 	require.Equal(t, http.StatusOK, status)
+	require.Len(t, f.registry.Endpoints(), 1, "a leave of the earlier incarnation")
 }
 
 // Operators list the quarantines and lift one. A key that is none is refused.
