Refuse an order that may have waited for longer than its sender

Cause: a core process that was frozen reads, when it wakes, an order whose sender left seconds ago, has it agreed on behind the newer one that another process acknowledged, and so undoes that. Class: orders without an order of their own.

Orders without a version (failure domains out and in, quarantines lifted) are refused with 503 and not proposed if their sender has closed the connection, or if the process stood still for half a second or more right before it read them. The clock is monotonic, so a step of the time of day changes nothing. The sender that still waits is told to send the order again. How long an order may wait after that was bounded already: 0.9 s until it is proposed.

Declarations and weights carry versions, registrations and leaves a start time. A number given by the log, by which the state could reject an older order, would need a new command that releases of before do not apply alike; not done.

--- a/bluebellcore/internal/bluebellcontrol/control.go
+++ b/bluebellcore/internal/bluebellcontrol/control.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
@@ -68,13 +69,14 @@
 
 // Server serves the control interface of one process.
 type Server struct {
-	cfg  Config
-	http *fasthttp.Server
+	cfg   Config
+	http  *fasthttp.Server
+	stall stallWatch
 }
 
 // New returns a server that does not listen yet.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, stall: stallWatch{now: cfg.Now}}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, MaxRequestBodySize: maxBodyBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		HeaderReceived: limitBody, NoDefaultServerHeader: true, Logger: httpLogger{cfg.Logger}, CloseOnShutdown: true,
@@ -107,6 +109,11 @@
 		}
 	})
 	defer stop()
+	watchCtx, stopWatch := context.WithCancel(ctx)
+	var watch conc.WaitGroup
+	defer watch.Wait()
+	defer stopWatch()
+	watch.Go(func() { s.stall.run(watchCtx) })
 	return s.http.Serve(bluebelllistener.New(bluebelllistener.Config{Listener: listener, OnError: func(err error) {
 		s.cfg.Logger.Warn("failed to accept a connection", "Address", listener.Addr(), "Error", err)
 	}}))
@@ -129,11 +136,16 @@
 	o := bluebellplatform.DecodeOperation(string(c.Method()), string(c.Path()))
 	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
 	defer cancel()
-	verb := o.Verb.String()
-	r, isQuarantine := s.answerQuarantine(ctx, string(c.Method()), string(c.Path()))
-	if isQuarantine {
+	verb, lifts := o.Verb.String(), isQuarantineCall(string(c.Path())) && c.IsDelete()
+	var r reply
+	switch {
+	case (lifts || o.Verb == bluebellplatform.DomainOut || o.Verb == bluebellplatform.DomainIn) && s.mayHaveWaited(c):
+		s.cfg.Logger.Warn("order refused", "Verb", o.Verb, "Path", string(c.Path()), "Error", errWaited)
+		r = failure(fasthttp.StatusServiceUnavailable, errWaited)
+	case isQuarantineCall(string(c.Path())):
 		verb = "Quarantine"
-	} else {
+		r = s.answerQuarantine(ctx, string(c.Method()), string(c.Path()))
+	default:
 		r = s.answer(ctx, o, bytes.Clone(c.PostBody()))
 	}
 	c.SetStatusCode(r.status)
--- a/bluebellcore/internal/bluebellcontrol/control_test.go
+++ b/bluebellcore/internal/bluebellcontrol/control_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -52,6 +53,8 @@
 	*state
 	registry *bluebellfleet.Registry
 	url      string
+	// ahead is added to the clock of the server.
+	ahead atomic.Int64
 }
 
 func start(t *testing.T) *fixture {
@@ -64,7 +67,7 @@
 	t.Helper()
 	f := &fixture{state: &state{machine: bluebellstate.New(), quorum: true}}
 	started := time.Now()
-	now := func() time.Duration { return time.Since(started) + time.Second }
+	now := func() time.Duration { return time.Since(started) + time.Second + time.Duration(f.ahead.Load()) }
 	f.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: now, MaxEndpoints: bluebellcontrol.MaxEndpoints})
 	server := bluebellcontrol.New(bluebellcontrol.Config{
 		Registry: f.registry, Deployment: f.deployment, Propose: f.propose, Now: now, WallClock: time.Now,
--- a/bluebellcore/internal/bluebellcontrol/quarantine.go
+++ b/bluebellcore/internal/bluebellcontrol/quarantine.go
@@ -13,16 +13,21 @@
 	"bluebellhaven.org/bluebell/bluebellquarantine"
 )
 
-// answerQuarantine answers a call of bluebellquarantine.ListPath. It reports false for other paths.
-func (s *Server) answerQuarantine(ctx context.Context, method, path string) (reply, bool) {
-	rest, ok := strings.CutPrefix(path, bluebellquarantine.ListPath)
+// isQuarantineCall reports whether a path is that of a call that answerQuarantine answers.
+func isQuarantineCall(path string) bool {
+	return path == bluebellquarantine.ListPath || strings.HasPrefix(path, bluebellquarantine.ListPath+"/")
+}
+
+// answerQuarantine answers a call for which isQuarantineCall reports true.
+func (s *Server) answerQuarantine(ctx context.Context, method, path string) reply {
+	key := strings.TrimPrefix(strings.TrimPrefix(path, bluebellquarantine.ListPath), "/")
 	switch {
-	case ok && method == fasthttp.MethodGet && rest == "":
-		return s.listQuarantines(), true
-	case ok && method == fasthttp.MethodDelete && strings.HasPrefix(rest, "/"):
-		return s.liftQuarantine(ctx, rest[1:]), true
+	case method == fasthttp.MethodGet && key == "":
+		return s.listQuarantines()
+	case method == fasthttp.MethodDelete && key != "":
+		return s.liftQuarantine(ctx, key)
 	}
-	return reply{}, false
+	return failure(fasthttp.StatusNotFound, errors.New("no such call"))
 }
 
 func (s *Server) listQuarantines() reply {
