What a registration lacks leaves what is known as it is

Cause: a heartbeat of another writer in which models are missing made the known weights unknown; calls then went without an expected version and in a cache scope that all versions shared. Class: absent taken for empty.

Fields that may be missing are now taken from what is known of the same incarnation: models, slots, the cold time, the software version. An endpoint whose weights are not known gets a scope of the single call and no store.

Exchange between versions: an old core process still drops weights; new ones keep what they have, since registrations in which weights are missing no longer remove them wherever they come from.

--- a/bluebell/bluebellfleet/fleet.go
+++ b/bluebell/bluebellfleet/fleet.go
@@ -27,6 +27,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -402,10 +403,11 @@
 	return false
 }
 
-// mergeWeights returns the highest version of each reported model. Versions within one
-// incarnation only increase, and reports can arrive out of order.
+// mergeWeights returns the highest known version of each model. Versions within one incarnation only
+// increase, reports can arrive out of order, and a report may lack models.
 func mergeWeights(recorded, reported map[string]uint64) map[string]uint64 {
 	merged := make(map[string]uint64, len(reported))
+	maps.Copy(merged, recorded)
 	for model, version := range reported {
 		merged[model] = max(version, recorded[model])
 	}
--- a/bluebellcore/internal/bluebellcontrol/control.go
+++ b/bluebellcore/internal/bluebellcontrol/control.go
@@ -184,7 +184,8 @@
 // register merges the registration of an endpoint into the registry.
 func (s *Server) register(id string, body []byte) reply {
 	now := s.cfg.Now()
-	e, err := bluebellplatform.DecodeRegistration(id, body, now)
+	known, _ := s.cfg.Registry.Endpoint(id)
+	e, err := bluebellplatform.DecodeRegistration(known, id, body, now)
 	if err != nil {
 		s.cfg.Logger.Warn("invalid registration rejected", "ID", id, "Error", err)
 		return failure(fasthttp.StatusBadRequest, err)
--- a/bluebellgate/internal/bluebellrelay/finish.go
+++ b/bluebellgate/internal/bluebellrelay/finish.go
@@ -11,13 +11,20 @@
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
+// unknownWeightsScope begins the scopes of calls to endpoints whose weights are not known.
+const unknownWeightsScope = "unknown-weights/"
+
 // cacheScope returns the scope of the call's cached blocks. Blocks of an isolated customer
-// are shared with no other customer, and blocks of different weights are kept apart.
+// are shared with no other customer, and blocks of different weights are kept apart. Where the weights are not
+// known (0), the scope is the call's own.
 func (c *activeCall) cacheScope(weights uint64) string {
 	isolated := ""
 	if c.request.Customer != nil && c.request.Customer.Isolated {
 		isolated = c.request.Customer.Name
 	}
+	if weights == 0 {
+		isolated = unknownWeightsScope + c.request.Call.ID
+	}
 	return bluebelldirectory.Scope(isolated, c.request.Call.Model, weights)
 }
 
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -396,7 +396,8 @@
 		Endpoint: choice.Endpoint.ID, TimeLeft: timeLeft, WeightsVersion: choice.Weights, Priority: c.request.priority(),
 		ModelCall: c.request.Target.Engine != nil, ResumeAfter: c.order.last, CacheScope: c.cacheScope(choice.Weights),
 	}
-	if c.request.Target.Engine != nil && len(c.request.Call.Blocks) > 0 {
+	c.cachePlan = bluebelltier.Plan{}
+	if c.request.Target.Engine != nil && len(c.request.Call.Blocks) > 0 && choice.Weights > 0 {
 		r := c.sharedBlocks(choice.Weights, choice.Endpoint.FailureDomain)
 		r.HomeDomain, r.Expected = choice.HomeDomain, choice.Predicted
 		if !choice.AtHome {
