Separate cached blocks when a customer becomes isolated

Cause: the cache scope of the customers that are not isolated stayed the same, so blocks of before were found under it, at engines and in stores.

That scope now names the set of the isolated customers by a digest, so that it changes whenever a customer becomes isolated or no longer is. An entry that learns late uses the scope of the set that it knows, in which the customer's blocks are. A set that comes back finds only blocks of customers that shared under it. Without isolated customers scopes stay as they were.

--- a/bluebell/bluebelldeployment/deployment.go
+++ b/bluebell/bluebelldeployment/deployment.go
@@ -18,8 +18,10 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -170,6 +172,7 @@
 	byKey       map[[sha256.Size]byte]*Customer
 
 	shortestObjective time.Duration
+	sharingGroup      string
 }
 
 // New validates a declaration. It returns either a Deployment or all findings. The caller
@@ -191,6 +194,7 @@
 	if !findings.Empty() {
 		return nil, findings
 	}
+	deployment.sharingGroup = sharingGroup(d.Customers)
 	return deployment, nil
 }
 
@@ -257,6 +261,32 @@
 	return findings
 }
 
+// sharingGroup returns a digest of the isolated customers, "" if there are none.
+func sharingGroup(customers []Customer) string {
+	var isolated []string
+	for _, c := range customers {
+		if c.Isolated {
+			isolated = append(isolated, strconv.Quote(c.Name))
+		}
+	}
+	if len(isolated) == 0 {
+		return ""
+	}
+	slices.Sort(isolated)
+	sum := sha256.Sum256([]byte(strings.Join(isolated, ",")))
+	return hex.EncodeToString(sum[:8])
+}
+
+// SharingGroup identifies the customers that may share cached blocks: all that are not isolated. It changes
+// when a customer becomes isolated or no longer is, since the blocks that it made before are found by
+// their group. It is "" if no customer is isolated.
+func (d *Deployment) SharingGroup() string {
+	if d == nil {
+		return ""
+	}
+	return d.sharingGroup
+}
+
 // Version returns the version of the declaration, or 0 if d is nil.
 func (d *Deployment) Version() uint64 {
 	if d == nil {
--- a/bluebell/bluebelldeployment/deployment_test.go
+++ b/bluebell/bluebelldeployment/deployment_test.go
@@ -1,6 +1,8 @@
 package bluebelldeployment_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,3 +66,21 @@
 	require.Zero(t, deployment.Version())
 	require.Empty(t, deployment.Stores())
 }
+
+// Cached blocks that a customer made before it became isolated stayed shared with the others. Each change of the
+// isolated customers gives the others another group; to be isolated in turn leads back to no earlier one.
+func TestSharingGroupFollowsIsolatedCustomers(t *testing.T) {
+	group := func(isolated ...string) string {
+		d := declaration()
+		for i, name := range []string{"x", "y", "x,y"} {
+			d.Customers = append(d.Customers, bluebelldeployment.Customer{Name: name, Keys: []string{fmt.Sprint("key-", i)}, Isolated: slices.Contains(isolated, name)})
+		}
+		deployment, findings := bluebelldeployment.New(d)
+		require.Empty(t, findings)
+		return deployment.SharingGroup()
+	}
+	require.Empty(t, group(), "the scopes of deployments without isolated customers stay as they are")
+	groups := map[string]bool{group(): true, group("x"): true, group("y"): true, group("x", "y"): true, group("x,y"): true}
+	require.Len(t, groups, 5)
+	require.Equal(t, group("x", "y"), group("y", "x"))
+}
--- a/bluebell/bluebelldirectory/scope.go
+++ b/bluebell/bluebelldirectory/scope.go
@@ -8,6 +8,10 @@
 // anyCustomer is the customer in the scope of all customers that are not isolated.
 const anyCustomer = "*"
 
+// SharedCustomer returns what stands for the customer in the scope of all customers that share blocks as
+// members of a group; see bluebelldeployment.Deployment.SharingGroup.
+func SharedCustomer(group string) string { return anyCustomer + group }
+
 // Scope returns the scope of block keys for a customer, a model and a version of its weights.
 // Blocks of an isolated customer are not shared with other customers, and blocks of different
 // weights differ. The customer is "" for customers that are not isolated.
--- a/bluebellgate/internal/bluebellrelay/finish.go
+++ b/bluebellgate/internal/bluebellrelay/finish.go
@@ -18,14 +18,14 @@
 // are shared with no other customer, and blocks of different weights are kept apart. Where the weights are not
 // known (0), the scope is the call's own.
 func (c *activeCall) cacheScope(weights uint64) string {
-	isolated := ""
-	if c.request.Customer != nil && c.request.Customer.Isolated {
-		isolated = c.request.Customer.Name
-	}
-	if weights == 0 {
-		isolated = unknownWeightsScope + c.request.Call.ID
+	customer := bluebelldirectory.SharedCustomer(c.request.SharingGroup)
+	switch {
+	case weights == 0:
+		customer = unknownWeightsScope + c.request.Call.ID
+	case c.request.Customer != nil && c.request.Customer.Isolated:
+		customer = c.request.Customer.Name
 	}
-	return bluebelldirectory.Scope(isolated, c.request.Call.Model, weights)
+	return bluebelldirectory.Scope(customer, c.request.Call.Model, weights)
 }
 
 // sendFinalAnswer answers the caller after the last attempt.
