Bound what is read of all cache stores together

Cause: up to 32 MiB of each store's answer were read at the same time, and decoded although they were cut off there. Class: a limit for each reader and none for all.

Answers of up to 256 KiB are read side by side, of longer ones one at a time is read and decoded; more than 8 MiB are an error and not decoded. Heads of the answers of stores and of endpoints' orders are limited to 64 KiB (10 MB by default). Bodies of orders and reports have a limit of 1 MiB each already, and operators' calls theirs; those were read again and left.

--- a/bluebellcore/internal/bluebellinventory/inventory.go
+++ b/bluebellcore/internal/bluebellinventory/inventory.go
@@ -12,6 +12,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -43,10 +44,18 @@
 	// freeInterval is how often the leader looks for blocks to free.
 	freeInterval = time.Second
 	// maxFreeBlocks bounds the blocks of one free request.
-	maxFreeBlocks    = 200
-	maxResponseBytes = 32 << 20
+	maxFreeBlocks = 200
+	// maxResponseBytes is many times the length of the list of a large store. A longer response is an
+	// error, and none of it is decoded.
+	maxResponseBytes = 8 << 20
+	// smallResponseBytes is the length up to which the responses of all stores are read at the same time;
+	// of longer ones one at a time is.
+	smallResponseBytes     = 256 << 10
+	maxResponseHeaderBytes = 64 << 10
 )
 
+var errResponseTooLong = errors.New("the store's response is too long")
+
 // Config sets up an Inventory.
 type Config struct {
 	Directory *bluebelldirectory.Directory
@@ -66,13 +75,15 @@
 type Inventory struct {
 	cfg  Config
 	http *http.Client
+	// large holds a value while a response longer than smallResponseBytes is read and decoded.
+	large chan struct{}
 }
 
 // New returns an inventory that follows no store yet.
 func New(cfg Config) *Inventory {
-	return &Inventory{cfg: cfg, http: &http.Client{
+	return &Inventory{cfg: cfg, large: make(chan struct{}, 1), http: &http.Client{
 		Timeout:   requestTimeout,
-		Transport: &http.Transport{DialContext: cfg.Dial, MaxIdleConnsPerHost: 2},
+		Transport: &http.Transport{DialContext: cfg.Dial, MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxResponseHeaderBytes},
 	}}
 }
 
@@ -170,11 +181,11 @@
 		return bluebellplatform.StoreEvents{}, err
 	}
 	r.Header.Set(bluebellplatform.EventsWaitHeader(eventsMaxWait))
-	body, err := f.inventory.do(r)
-	if err != nil {
-		return bluebellplatform.StoreEvents{}, err
-	}
-	events, err := bluebellplatform.DecodeEvents(body)
+	var events bluebellplatform.StoreEvents
+	err = f.inventory.do(r, func(body []byte) (err error) {
+		events, err = bluebellplatform.DecodeEvents(body)
+		return err
+	})
 	f.logOdd(events)
 	return events, err
 }
@@ -194,11 +205,11 @@
 	if err != nil {
 		return err
 	}
-	body, err := f.inventory.do(r)
-	if err != nil {
+	var stored bluebellplatform.StoreEvents
+	err = f.inventory.do(r, func(body []byte) (err error) {
+		stored, err = bluebellplatform.DecodeBlockList(body)
 		return err
-	}
-	stored, err := bluebellplatform.DecodeBlockList(body)
+	})
 	if err != nil {
 		return err
 	}
@@ -213,20 +224,36 @@
 	return nil
 }
 
-func (inv *Inventory) do(r *http.Request) ([]byte, error) {
+// do sends a request and passes the body of the response to use, which must not keep it.
+func (inv *Inventory) do(r *http.Request, use func(body []byte) error) error {
 	response, err := inv.http.Do(r)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, smallResponseBytes))
 	if err != nil {
-		return nil, err
+		return err
+	}
+	if len(body) == smallResponseBytes {
+		select {
+		case inv.large <- struct{}{}:
+			defer func() { <-inv.large }()
+		case <-time.After(requestTimeout):
+			return errors.New("other stores' responses take too long")
+		}
+		rest, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes-smallResponseBytes+1))
+		if err != nil {
+			return err
+		}
+		if body = append(body, rest...); len(body) > maxResponseBytes {
+			return errResponseTooLong
+		}
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%s: store returned status %d", r.URL.Path, response.StatusCode)
+		return fmt.Errorf("%s: store returned status %d", r.URL.Path, response.StatusCode)
 	}
-	return body, nil
+	return use(body)
 }
 
 // freeRetired frees up to maxFreeBlocks blocks of retired weights, once per freeInterval on
@@ -261,7 +288,7 @@
 		return err
 	}
 	r.Header.Set("Content-Type", "application/json")
-	if _, err := f.inventory.do(r); err != nil {
+	if err := f.inventory.do(r, func([]byte) error { return nil }); err != nil {
 		return err
 	}
 	for _, b := range blocks {
--- a/bluebellcore/internal/bluebellinventory/inventory_test.go
+++ b/bluebellcore/internal/bluebellinventory/inventory_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -187,3 +189,49 @@
 	defer s.mu.Unlock()
 	require.ElementsMatch(t, []string{"old", "old of a customer"}, s.freed)
 }
+
+// Stores that send bytes without end, in the head or in the body, ended core processes for lack of memory: what is
+// read of all of them together is bounded.
+func TestResponsesWithoutEndAreBounded(t *testing.T) {
+	const storeCount, maxHeapBytes = 12, 100 << 20
+	piece := []byte(strings.Repeat(`[1,"+","s1","5c1e07a2",800,"m0"],`, 1000))
+	endless := func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		head, next := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"epoch\":1,\"next\":2,\"lost\":false,\"events\":[", piece
+		if strings.HasSuffix(r.Host, "0") {
+			head, next = "HTTP/1.1 200 OK\r\n", []byte(strings.Repeat("X-Odd: 0123456789\r\n", 1000))
+		}
+		_, err = io.WriteString(conn, head)
+		for err == nil {
+			_, err = conn.Write(next)
+		}
+	}
+	var stores []bluebelldeployment.Store
+	for range storeCount {
+		server := httptest.NewServer(http.HandlerFunc(endless))
+		t.Cleanup(server.Close)
+		stores = append(stores, bluebelldeployment.Store{Address: strings.TrimPrefix(server.URL, "http://")})
+	}
+	inventory := bluebellinventory.New(bluebellinventory.Config{
+		Directory: bluebelldirectory.New(), Stores: func() []bluebelldeployment.Store { return stores },
+		IsLeader: func() bool { return false }, RetiredVersion: func(string) uint64 { return 0 },
+		Dial: (&net.Dialer{}).DialContext, Now: func() time.Duration { return time.Second }, Logger: log.New(io.Discard),
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	done := make(chan struct{})
+	go func() { defer close(done); inventory.Run(ctx) }()
+	var most uint64
+	for ctx.Err() == nil {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		most = max(most, m.HeapAlloc)
+		time.Sleep(10 * time.Millisecond)
+	}
+	<-done
+	require.Less(t, most, uint64(maxHeapBytes))
+}
--- a/bluebellcore/internal/bluebellorder/order.go
+++ b/bluebellcore/internal/bluebellorder/order.go
@@ -61,9 +61,10 @@
 	// for a second or more; the others wait two or three seconds for their running calls. All
 	// endpoints of the target must finish within the limit that both users specify for a change
 	// of weights (10 s).
-	maxParallelShare = 0.4
-	minParallel      = 2
-	maxResponseBytes = 1 << 20
+	maxParallelShare       = 0.4
+	minParallel            = 2
+	maxResponseBytes       = 1 << 20
+	maxResponseHeaderBytes = 64 << 10
 	// maxRegistrationAge is the age of a registration beyond which its endpoint gets no
 	// orders.
 	maxRegistrationAge = 5 * time.Second
@@ -105,8 +106,10 @@
 // New returns an orderer that has sent no orders yet.
 func New(cfg Config) *Orderer {
 	return &Orderer{
-		cfg:     cfg,
-		http:    &http.Client{Transport: &http.Transport{DialContext: cfg.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second}},
+		cfg: cfg,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext: cfg.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		}},
 		loading: map[string]bool{}, retryAt: map[string]time.Duration{},
 	}
 }
--- a/bluebellgate/internal/bluebellrelay/request.go
+++ b/bluebellgate/internal/bluebellrelay/request.go
@@ -26,7 +26,7 @@
 	Customer *bluebelldeployment.Customer
 	// SharingGroup is that of the deployment.
 	SharingGroup string
-	Method   string
+	Method       string
 	// URI is the path with the query, unchanged.
 	URI    string
 	Host   string
