--- a/bluebellsoak/bluebellchaos/faults.go
+++ b/bluebellsoak/bluebellchaos/faults.go
@@ -80,6 +80,30 @@
 	{"all cores killed", true, killCores},
 }
 
+// replacements are the kinds of faults that replace a process by one of the other build, in a planned stop.
+var replacements = []fault{
+	{"gate replaced by the other build", false, func(d *deployment, n int, hold time.Duration) error {
+		d.gate(n).changeBuild(d.cfg)
+		return d.restartGate(n, syscall.SIGTERM, hold/4)
+	}},
+	{"core replaced by the other build", true, func(d *deployment, n int, hold time.Duration) error {
+		d.core(n).changeBuild(d.cfg)
+		return restart(d.core(n), syscall.SIGTERM, hold/4)
+	}},
+}
+
+// kindsOfFaults returns the kinds of faults that a run draws from. Replacements are as frequent as all others.
+func (d *deployment) kindsOfFaults() []fault {
+	if d.cfg.OtherProgramFolder == "" {
+		return faultKinds
+	}
+	kinds := slices.Clone(faultKinds)
+	for range len(faultKinds) / len(replacements) {
+		kinds = append(kinds, replacements...)
+	}
+	return kinds
+}
+
 // gate and core return the process that n selects.
 func (d *deployment) gate(n int) *process { return d.gates[n%len(d.gates)] }
 func (d *deployment) core(n int) *process { return d.cores[n%len(d.cores)] }
@@ -89,8 +113,9 @@
 	var active conc.WaitGroup
 	nextCoreFault := time.Now()
 	errs := make(chan error, 1000)
+	kinds := d.kindsOfFaults()
 	for deadline := time.Now().Add(d.cfg.Duration); time.Now().Before(deadline) && ctx.Err() == nil; {
-		f, n := faultKinds[d.rng.IntN(len(faultKinds))], d.rng.IntN(1000)
+		f, n := kinds[d.rng.IntN(len(kinds))], d.rng.IntN(1000)
 		hold := time.Duration(d.rng.Int64N(int64(2500*time.Millisecond))) + 100*time.Millisecond
 		gap := time.Duration(d.rng.Int64N(int64(2 * meanFaultGap)))
 		if f.affectsCore && time.Now().Before(nextCoreFault) {
--- a/bluebellsoak/bluebellchaos/process.go
+++ b/bluebellsoak/bluebellchaos/process.go
@@ -90,6 +90,17 @@
 	return p.writeSettings()
 }
 
+// changeBuild makes the process run the program of the other build from its next start on.
+func (p *process) changeBuild(cfg Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	folder := cfg.OtherProgramFolder
+	if filepath.Dir(p.program) == filepath.Clean(folder) {
+		folder = cfg.ProgramFolder
+	}
+	p.program = filepath.Join(folder, filepath.Base(p.program))
+}
+
 // start starts the program unless it is running.
 func (p *process) start() error {
 	p.mu.Lock()
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -71,9 +71,12 @@
 	// ProgramFolder holds the programs bluebellgate and bluebellcore. DataFolder receives
 	// settings, data and logs; Run first deletes what is in it.
 	ProgramFolder, DataFolder string
-	Seed                      uint64
-	Duration                  time.Duration
-	Gates, Cores, Endpoints   int
+	// OtherProgramFolder, if not "", holds another build of the programs. Run then replaces processes by
+	// those of the other build, and back, as one more kind of fault.
+	OtherProgramFolder      string
+	Seed                    uint64
+	Duration                time.Duration
+	Gates, Cores, Endpoints int
 }
 
 // Report is the result of Run.
--- a/bluebellsoak/main.go
+++ b/bluebellsoak/main.go
@@ -26,7 +26,7 @@
 	Cores     int           `arg:"--cores" default:"3"`
 	Endpoints int           `arg:"--endpoints" default:"6"`
 	Repeated  bool          `arg:"--repeated" help:"repeat one call that crashes endpoints, in a way that the seed selects, instead of random faults"`
-	OtherBin  string        `arg:"--other-bin" help:"folder of the programs that every second process runs, with --repeated"`
+	OtherBin  string        `arg:"--other-bin" help:"folder of another build: with --repeated, every second process runs it; otherwise processes are replaced by it, and back"`
 }
 
 // Description returns the text at the head of the help.
@@ -42,7 +42,7 @@
 	findings := 0
 	for seed := args.Seed; seed < args.Seed+args.Seeds && ctx.Err() == nil; seed++ {
 		result, broken, err := args.run(ctx, bluebellchaos.Config{
-			ProgramFolder: args.Bin, DataFolder: fmt.Sprintf("%s/seed-%d", args.Data, seed), Seed: seed, Duration: args.Duration,
+			ProgramFolder: args.Bin, OtherProgramFolder: args.OtherBin, DataFolder: fmt.Sprintf("%s/seed-%d", args.Data, seed), Seed: seed, Duration: args.Duration,
 			Gates: args.Gates, Cores: args.Cores, Endpoints: args.Endpoints,
 		})
 		if err != nil {
