--- a/bluebellgate/internal/bluebellgateway/cluster_test.go
+++ b/bluebellgate/internal/bluebellgateway/cluster_test.go
@@ -58,15 +58,17 @@
 
 // cluster has a core process that answers polls, stub endpoints and entries.
 type cluster struct {
-	t         *testing.T
-	port      uint32
-	core      *bluebellfeed.Source
-	coreHost  string
-	registry  *bluebellfleet.Registry
-	started   time.Time
-	endpoints []*bluebellstub.Endpoint
-	gates     []*gate
-	calls     atomic.Int64
+	t        *testing.T
+	port     uint32
+	core     *bluebellfeed.Source
+	coreHost string
+	registry *bluebellfleet.Registry
+	started  time.Time
+	// endpoints are replaced by replaceEndpoint only, once the cluster runs.
+	endpoints   []*bluebellstub.Endpoint
+	endpointsMu sync.Mutex
+	gates       []*gate
+	calls       atomic.Int64
 	// suspects has what entries report of calls that may crash endpoints.
 	suspects *bluebellquarantine.Ledger
 	// others are addresses of further endpoints that the test has registered.
@@ -129,10 +131,25 @@
 
 func (c *cluster) now() time.Duration { return time.Since(c.started) + time.Second }
 
+// currentEndpoints returns a copy of the endpoints.
+func (c *cluster) currentEndpoints() []*bluebellstub.Endpoint {
+	c.endpointsMu.Lock()
+	defer c.endpointsMu.Unlock()
+	return slices.Clone(c.endpoints)
+}
+
+// replaceEndpoint puts an endpoint in the place of another one.
+func (c *cluster) replaceEndpoint(i int, e *bluebellstub.Endpoint) {
+	c.t.Cleanup(e.Stop)
+	c.endpointsMu.Lock()
+	defer c.endpointsMu.Unlock()
+	c.endpoints[i] = e
+}
+
 // register sends the heartbeats of the endpoints until ctx is done.
 func (c *cluster) register(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, e := range c.endpoints {
+		for _, e := range c.currentEndpoints() {
 			if e.Ended() {
 				continue
 			}
@@ -251,7 +268,7 @@
 }
 
 func (g *gate) toEndpoint(address string) bool {
-	return slices.Contains(g.cluster.others, address) || slices.ContainsFunc(g.cluster.endpoints, func(e *bluebellstub.Endpoint) bool { return e.Address() == address })
+	return slices.Contains(g.cluster.others, address) || slices.ContainsFunc(g.cluster.currentEndpoints(), func(e *bluebellstub.Endpoint) bool { return e.Address() == address })
 }
 
 func (g *gate) dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/bluebellgate/internal/bluebellgateway/crash_test.go
+++ b/bluebellgate/internal/bluebellgateway/crash_test.go
@@ -82,7 +82,7 @@
 	c := startCluster(t, 3)
 	a := c.startGate("a")
 	deadly := func(bluebellplatform.IncomingCall) bool { return true }
-	for i, e := range c.endpoints {
+	for i, e := range c.currentEndpoints() {
 		address, registration := e.Address(), e.NextRegistration()
 		e.Stop()
 		replaced, err := bluebellstub.Start(bluebellstub.Config{
@@ -90,8 +90,7 @@
 			StartUnixMillis: registration.StartUnixMillis + 1, Crashes: deadly, CrashAfter: 30 * time.Millisecond,
 		})
 		require.NoError(t, err)
-		t.Cleanup(replaced.Stop)
-		c.endpoints[i] = replaced
+		c.replaceEndpoint(i, replaced)
 	}
 	time.Sleep(time.Second) // The entry knows the new incarnations.
 	a.setCoreCut()
@@ -100,11 +99,10 @@
 		return got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != "" && c.ended() == 3
 	}, testTimeout, 300*time.Millisecond)
 	time.Sleep(4 * time.Second) // No core process has answered for that long.
-	for i, e := range c.endpoints {
+	for i, e := range c.currentEndpoints() {
 		again, err := bluebellstub.Start(bluebellstub.Config{ID: e.NextRegistration().ID, Target: "app", Listen: e.Address(), StartUnixMillis: 1})
 		require.NoError(t, err)
-		t.Cleanup(again.Stop)
-		c.endpoints[i] = again
+		c.replaceEndpoint(i, again)
 	}
 	require.Eventually(t, func() bool { return a.do(http.MethodPost, "/read/sound", "sound").status == http.StatusOK }, testTimeout, 50*time.Millisecond)
 	for range 5 {
