--- a/bluebellsoak/bluebellchaos/repeat_test.go
+++ b/bluebellsoak/bluebellchaos/repeat_test.go
@@ -60,10 +60,22 @@
 	})
 }
 
+// deployments bounds the deployments that the tests of this file and of reports_test.go run at a time: each has
+// up to nine processes.
+var deployments = make(chan struct{}, 3)
+
+// takeTurn waits until the test may run a deployment.
+func takeTurn(t *testing.T) {
+	t.Helper()
+	deployments <- struct{}{}
+	t.Cleanup(func() { <-deployments })
+}
+
 // requireFewReached runs a deployment with a repeated call and requires that few of its attempts reach
 // endpoints after the third crash.
 func requireFewReached(t *testing.T, bin string, seed uint64, repeated bluebellchaos.Repeated) {
 	t.Helper()
+	takeTurn(t)
 	report, err := bluebellchaos.RunRepeated(context.Background(), bluebellchaos.Config{
 		ProgramFolder: bin, DataFolder: filepath.Join(t.TempDir(), "soak"), Seed: seed, Duration: 16 * time.Second, Gates: 6, Cores: 3, Endpoints: 6,
 	}, repeated)
--- a/bluebellsoak/bluebellchaos/reports_test.go
+++ b/bluebellsoak/bluebellchaos/reports_test.go
@@ -15,6 +15,7 @@
 // got a 200 with an empty or short body that looked whole.
 func TestAnswerThatEndsInItsHeadIsNoAnswer(t *testing.T) {
 	t.Parallel()
+	takeTurn(t)
 	report, err := bluebellchaos.RunCutHeads(context.Background(), bluebellchaos.Config{
 		ProgramFolder: build(t), DataFolder: filepath.Join(t.TempDir(), "soak"), Seed: 41, Duration: 15 * time.Second, Gates: 6, Cores: 3, Endpoints: 6,
 	})
@@ -33,6 +34,7 @@
 	for i, work := range []time.Duration{20 * time.Millisecond, 600 * time.Millisecond, 1800 * time.Millisecond} {
 		t.Run(work.String(), func(t *testing.T) {
 			t.Parallel()
+			takeTurn(t)
 			findings, stopping, err := bluebellchaos.RunPlannedStops(context.Background(), bluebellchaos.Config{
 				ProgramFolder: bin, DataFolder: filepath.Join(t.TempDir(), "soak"), Seed: uint64(42 + i), Gates: 2, Cores: 3, Endpoints: 12,
 			}, work)
@@ -48,6 +50,7 @@
 // long after that changes refused or unanswered, while all processes ran.
 func TestFullDisksOneAfterAnotherLeaveNoCoreBehind(t *testing.T) {
 	t.Parallel()
+	takeTurn(t)
 	findings, ends, err := bluebellchaos.RunFullDisks(context.Background(), bluebellchaos.Config{
 		ProgramFolder: build(t), DataFolder: filepath.Join(t.TempDir(), "soak"), Seed: 45, Gates: 2, Cores: 3, Endpoints: 4,
 	})
