Exchange loads more often where objectives are short

Calls with objectives of 400 ms were late at engines that other entries had just given large prompts: sums of calls in flight are 0.3 s old on average, longer than an engine reads a prompt.

--- a/bluebell/bluebellfeed/follower.go
+++ b/bluebell/bluebellfeed/follower.go
@@ -75,6 +75,9 @@
 	OnPeerSuspicions func(core string, suspects []bluebellquarantine.Suspect)
 	// Poll sends a request to a source and returns its reply.
 	Poll func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error)
+	// Objective returns the shortest declared objective of calls to models, 0 if there is none.
+	// It sets how often loads are exchanged; see IntervalsFor. If nil, there is none.
+	Objective func() time.Duration
 	// Now returns the time of a monotonic clock.
 	Now    func() time.Duration
 	Logger *log.Logger
@@ -195,13 +198,28 @@
 	return f.Revision()
 }
 
+// countEntries returns the number of entries that sources have named.
+func (f *Follower) countEntries() int {
+	if f.cfg.Entry {
+		return len(f.Entries())
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range f.sources {
+		n += len(s.entries)
+	}
+	return n
+}
+
 // pollWait returns how long a source may hold a poll.
 func (f *Follower) pollWait(primary bool) time.Duration {
+	intervals := intervalsFor(f.cfg.Objective, f.countEntries())
 	switch {
 	case f.cfg.Entry && primary:
-		return entryWait
+		return intervals.EntryWait
 	case f.cfg.ShareLoads:
-		return loadsWait
+		return intervals.LoadsWait
 	}
 	return maxWait
 }
--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -93,8 +93,9 @@
 
 // loads sums reports. It is safe for concurrent use.
 type loads struct {
-	now   func() time.Duration
-	peers func() []PeerLoads
+	now       func() time.Duration
+	peers     func() []PeerLoads
+	objective func() time.Duration
 
 	mu      sync.Mutex
 	names   []string
@@ -110,12 +111,12 @@
 	listedAt           time.Duration
 }
 
-func newLoads(now func() time.Duration, peers func() []PeerLoads) *loads {
+func newLoads(now func() time.Duration, peers func() []PeerLoads, objective func() time.Duration) *loads {
 	if peers == nil {
 		peers = func() []PeerLoads { return nil }
 	}
 	return &loads{
-		now: now, peers: peers, index: map[string]int{}, reports: map[string]*report{}, seen: map[string]seenEntry{},
+		now: now, peers: peers, objective: objective, index: map[string]int{}, reports: map[string]*report{}, seen: map[string]seenEntry{},
 		builtAt: -time.Hour, listedAt: -time.Hour,
 	}
 }
@@ -221,7 +222,7 @@
 
 // build encodes the sums and lists the entries, if they are due. l.mu must be held.
 func (l *loads) build(now time.Duration) {
-	if now-l.builtAt < tableInterval {
+	if now-l.builtAt < intervalsFor(l.objective, len(l.totalList.addresses)).Table {
 		return
 	}
 	l.expire(now)
--- a/bluebell/bluebellfeed/source.go
+++ b/bluebell/bluebellfeed/source.go
@@ -85,6 +85,8 @@
 	Suspects *bluebellquarantine.Ledger
 	// HasLeader reports whether a leader of the core processes is known. It may be nil.
 	HasLeader func() bool
+	// Objective is that of FollowerConfig.
+	Objective func() time.Duration
 	// Now returns the time of a monotonic clock. After is time.After, or a fake in tests.
 	Now   func() time.Duration
 	After func(d time.Duration) <-chan time.Time
@@ -105,7 +107,7 @@
 
 // NewSource returns a source without a deployment.
 func NewSource(cfg SourceConfig) *Source {
-	return &Source{cfg: cfg, loads: newLoads(cfg.Now, cfg.PeerLoads), changed: make(chan struct{})}
+	return &Source{cfg: cfg, loads: newLoads(cfg.Now, cfg.PeerLoads, cfg.Objective), changed: make(chan struct{})}
 }
 
 // SetDeployment sets the deployment that the core processes have agreed on. It does nothing if
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -119,17 +119,18 @@
 	n.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: n.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
 	n.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: n.now, MaxEndpoints: bluebellcontrol.MaxEndpoints})
 	directory := bluebelldirectory.New()
+	declared := &declaredDeployment{deployment: func() (*pb.Deployment, uint64) { return n.source.Deployment() }}
 	suspects := bluebellquarantine.NewLedger(bluebellquarantine.LedgerConfig{Registered: n.registeredIncarnations})
 	n.source = bluebellfeed.NewSource(bluebellfeed.SourceConfig{
 		Registry: n.registry, Directory: directory, Epoch: rand.Uint64(), Cores: n.recentCores, Domain: n.domainOf,
 		PeerLoads: func() []bluebellfeed.PeerLoads { return n.follower.PeerLoads() }, Suspects: suspects, Now: n.now, After: time.After,
-		HasLeader: func() bool { return n.voter.Status().Leader != "" },
+		HasLeader: func() bool { return n.voter.Status().Leader != "" }, Objective: declared.shortestObjective,
 	})
 	if err := n.openVoter(s); err != nil {
 		return nil, err
 	}
 	n.follower = bluebellfeed.NewFollower(bluebellfeed.FollowerConfig{
-		Process: n.address, ShareLoads: true, Seeds: n.otherCores, MaxSources: maxCores, Registry: n.registry,
+		Process: n.address, ShareLoads: true, Objective: declared.shortestObjective, Seeds: n.otherCores, MaxSources: maxCores, Registry: n.registry,
 		Poll: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
 			return n.pool.Client(source).Follow(ctx, r)
 		},
@@ -146,7 +147,6 @@
 		IncrementCounter: func(name string) { n.metrics.Scope.Counter(name).Inc(1) },
 	})
 	retirement := &weightsRetirement{registry: n.registry, deployment: n.source.Deployment, now: n.now, completeSince: map[string]time.Duration{}}
-	declared := &declaredStores{deployment: n.source.Deployment}
 	n.inventory = bluebellinventory.New(bluebellinventory.Config{
 		Directory: directory, Stores: declared.stores, IsLeader: n.isLeader, RetiredVersion: retirement.retiredVersion,
 		Dial: cfg.Dial, Now: n.now, Logger: cfg.Logger,
--- a/bluebellcore/internal/bluebellcorenode/stores.go
+++ b/bluebellcore/internal/bluebellcorenode/stores.go
@@ -16,30 +16,36 @@
 // their reads of the stores.
 const retireDelay = 3 * time.Second
 
-// declaredStores caches the cache stores of the current declaration, so that each
-// declaration is decoded once.
-type declaredStores struct {
+// declaredDeployment caches the decoded declaration, so that each one is decoded once.
+type declaredDeployment struct {
 	deployment func() (*pb.Deployment, uint64)
 
 	mu      sync.Mutex
 	version uint64
-	list    []bluebelldeployment.Store
+	latest  *bluebelldeployment.Deployment
 }
 
-func (d *declaredStores) stores() []bluebelldeployment.Store {
+// current returns the decoded declaration, nil before the first one.
+func (d *declaredDeployment) current() *bluebelldeployment.Deployment {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	deployment, _ := d.deployment()
 	if deployment.GetVersion() == d.version {
-		return d.list
+		return d.latest
 	}
 	// An agreed declaration was decoded before it was proposed. If decoding fails all the
-	// same, the previous stores stay.
+	// same, the previous one stays.
 	if declared, err := bluebellplatform.DecodeDeclaration(deployment.Document); err == nil {
-		d.list = declared.Stores()
+		d.latest = declared
 	}
 	d.version = deployment.GetVersion()
-	return d.list
+	return d.latest
+}
+
+func (d *declaredDeployment) stores() []bluebelldeployment.Store { return d.current().Stores() }
+
+func (d *declaredDeployment) shortestObjective() time.Duration {
+	return d.current().ShortestObjective()
 }
 
 // weightsRetirement determines which versions of weights no run uses any more.
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -129,6 +129,7 @@
 		OnDeployment: g.applyDeployment,
 		Uses:         g.endpointUses,
 		LostTargets:  g.links.Lost,
+		Objective:    g.shortestObjective,
 		Suspicions:   func() []bluebellquarantine.Suspect { return g.guard.Report(g.now()) },
 		OnSuspected:  g.guard.SetListed,
 		Poll: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
@@ -284,15 +285,15 @@
 // refreshPlacer updates the placer when registrations change and at intervals, until ctx is
 // canceled.
 func (g *Gateway) refreshPlacer(ctx context.Context) {
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
 	for {
 		_, changed := g.registry.LastRoutingChange()
 		g.updatePlacer()
 		g.links.Advance(g.now())
+		// What entries report to each other is used no later than it is received.
+		wait := min(refreshInterval, bluebellfeed.IntervalsFor(g.shortestObjective(), len(g.follower.Entries())).EntryWait)
 		select {
 		case <-changed:
-		case <-ticker.C:
+		case <-time.After(wait):
 		case <-ctx.Done():
 			return
 		}
