Settings that only some deployments have come from an environment variable

Sections of a template are known to the platform alone: other tools that fill in the templates leave them as they are, and the settings then cannot be parsed. BLUEBELL_OPTIONAL_SETTINGS, filled in by the deploy file, is added to the settings of the file.

--- a/bluebell/bluebellconfig/parse.go
+++ b/bluebell/bluebellconfig/parse.go
@@ -81,6 +81,16 @@
 	return &s, d.sortedFindings()
 }
 
+// AddSettings parses settings, of which any may be missing, and adds them to others of the same type.
+func AddSettings(file string, text []byte, to proto.Message) Findings {
+	added := to.ProtoReflect().New().Interface()
+	d := decode(file, text, added)
+	if len(d.findings) == 0 {
+		proto.Merge(to, added)
+	}
+	return d.sortedFindings()
+}
+
 // requireFields adds a finding for each field whose value is empty. It takes the values by
 // field name.
 func (d *document) requireFields(values map[string]string) {
--- a/bluebell/bluebellprocess/process.go
+++ b/bluebell/bluebellprocess/process.go
@@ -27,6 +27,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"google.golang.org/protobuf/proto"
 
 	"bluebellhaven.org/bluebell/bluebellconfig"
 	"bluebellhaven.org/bluebell/bluebelllog"
@@ -47,10 +48,17 @@
 	maxMetricsHeaderBytes = 8 << 10
 )
 
+// OptionalSettings is the environment variable with settings, in the same format, that are added to those of the
+// file. It holds what only some deployments have, so that the files of all others can be filled in by tools that
+// know no optional parts.
+const OptionalSettings = "BLUEBELL_OPTIONAL_SETTINGS"
+
 // SettingsFile is a settings file and its latest valid content.
-type SettingsFile[T any] struct {
+type SettingsFile[T proto.Message] struct {
 	path  string
 	parse func(file string, text []byte) (T, bluebellconfig.Findings)
+	// optional is the value of OptionalSettings at the start.
+	optional string
 	// text is the latest valid content as read, and current its parsed form.
 	text    []byte
 	current atomic.Pointer[T]
@@ -66,8 +74,8 @@
 	return open(path, bluebellconfig.ParseCoreSettings)
 }
 
-func open[T any](path string, parse func(file string, text []byte) (T, bluebellconfig.Findings)) (*SettingsFile[T], error) {
-	s := &SettingsFile[T]{path: path, parse: parse}
+func open[T proto.Message](path string, parse func(file string, text []byte) (T, bluebellconfig.Findings)) (*SettingsFile[T], error) {
+	s := &SettingsFile[T]{path: path, parse: parse, optional: os.Getenv(OptionalSettings)}
 	if _, err := s.reload(); err != nil {
 		return nil, err
 	}
@@ -91,6 +99,11 @@
 	if !findings.Empty() {
 		return false, fmt.Errorf("invalid settings: %w", findings)
 	}
+	if s.optional != "" {
+		if findings := bluebellconfig.AddSettings(OptionalSettings, []byte(s.optional), settings); !findings.Empty() {
+			return false, fmt.Errorf("invalid optional settings: %w", findings)
+		}
+	}
 	s.text = text
 	s.current.Store(&settings)
 	return true, nil
@@ -130,7 +143,7 @@
 }
 
 // Program is one program of a discovered deployment, with settings of type T.
-type Program[T any] struct {
+type Program[T proto.Message] struct {
 	// Open reads and validates the settings file.
 	Open func(path string) (*SettingsFile[T], error)
 	// Limits returns the memory in MB and the number of processors that the settings allow.
--- a/bluebell/bluebellprocess/process_test.go
+++ b/bluebell/bluebellprocess/process_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
@@ -36,3 +37,19 @@
 	require.NoError(t, program.Main(bluebellprocess.Arguments{Settings: path, LogLevel: "error"}))
 	require.True(t, ran)
 }
+
+// Guards against optional settings that replace those of the file, that are lost at a reload, or that are accepted
+// although they cannot be parsed.
+func TestOptionalSettingsAreAddedToFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "gate.jsonc")
+	require.NoError(t, os.WriteFile(path, []byte(settings[:len(settings)-1]+`, "Bounds": {"RetryRatio": 0.2}}`), 0o600))
+	t.Setenv(bluebellprocess.OptionalSettings, `{"Bounds": {"UsageWindow": "5s",},}`)
+	file, err := bluebellprocess.OpenGateSettings(path)
+	require.NoError(t, err)
+	require.Equal(t, "e1", file.Current().Name)
+	require.InDelta(t, 0.2, file.Current().Bounds.RetryRatio, 0)
+	require.Equal(t, 5*time.Second, file.Current().Bounds.UsageWindow.AsDuration())
+	t.Setenv(bluebellprocess.OptionalSettings, `{"Bounds": {"UsageWindow": 5}}`)
+	_, err = bluebellprocess.OpenGateSettings(path)
+	require.ErrorContains(t, err, "UsageWindow")
+}
