OrderScale: the ordered number of endpoints is kept in the core state

The number of endpoints of a target in a failure domain is agreed before it is sent to the provider, so that a new leader sends the same number again and not one of its own.

--- a/bluebell/bluebellstate/machine.go
+++ b/bluebell/bluebellstate/machine.go
@@ -79,6 +79,8 @@
 		return m.recordDeparture(body.RecordDeparture)
 	case *pb.Command_SetCommandVersion:
 		return m.setCommandVersion(body.SetCommandVersion)
+	case *pb.Command_OrderScale:
+		return m.orderScale(body.OrderScale)
 	case *pb.Command_Barrier:
 		return m.accepted()
 	}
