Targets declare the bounds of their number of endpoints

The field scale of a target (min, max, boot_s; for each failure domain) becomes bluebelldeployment.Scale and is validated. A target without it is not scaled. Bounds that no number meets refuse the declaration; a min of 0 is accepted, since nothing below one endpoint is ever ordered.

--- a/bluebell/bluebelldeployment/deployment.go
+++ b/bluebell/bluebelldeployment/deployment.go
@@ -95,6 +95,30 @@
 	ColdRate float64
 	// Engine is nil for a target that does not run models.
 	Engine *Engine
+	// Scale is nil for a target whose number of endpoints is not changed by the system.
+	Scale *Scale
+}
+
+// Scale bounds the number of endpoints of a target in each failure domain.
+type Scale struct {
+	Min, Max int
+	// StartDuration is the time from the order of an endpoint until it serves. It is cold then.
+	StartDuration time.Duration
+}
+
+// maxScale bounds Scale.Max, far above the endpoints that a deployment has.
+const maxScale = 1 << 16
+
+// findings returns the errors in the bounds of a target.
+func (s *Scale) findings() []string {
+	var texts []string
+	if s.Min < 0 || s.Max < 1 || s.Max < s.Min || s.Max > maxScale {
+		texts = append(texts, fmt.Sprintf("cannot run between %d and %d endpoints in a failure domain", s.Min, s.Max))
+	}
+	if s.StartDuration < 0 {
+		texts = append(texts, "a negative start duration")
+	}
+	return texts
 }
 
 // Engine describes the endpoints of a target that runs models.
@@ -187,7 +211,14 @@
 		findings = append(findings, "the declaration has no version")
 	}
 	for i := range d.Targets {
-		deployment.targets[d.Targets[i].Name] = &d.Targets[i]
+		t := &d.Targets[i]
+		deployment.targets[t.Name] = t
+		if t.Scale == nil {
+			continue
+		}
+		for _, text := range t.Scale.findings() {
+			findings = append(findings, fmt.Sprintf("target %q: %s", t.Name, text))
+		}
 	}
 	findings = append(findings, deployment.addRoutes()...)
 	findings = append(findings, deployment.addCustomers()...)
--- a/bluebell/bluebelldeployment/deployment_test.go
+++ b/bluebell/bluebelldeployment/deployment_test.go
@@ -84,3 +84,22 @@
 	require.Len(t, groups, 5)
 	require.Equal(t, group("x", "y"), group("y", "x"))
 }
+
+// Guards against bounds that no number meets, which would make each decision contradict the one before.
+func TestNewChecksScale(t *testing.T) {
+	for _, c := range []struct {
+		scale    bluebelldeployment.Scale
+		findings int
+	}{
+		{bluebelldeployment.Scale{Min: 17, Max: 40, StartDuration: 8 * time.Second}, 0},
+		{bluebelldeployment.Scale{Min: 0, Max: 1}, 0},
+		{bluebelldeployment.Scale{Min: 2, Max: 1}, 1},
+		{bluebelldeployment.Scale{}, 1},
+		{bluebelldeployment.Scale{Min: -1, Max: 4, StartDuration: -1}, 2},
+	} {
+		d := declaration()
+		d.Targets[0].Scale = &c.scale
+		_, findings := bluebelldeployment.New(d)
+		require.Len(t, findings, c.findings, "%+v: %s", c.scale, findings.Error())
+	}
+}
