--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -41,6 +41,7 @@
 	"bluebellhaven.org/bluebellcore/internal/bluebellinventory"
 	"bluebellhaven.org/bluebellcore/internal/bluebelljudge"
 	"bluebellhaven.org/bluebellcore/internal/bluebellorder"
+	"bluebellhaven.org/bluebellcore/internal/bluebellscaler"
 )
 
 const (
@@ -92,6 +93,7 @@
 	control   *bluebellcontrol.Server
 	metrics   *bluebellmetrics.Metrics
 	judge     *bluebelljudge.Judge
+	scaler    *bluebellscaler.Scaler
 
 	mu        sync.Mutex
 	processes map[string]bluebellmember.Process
@@ -147,6 +149,7 @@
 	})
 	retirement := &weightsRetirement{registry: n.registry, deployment: n.source.Deployment, now: n.now, completeSince: map[string]time.Duration{}}
 	declared := &declaredStores{deployment: n.source.Deployment}
+	n.scaler = n.newScaler(declared)
 	n.inventory = bluebellinventory.New(bluebellinventory.Config{
 		Directory: directory, Stores: declared.stores, IsLeader: n.isLeader, RetiredVersion: retirement.retiredVersion,
 		Dial: cfg.Dial, Now: n.now, Logger: cfg.Logger,
@@ -227,6 +230,7 @@
 	tasks.Go(func(ctx context.Context) error { n.maintainMembers(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.judge.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.orderer.Run(ctx); return nil })
+	tasks.Go(func(ctx context.Context) error { n.scaler.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.inventory.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { return n.control.Serve(ctx, control) })
 	tasks.Go(func(ctx context.Context) error {
--- a/bluebellcore/internal/bluebellcorenode/scale.go
+++ b/bluebellcore/internal/bluebellcorenode/scale.go
@@ -1,7 +1,30 @@
 package bluebellcorenode
 
-import "bluebellhaven.org/bluebellcore/internal/bluebellscaler"
+import (
+	"bluebellhaven.org/bluebell/bluebelldeployment"
+	"bluebellhaven.org/bluebell/bluebellfeed"
+	"bluebellhaven.org/bluebellcore/internal/bluebellscaler"
+	"bluebellhaven.org/platform/bluebellplatform"
+)
 
-// Scales returns the agreed numbers of endpoints by target and failure domain, of which the latest has been
-// applied by this process. The holder of the duty sends them to the provider.
-func (n *Node) Scales() []bluebellscaler.ScaleOrder { return bluebellscaler.AgreedScales(n.coreState()) }
+// Scales returns the agreed numbers of endpoints by target and failure domain, as of the latest core state that
+// this process has applied. The holder of the duty sends them to the provider.
+func (n *Node) Scales() []bluebellscaler.ScaleOrder {
+	return bluebellscaler.AgreedScales(n.coreState())
+}
+
+// newScaler returns the scaler of this process.
+func (n *Node) newScaler(declared *declaredStores) *bluebellscaler.Scaler {
+	return bluebellscaler.New(bluebellscaler.Config{
+		Enabled:  func() bool { return bluebellplatform.ScalesEndpoints(n.cfg.Settings().GetProvider().GetDuties()) },
+		IsLeader: n.isLeader, Registry: n.registry, Deployment: n.source.Deployment,
+		Targets: func() []bluebelldeployment.Target {
+			_, targets := declared.current()
+			return targets
+		},
+		CoreState: n.coreState,
+		Loads:     func() []bluebellfeed.PeerLoads { return append(n.follower.PeerLoads(), n.source.OwnLoads()) },
+		Cores:     func() int { return len(n.otherCores()) + 1 },
+		Propose:   n.voter.Propose, Now: n.now, Scope: n.metrics.Scope, Logger: n.cfg.Logger,
+	})
+}
--- a/bluebellcore/internal/bluebellcorenode/stores.go
+++ b/bluebellcore/internal/bluebellcorenode/stores.go
@@ -16,7 +16,7 @@
 // their reads of the stores.
 const retireDelay = 3 * time.Second
 
-// declaredStores caches the cache stores of the current declaration, so that each
+// declaredStores caches the cache stores and targets of the current declaration, so that each
 // declaration is decoded once.
 type declaredStores struct {
 	deployment func() (*pb.Deployment, uint64)
@@ -24,22 +24,29 @@
 	mu      sync.Mutex
 	version uint64
 	list    []bluebelldeployment.Store
+	targets []bluebelldeployment.Target
 }
 
 func (d *declaredStores) stores() []bluebelldeployment.Store {
+	stores, _ := d.current()
+	return stores
+}
+
+// current returns the stores and targets of the current declaration.
+func (d *declaredStores) current() ([]bluebelldeployment.Store, []bluebelldeployment.Target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	deployment, _ := d.deployment()
 	if deployment.GetVersion() == d.version {
-		return d.list
+		return d.list, d.targets
 	}
 	// An agreed declaration was decoded before it was proposed. If decoding fails all the
-	// same, the previous stores stay.
+	// same, the previous ones stay.
 	if declared, err := bluebellplatform.DecodeDeclaration(deployment.Document); err == nil {
-		d.list = declared.Stores()
+		d.list, d.targets = declared.Stores(), declared.Targets()
 	}
 	d.version = deployment.GetVersion()
-	return d.list
+	return d.list, d.targets
 }
 
 // weightsRetirement determines which versions of weights no run uses any more.
