Scaling: calls at lost engines, and their return, order nothing

Unreachable engines are now noticed after 1 s without an answer, their calls do not count, and nothing is ordered in the 4 s after a loss has ended. Targets are observed only if one is scaled.

Tests: go test of bluebellscale and bluebellscaler passes; three mutations of the change are each found by a test.

--- a/bluebell/bluebellscale/planner.go
+++ b/bluebell/bluebellscale/planner.go
@@ -134,6 +134,9 @@
 	loweredAt time.Duration
 	// hasRaised and hasLowered are set once the times above are.
 	hasRaised, hasLowered bool
+	// lossAt is when many endpoints were last missing that may return soon. hadLoss is set once they were.
+	lossAt  time.Duration
+	hadLoss bool
 	// bar is a sum that is not undercut until barUntil.
 	bar      int
 	barUntil time.Duration
--- a/bluebell/bluebellscale/replay_test.go
+++ b/bluebell/bluebellscale/replay_test.go
@@ -261,6 +261,20 @@
 	})
 }
 
+// Guards against an order at the return of lost engines, when what has waited for them is read.
+func TestReturnAfterALossChangesNothing(t *testing.T) {
+	forSeeds(t, func(t *testing.T, s *site) {
+		s.run(15*second, steady(40))
+		require.Empty(t, s.steps)
+		s.lost = [3]int{10, 10, 0}
+		s.run(7*second, steady(46))
+		require.Positive(t, s.lateSeconds)
+		s.lost = [3]int{}
+		s.run(5*second, steady(40))
+		require.Empty(t, s.steps)
+	})
+}
+
 // Guards against a shortage that lasts as long as the loss does, and against replacements in the failure domain
 // that was lost.
 func TestLongLossIsReplacedElsewhere(t *testing.T) {
--- a/bluebell/bluebellscale/rules.go
+++ b/bluebell/bluebellscale/rules.go
@@ -139,7 +139,7 @@
 
 // raise returns larger numbers if the forecast or a shortage needs them.
 func (p *Planner) raise(now time.Duration, in Input, all fleet, f Figures) (Reason, []int) {
-	if fresh := all.sum(func(m member) int { return m.inService(m.lost - m.lostLong) }); float64(fresh) > lossShare*float64(f.Capacity) {
+	if p.explainedByLoss(now, all, f) {
 		return Unchanged, nil
 	}
 	want, reason := 0, Unchanged
@@ -162,6 +162,18 @@
 	return reason, next
 }
 
+// explainedByLoss reports whether endpoints that were lost lately, or have just returned, explain a shortage. What
+// waited for them is served in the seconds after their return.
+func (p *Planner) explainedByLoss(now time.Duration, all fleet, f Figures) bool {
+	many := func(lost int) bool { return float64(lost) > lossShare*float64(f.Capacity) }
+	if many(all.sum(func(m member) int { return m.inService(m.lost - m.lostLong) })) {
+		p.lossAt, p.hadLoss = now, true
+		return true
+	}
+	returned := !many(all.sum(func(m member) int { return m.inService(m.lostLong) }))
+	return returned && p.hadLoss && now-p.lossAt <= sustainTime
+}
+
 // add adds up to n endpoints to the failure domains that have the fewest, and reports whether it added any.
 func (f fleet) add(next []int, n, most int) bool {
 	added := false
--- a/bluebellcore/internal/bluebellscaler/scaler.go
+++ b/bluebellcore/internal/bluebellscaler/scaler.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -92,15 +94,18 @@
 		s.targets, s.cover = nil, coverage{}
 		return
 	}
+	targets := slices.DeleteFunc(slices.Clone(s.cfg.Targets()), func(t bluebelldeployment.Target) bool { return t.Scale == nil })
+	maps.DeleteFunc(s.targets, func(name string, _ *targetState) bool {
+		return !slices.ContainsFunc(targets, func(t bluebelldeployment.Target) bool { return t.Name == name })
+	})
+	if len(targets) == 0 {
+		return
+	}
 	view := s.view()
 	if s.targets == nil {
 		s.targets = map[string]*targetState{}
 	}
-	for _, t := range s.cfg.Targets() {
-		if t.Scale == nil {
-			delete(s.targets, t.Name)
-			continue
-		}
+	for _, t := range targets {
 		state := s.targets[t.Name]
 		if state == nil {
 			state = &targetState{planner: bluebellscale.New(), complete: true}
--- a/bluebellcore/internal/bluebellscaler/scaler_test.go
+++ b/bluebellcore/internal/bluebellscaler/scaler_test.go
@@ -32,8 +32,11 @@
 	leads    bool
 	// silent are the failure domains whose engines do not register. Engines with a lower number than busy have
 	// prompt tokens to read.
-	silent    map[string]bool
-	busy      int
+	silent map[string]bool
+	busy   int
+	// failing is the number of engines that register, but have failed at all entries.
+	failing   int
+	failedAt  time.Duration
 	entries   int
 	loads     int
 	refused   uint32
@@ -80,6 +83,9 @@
 		if i%20 < c.busy {
 			u.Unread = 5_000
 		}
+		if i < c.failing {
+			u.Failing, u.AnsweredAt = 6, c.failedAt
+		}
 		l := &loads[i%c.loads]
 		l.Uses = append(l.Uses, u)
 	}
@@ -199,9 +205,34 @@
 	c.busy = 14
 	c.run(5 * second)
 	c.silent["b"] = true
+	c.busy = 20 // the others get its calls
 	c.run(40 * second)
 	require.NotEmpty(t, c.proposals)
 	for _, p := range c.proposals {
 		require.NotContains(t, p, "llm/b")
 	}
 }
+
+// Guards against an order for endpoints while a quarter of them cannot be reached for a short time. They go on
+// registering, calls are refused at once, and the loss must be noticed before the shortage.
+func TestUnreachableQuarterOrdersNothing(t *testing.T) {
+	c := newCore()
+	c.busy = 12
+	c.run(11 * second)
+	c.failing, c.failedAt, c.refused, c.busy = 15, c.now, 200, 20
+	c.run(8 * second)
+	c.failing, c.refused, c.busy = 0, 0, 12
+	c.run(8 * second)
+	require.Empty(t, c.proposals)
+}
+
+// Guards against replacements that are ordered for calls which are stuck at lost engines, although the others serve
+// all new calls.
+func TestCallsAtLostEnginesOrderNothing(t *testing.T) {
+	c := newCore()
+	c.busy = 14
+	c.run(5 * second)
+	c.silent["b"] = true
+	c.run(40 * second)
+	require.Empty(t, c.proposals)
+}
--- a/bluebellcore/internal/bluebellscaler/view.go
+++ b/bluebellcore/internal/bluebellscaler/view.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// failingEntries and failingTime define an endpoint that cannot be reached although it registers: entries in
-	// one failure domain may have lost their own links.
+	// failingEntries and failingTime define an endpoint that cannot be reached although it registers, or did lately:
+	// it failed at several entries, which may have lost their own links, and answered none. The time is shorter than
+	// that of a shortage, so that the loss of many endpoints is noticed before calls have waited for long.
 	failingEntries = 3
-	failingTime    = 2 * time.Second
+	failingTime    = time.Second
 	// coverageTime is how long an entry or core process that no longer reports is missed. Afterwards it counts as
 	// stopped, and its calls go through others.
 	coverageTime = time.Minute
@@ -107,7 +108,8 @@
 	return u.Failing < failingEntries || v.now-u.AnsweredAt <= failingTime
 }
 
-// load returns the load of a target.
+// load returns the load of a target. Calls at an endpoint that cannot be reached do not count: they end without an
+// answer or are sent elsewhere.
 func (v *view) load(t bluebelldeployment.Target) bluebellscale.Load {
 	var capacity bluebellscale.Capacity
 	if t.Engine != nil {
@@ -121,6 +123,9 @@
 		if t.Engine == nil {
 			capacity.Slots = max(capacity.Slots, e.Slots)
 		}
+		if e.State == bluebellfleet.Serving && !v.usable(e) {
+			continue
+		}
 		u := v.uses[e.ID]
 		endpoints = append(endpoints, bluebellscale.EndpointLoad{Calls: u.Calls, Tokens: u.Tokens, Unread: u.Unread})
 	}
