--- a/bluebell/bluebellstate/core.go
+++ b/bluebell/bluebellstate/core.go
@@ -11,7 +11,7 @@
 )
 
 // CommandVersion is the version of the commands that this release can apply; see pb.CoreState.
-const CommandVersion = 1
+const CommandVersion = 2
 
 const (
 	// departureRetention is how long a departure is kept: longer than endpoints that are draining serve calls,
@@ -25,10 +25,15 @@
 // replaced at each change.
 func (m *Machine) CoreState() *pb.CoreState { return m.core }
 
-// editCore replaces the core state by a copy that edit has changed. edit may change the copy's list, but not
-// its elements.
+// editCore replaces the core state by a copy that edit has changed. edit may change the copy's lists, but not
+// their elements.
 func (m *Machine) editCore(edit func(next *pb.CoreState)) {
-	next := &pb.CoreState{CommandVersion: m.core.CommandVersion, Departures: slices.Clone(m.core.Departures)}
+	next := &pb.CoreState{
+		CommandVersion: m.core.CommandVersion,
+		Departures:     slices.Clone(m.core.Departures),
+		Usage:          slices.Clone(m.core.Usage),
+		Scales:         slices.Clone(m.core.Scales),
+	}
 	edit(next)
 	m.core = next
 }
--- a/bluebell/bluebellstate/doc.go
+++ b/bluebell/bluebellstate/doc.go
@@ -10,6 +10,7 @@
 //   - the fencing number, by which endpoints refuse orders of former leaders
 //   - poisoned requests: requests that crash the endpoints that run them
 //   - the declared deployment and the named versions of model weights
+//   - the decided usage windows, and which of them the provider has accepted
 //
 // # Usage
 //
--- a/bluebell/bluebellstate/machine.go
+++ b/bluebell/bluebellstate/machine.go
@@ -79,6 +79,10 @@
 		return m.recordDeparture(body.RecordDeparture)
 	case *pb.Command_SetCommandVersion:
 		return m.setCommandVersion(body.SetCommandVersion)
+	case *pb.Command_DecideUsage:
+		return m.decideUsage(body.DecideUsage)
+	case *pb.Command_RecordUsageSent:
+		return m.recordUsageSent(body.RecordUsageSent)
 	case *pb.Command_Barrier:
 		return m.accepted()
 	}
