--- a/bluebell/bluebellusage/reporter.go
+++ b/bluebell/bluebellusage/reporter.go
@@ -1,20 +1,21 @@
 package bluebellusage
 
 import (
+	"cmp"
 	"time"
 
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
-// defaultDue is the time within which reports are due if the settings name none.
-const defaultDue = 10 * time.Second
+// DefaultDue is the time after the end of a window within which its report is due if the settings name none.
+const DefaultDue = 10 * time.Second
 
 // Reporter selects the decided windows that the holder of the duty sends to the provider. It keeps no state: a
 // window is returned until the replicated state records that it was sent, always with the same counts.
 type Reporter struct {
 	// Window is the length of a window. If it is 0, there is nothing to send.
 	Window time.Duration
-	// Due is the time after the end of a window within which its report is due, 10 s if it is 0.
+	// Due is the time after the end of a window within which its report is due, DefaultDue if it is 0.
 	Due time.Duration
 	// Core returns the replicated state, which is not modified.
 	Core func() *pb.CoreState
@@ -46,11 +47,7 @@
 
 // dueIn returns the time until the report of a window is due.
 func (r *Reporter) dueIn(window int64, now time.Time) time.Duration {
-	due := r.Due
-	if due <= 0 {
-		due = defaultDue
-	}
-	return EndOf(window, r.Window).Add(due).Sub(now)
+	return EndOf(window, r.Window).Add(cmp.Or(r.Due, DefaultDue)).Sub(now)
 }
 
 // At returns the number of the window that contains the time of day t. Window k begins k times the length after
