bluebellgate: count the usage of customers and report it to all sources

A window of usage needs the runs that endpoints began, by customer. The time of day is the median of the entry's clock and those of its sources. Without Bounds.UsageWindow, which the template sets only if the deployment has bounds.usage_window_s, nothing is counted or sent.

go test ./bluebell/bluebellfeed ./bluebell/bluebellconfig ./bluebellgate/...: ok.

--- a/bluebell/bluebellfeed/follower.go
+++ b/bluebell/bluebellfeed/follower.go
@@ -16,6 +16,7 @@
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellquarantine"
+	"bluebellhaven.org/bluebell/bluebellusage"
 )
 
 const (
@@ -73,6 +74,14 @@
 	// OnPeerSuspicions is called with what another core process has received from its entries.
 	// It is nil in entries.
 	OnPeerSuspicions func(core string, suspects []bluebellquarantine.Suspect)
+	// Usage returns what has changed of the usage that this entry has counted after a report, or nil, and the
+	// cursor of its result. UsageWindowEnd returns the time until the current window ends. Both are nil in other
+	// processes, and where usage is not reported.
+	Usage          func(since bluebellusage.Cursor) (*pb.UsageReport, bluebellusage.Cursor)
+	UsageWindowEnd func() time.Duration
+	// OnTime is called with the time of day that a source has stated, in Unix nanoseconds, and the times of the
+	// request and of the reply. It may be nil.
+	OnTime func(source string, unixNanos int64, requestedAt, repliedAt time.Duration)
 	// Poll sends a request to a source and returns its reply.
 	Poll func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error)
 	// Now returns the time of a monotonic clock.
@@ -343,10 +352,13 @@
 // pollSource polls one source until the context ends.
 func (f *Follower) pollSource(ctx context.Context, address string) {
 	position := pollPosition{}
+	usage := usagePosition{}
 	delay := minRetryDelay
 	unreachable := true
 	for ctx.Err() == nil {
 		request := f.nextRequest(address, position)
+		f.addUsage(request, &usage)
+		requestedAt := f.cfg.Now()
 		callCtx, cancel := context.WithTimeout(ctx, maxWait+pollSlack)
 		reply, err := f.cfg.Poll(callCtx, address, request)
 		cancel()
@@ -363,6 +375,10 @@
 			f.cfg.Logger.Info("source became reachable", "Source", address, "Revision", reply.Revision)
 		}
 		unreachable, delay = false, minRetryDelay
+		if f.cfg.OnTime != nil {
+			f.cfg.OnTime(address, reply.UnixNanos, requestedAt, f.cfg.Now())
+		}
+		usage = usage.received(reply.Epoch != position.epoch)
 		if request.Primary {
 			reset := reply.Epoch != position.epoch || position.directoryCursor == 0
 			f.applyDirectory(address, reply, reset)
--- a/bluebell/bluebellfeed/source.go
+++ b/bluebell/bluebellfeed/source.go
@@ -17,6 +17,11 @@
 // What an entry receives thus grows with the endpoints in use, and little of it crosses
 // failure domains. In the same way, each entry learns to which targets others have lost their links.
 //
+// # Usage reports
+//
+// An entry reports the calls that it has counted (bluebellusage) to all its sources, and learns the time of day
+// of each.
+//
 // # Usage
 //
 // A core process answers polls:
@@ -83,6 +88,10 @@
 	PeerLoads func() []PeerLoads
 	// Suspects receives what entries report of calls that may crash endpoints. It may be nil.
 	Suspects *bluebellquarantine.Ledger
+	// RecordUsage is called with the usage report of each poll of an entry that has one. It may be nil.
+	RecordUsage func(entry string, r *pb.UsageReport)
+	// WallClock returns the time of day, which followers are told. If it is nil, they are not.
+	WallClock func() time.Time
 	// HasLeader reports whether a leader of the core processes is known. It may be nil.
 	HasLeader func() bool
 	// Now returns the time of a monotonic clock. After is time.After, or a fake in tests.
@@ -192,6 +201,9 @@
 	now := s.cfg.Now()
 	reply := &pb.FollowReply{Epoch: s.cfg.Epoch, Cores: s.cfg.Cores()}
 	reply.Leaderless = s.cfg.HasLeader != nil && !s.cfg.HasLeader()
+	if s.cfg.WallClock != nil {
+		reply.UnixNanos = s.cfg.WallClock().UnixNano()
+	}
 	s.addRegistrations(reply, r, cursor, now)
 	s.addCoreDomains(reply)
 	if r.Entry && r.Primary {
@@ -231,6 +243,9 @@
 		return
 	}
 	s.loads.polled(r.Process, r.FailureDomain)
+	if r.Usage != nil && s.cfg.RecordUsage != nil {
+		s.cfg.RecordUsage(r.Process, r.Usage)
+	}
 	if r.Primary {
 		s.loads.record(r.Process, r.Report, r.Uses, r.LostTargets)
 		if now := s.cfg.Now(); s.cfg.Suspects != nil {
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -36,6 +36,7 @@
 	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebell/bluebelltier"
+	"bluebellhaven.org/bluebell/bluebellusage"
 	"bluebellhaven.org/bluebellgate/internal/bluebellfrontend"
 	"bluebellhaven.org/bluebellgate/internal/bluebellhandover"
 	"bluebellhaven.org/bluebellgate/internal/bluebellrelay"
@@ -85,6 +86,9 @@
 	cachePlanner *bluebelltier.Planner
 	guard        *bluebellquarantine.Guard
 	client       *bluebelltransport.Client
+	// usage counts the calls of customers, nil if usage is not reported. clock is the time of day.
+	usage *bluebellusage.Counter
+	clock *bluebellusage.Clock
 	// links holds the state of the links to endpoints. helpers are the entries to which calls are
 	// handed over while links are lost, and entries the client for them.
 	links    *bluebelllink.Tracker
@@ -120,7 +124,7 @@
 	g.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: g.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
 	g.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: g.now})
 	g.newLinks(s)
-	g.follower = bluebellfeed.NewFollower(bluebellfeed.FollowerConfig{
+	followerConfig := bluebellfeed.FollowerConfig{
 		Process: g.address, Entry: true, FailureDomain: s.FailureDomain, MaxSources: maxSources, Registry: g.registry,
 		Seeds: func() []string {
 			s := cfg.Settings()
@@ -135,8 +139,10 @@
 			return g.pool.Client(source).Follow(ctx, r)
 		},
 		Now: g.now, Logger: cfg.Logger,
-	})
+	}
 	bounds := s.GetBounds()
+	g.countUsage(bounds.GetUsageWindow().AsDuration(), &followerConfig)
+	g.follower = bluebellfeed.NewFollower(followerConfig)
 	// The settings have been validated; without a port, no address is one of an entry.
 	_, callerPort, _ := net.SplitHostPort(s.CallerAddress)
 	g.placer = bluebellplacement.New(bluebellplacement.Config{
@@ -176,6 +182,7 @@
 	return bluebellrelay.New(bluebellrelay.Config{
 		Placer: g.placer, Client: g.client, CachePlanner: g.cachePlanner, Guard: g.guard, Now: g.now, Random: rand.Float64, Logger: g.cfg.Logger,
 		Deployment: func() *bluebelldeployment.Deployment { return g.routing.Load().Deployment },
+		Usage:      bluebellrelay.UsageConfig{Counter: g.usage, Now: g.timeOfDay},
 		Links:      g.links, Handover: bluebellrelay.HandoverConfig{Helpers: g.helpers, Client: g.entries},
 		RetryLimits: bluebellrelay.RetryLimits{
 			Ratio: bounds.GetRetryRatio(), Window: bounds.GetRetryWindow().AsDuration(), Slack: bounds.GetRetrySlack(),
--- /dev/null
+++ b/bluebellgate/internal/bluebellgateway/usage.go
@@ -0,0 +1,29 @@
+package bluebellgateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bluebellhaven.org/bluebell/bluebellfeed"
+	pb "bluebellhaven.org/bluebell/bluebellpb"
+	"bluebellhaven.org/bluebell/bluebellusage"
+)
+
+// countUsage sets up the counting of usage by windows of the given length, and its reports to the sources. It does
+// nothing if the length is 0.
+func (g *Gateway) countUsage(window time.Duration, follower *bluebellfeed.FollowerConfig) {
+	if window <= 0 {
+		return
+	}
+	g.clock = bluebellusage.NewClock()
+	g.usage = bluebellusage.NewCounter(bluebellusage.CounterConfig{Window: window, Incarnation: rand.Uint64()})
+	follower.Usage = func(since bluebellusage.Cursor) (*pb.UsageReport, bluebellusage.Cursor) {
+		return g.usage.Report(g.timeOfDay(), since)
+	}
+	follower.UsageWindowEnd = func() time.Duration { return g.usage.UntilEnd(g.timeOfDay()) }
+	follower.OnTime = g.clock.Observe
+}
+
+// timeOfDay returns the time of day on which this entry and its sources agree. It is called only where usage is
+// counted.
+func (g *Gateway) timeOfDay() time.Time { return g.clock.Now(g.now(), time.Now()) }
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -61,6 +61,7 @@
 	a := bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header())
 	c.unframed = exchange.Unframed()
 	c.recordStatements(choice, exchange, a)
+	c.endUsage(!a.NotRun)
 	if a.NotRun && c.helper == "" && refusalApplies(a, exchange) {
 		return c.handleNotRun(choice, exchange, a)
 	}
@@ -94,6 +95,7 @@
 	if !good {
 		return c.handleErrorStatus(choice, exchange, a, body)
 	}
+	c.countStream()
 	c.endAttempt(choice, bluebellplacement.Answered, nil)
 	c.deliver(bufferedAnswer{exchange.Status(), exchange.Header(), body})
 	return resultFinal
@@ -200,6 +202,7 @@
 		if event.HasData {
 			if !c.begun.Load() {
 				c.recordFirstEvent(choice)
+				c.countStream()
 				c.beginAnswer(exchange.Status(), exchange.Header())
 			}
 			progressBy = time.Now().Add(nextEventTimeout(c.request.Route, time.Until(c.request.Deadline), retryable))
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -18,6 +18,7 @@
 	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebell/bluebellqueue"
 	"bluebellhaven.org/bluebell/bluebelltier"
+	"bluebellhaven.org/bluebell/bluebellusage"
 	"bluebellhaven.org/bluebellgate/internal/bluebelltransport"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
@@ -62,6 +63,8 @@
 	// over while they are lost. Without them, no links are ever lost and no calls handed over.
 	Links    *bluebelllink.Tracker
 	Handover HandoverConfig
+	// Usage counts the calls that endpoints run.
+	Usage UsageConfig
 	// Now returns the time of a monotonic clock.
 	Now func() time.Duration
 	// Random returns a random number in [0, 1).
@@ -140,6 +143,8 @@
 	unframed bool
 	// allowedAt is when the limits of the endpoints allow the next call, 0 if not known.
 	allowedAt time.Duration
+	// usageRun is the run of the current attempt that is counted once the endpoint has answered, or nil.
+	usageRun *bluebellusage.Run
 	// subjects are the parts of the call that may be in quarantine.
 	subjects []bluebellquarantine.Subject
 	// crashed is set once an attempt has ended in a crash. Later ones use new connections, which shows
@@ -370,6 +375,7 @@
 	timeout := firstEventTimeout(c.request.Route, choice, timeLeft, retryable)
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	c.beginUsage()
 	exchange, err := cfg.Client.Do(attemptCtx, bluebelltransport.Request{
 		Address: choice.Endpoint.Address, Method: c.request.Method, URI: c.request.URI, Host: c.request.Host, Body: c.request.Body,
 		Header:         c.requestHeader(choice, timeLeft),
@@ -452,6 +458,7 @@
 	case (failure.Timeout || ctx.Err() != nil) && failure.MaybeSent:
 		outcome = bluebellplacement.TimedOut
 	}
+	c.endUsage(failure.MaybeSent)
 	c.endAttempt(choice, outcome, err)
 	if failure.MaybeSent {
 		c.received++
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -114,10 +114,13 @@
 
 var placeholder = regexp.MustCompile(`\{\{([a-z_.0-9]+)(\|json)?\}\}`)
 
+// section is a part of a template that is filled in only if its field is present, as none is here.
+var section = regexp.MustCompile(`(?s)\{\{#([a-z_.0-9]+)\}\}.*?\{\{/[a-z_.0-9]+\}\}`)
+
 // render fills in a template of deploy/, as the platform does.
 func render(template string, fields map[string]any) (string, error) {
 	var missing error
-	text := placeholder.ReplaceAllStringFunc(template, func(found string) string {
+	text := placeholder.ReplaceAllStringFunc(section.ReplaceAllString(template, ""), func(found string) string {
 		m := placeholder.FindStringSubmatch(found)
 		var value any = fields
 		for name := range strings.SplitSeq(m[1], ".") {
