bluebellcore: the leader decides usage windows (bluebellcloser)

The leader asks all core processes for what entries have reported (CollectUsage), merges it and has the window decided in the log, once all entries that follow a core process have reported it as final or 4 s after its end. Windows that were missed without a leader are decided in order. Nothing of it runs without Bounds.UsageWindow.

--- a/bluebell/bluebellpeer/client.go
+++ b/bluebell/bluebellpeer/client.go
@@ -95,6 +95,11 @@
 	return call(ctx, c, in, pb.DRPCPeerClient.Announce)
 }
 
+// CollectUsage asks a core process for what entries have reported to it of some usage windows.
+func (c *Client) CollectUsage(ctx context.Context, in *pb.CollectUsageRequest) (*pb.CollectUsageReply, error) {
+	return call(ctx, c, in, pb.DRPCPeerClient.CollectUsage)
+}
+
 // Close closes all idle connections. Connections in use are closed when their calls end.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -35,8 +35,10 @@
 	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebell/bluebellstate"
+	"bluebellhaven.org/bluebell/bluebellusage"
 	"bluebellhaven.org/bluebell/bluebellvoter"
 	"bluebellhaven.org/bluebell/bluebellwal"
+	"bluebellhaven.org/bluebellcore/internal/bluebellcloser"
 	"bluebellhaven.org/bluebellcore/internal/bluebellcontrol"
 	"bluebellhaven.org/bluebellcore/internal/bluebellinventory"
 	"bluebellhaven.org/bluebellcore/internal/bluebelljudge"
@@ -92,6 +94,11 @@
 	control   *bluebellcontrol.Server
 	metrics   *bluebellmetrics.Metrics
 	judge     *bluebelljudge.Judge
+	// usage holds the totals that entries have reported, and closer decides windows. Both are nil if usage is not
+	// reported. clock is the time of day.
+	usage  *bluebellusage.Totals
+	closer *bluebellcloser.Closer
+	clock  *bluebellusage.Clock
 
 	mu        sync.Mutex
 	processes map[string]bluebellmember.Process
@@ -115,7 +122,9 @@
 		cfg: cfg, address: bluebellprocess.HostPort(s.Address, s.PeerPort), started: time.Now(),
 		processes: map[string]bluebellmember.Process{}, domains: map[string]string{}, commandVersions: map[string]uint32{},
 		metrics: bluebellmetrics.New(bluebellmetrics.Config{Prefix: "bluebell_core", Logger: cfg.Logger}),
+		clock:   bluebellusage.NewClock(),
 	}
+	n.openUsage(s.GetBounds())
 	n.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: n.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
 	n.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: n.now, MaxEndpoints: bluebellcontrol.MaxEndpoints})
 	directory := bluebelldirectory.New()
@@ -123,7 +132,8 @@
 	n.source = bluebellfeed.NewSource(bluebellfeed.SourceConfig{
 		Registry: n.registry, Directory: directory, Epoch: rand.Uint64(), Cores: n.recentCores, Domain: n.domainOf,
 		PeerLoads: func() []bluebellfeed.PeerLoads { return n.follower.PeerLoads() }, Suspects: suspects, Now: n.now, After: time.After,
-		HasLeader: func() bool { return n.voter.Status().Leader != "" },
+		HasLeader:   func() bool { return n.voter.Status().Leader != "" },
+		RecordUsage: n.recordUsage, WallClock: time.Now,
 	})
 	if err := n.openVoter(s); err != nil {
 		return nil, err
@@ -133,6 +143,7 @@
 		Poll: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
 			return n.pool.Client(source).Follow(ctx, r)
 		},
+		OnTime:           n.clock.Observe,
 		OnPeerSuspicions: func(core string, list []bluebellquarantine.Suspect) { suspects.RecordPeer(core, n.now(), list) },
 		Now:              n.now, Logger: cfg.Logger,
 	})
@@ -227,6 +238,9 @@
 	tasks.Go(func(ctx context.Context) error { n.maintainMembers(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.judge.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.orderer.Run(ctx); return nil })
+	if n.closer != nil {
+		tasks.Go(func(ctx context.Context) error { n.closer.Run(ctx); return nil })
+	}
 	tasks.Go(func(ctx context.Context) error { n.inventory.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { return n.control.Serve(ctx, control) })
 	tasks.Go(func(ctx context.Context) error {
--- a/bluebellcore/internal/bluebellcorenode/peers.go
+++ b/bluebellcore/internal/bluebellcorenode/peers.go
@@ -108,6 +108,14 @@
 	return h.node.source.Answer(ctx, in), nil
 }
 
+// CollectUsage returns what entries have reported of some usage windows.
+func (h handler) CollectUsage(_ context.Context, in *pb.CollectUsageRequest) (*pb.CollectUsageReply, error) {
+	if h.node.usage == nil {
+		return &pb.CollectUsageReply{}, nil
+	}
+	return &pb.CollectUsageReply{Entries: h.node.usage.Collect(in.Windows)}, nil
+}
+
 // Announce records another core process and returns all known ones.
 func (h handler) Announce(_ context.Context, in *pb.AnnounceRequest) (*pb.AnnounceReply, error) {
 	if in.ID == "" || bluebellvoter.VMOf(in.ID) != in.Address {
