--- a/bluebellgate/internal/bluebellgateway/cluster_test.go
+++ b/bluebellgate/internal/bluebellgateway/cluster_test.go
@@ -27,6 +27,7 @@
 	"bluebellhaven.org/bluebell/bluebellpeer"
 	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/bluebell/bluebellquarantine"
+	"bluebellhaven.org/bluebell/bluebellusage"
 	"bluebellhaven.org/bluebellfake/bluebellstub"
 	"bluebellhaven.org/bluebellgate/internal/bluebellgateway"
 	"bluebellhaven.org/platform/bluebellplatform"
@@ -71,6 +72,9 @@
 	calls       atomic.Int64
 	// suspects has what entries report of calls that may crash endpoints.
 	suspects *bluebellquarantine.Ledger
+	// usage has what entries report of the usage windows of this length; 0 for none.
+	usage       *bluebellusage.Totals
+	usageWindow time.Duration
 	// others are addresses of further endpoints that the test has registered.
 	others []string
 }
@@ -101,7 +105,8 @@
 	coreAddress := bluebellprocess.HostPort(c.coreHost, c.port)
 	c.core = bluebellfeed.NewSource(bluebellfeed.SourceConfig{
 		Registry: c.registry, Directory: bluebelldirectory.New(), Epoch: 1, Cores: func() []string { return []string{coreAddress} },
-		Suspects: c.suspects, Now: c.now, After: time.After,
+		Suspects: c.suspects, Now: c.now, After: time.After, WallClock: time.Now,
+		RecordUsage: func(entry string, r *pb.UsageReport) { c.usage.Record(time.Now(), entry, r) },
 	})
 	c.core.SetDeployment(1, &pb.Deployment{Version: 1, Document: declaration(t)})
 	for i := range endpoints {
@@ -235,6 +240,9 @@
 			Stop: durationpb.New(4 * time.Second), RetryRatio: 0.2, RetryWindow: durationpb.New(10 * time.Second), RetrySlack: 100, WeightsMillis: 10_000, ColdFactor: 1,
 		},
 	}
+	if c.usageWindow > 0 {
+		settings.Bounds.UsageWindow = durationpb.New(c.usageWindow)
+	}
 	gateway := bluebellgateway.New(bluebellgateway.Config{
 		Settings: func() *pb.GateSettings { return settings }, Dial: g.dial, Logger: log.New(io.Discard),
 	})
