bluebellcloser: wait for entries that may not follow again yet

After a restart of all core processes, or a suspension of the leader, entries that have not polled again are not known, so a window could be closed without their counts.

go test -race ./internal/bluebellcloser, go test ./bluebellusage: ok.

--- a/bluebell/bluebellusage/close.go
+++ b/bluebell/bluebellusage/close.go
@@ -94,16 +94,18 @@
 	Totals Merged
 	// Entries are the entries that follow a core process.
 	Entries []string
+	// EntriesUnknown is set if Entries may lack some: the core processes have just started.
+	EntriesUnknown bool
 	// Now is the time of day.
 	Now time.Time
 }
 
 // Close returns the usage to decide for a window, and the entries that have not reported it as final. ok is false
-// while the window stays open: it has not ended, or entries are missing and closeAfter has not passed.
+// while the window stays open: it has not ended, or entries are missing or unknown and closeAfter has not passed.
 func Close(in CloseInput) (usage *pb.DecideUsage, missing []string, ok bool) {
 	age := in.Now.Sub(EndOf(in.Window, in.Length))
 	missing = in.Totals.Missing(in.Window, in.Entries)
-	if age < 0 || age < closeAfter && len(missing) > 0 {
+	if age < 0 || age < closeAfter && (len(missing) > 0 || in.EntriesUnknown) {
 		return nil, missing, false
 	}
 	return in.Totals.Usage(in.Window), missing, true
--- a/bluebell/bluebellusage/replay_test.go
+++ b/bluebell/bluebellusage/replay_test.go
@@ -305,6 +305,12 @@
 	in.Entries, in.Now = nil, epoch.Add(4900*time.Millisecond)
 	_, _, ok := bluebellusage.Close(in)
 	require.False(t, ok, "the window has not ended")
+	in.Now = epoch.Add(6 * second)
+	_, _, ok = bluebellusage.Close(in)
+	require.True(t, ok)
+	in.EntriesUnknown = true
+	_, _, ok = bluebellusage.Close(in)
+	require.False(t, ok, "entries may be missing that are not known yet")
 }
 
 // Guards against memory that grows with what entries report.
--- a/bluebellcore/internal/bluebellcloser/closer.go
+++ b/bluebellcore/internal/bluebellcloser/closer.go
@@ -40,6 +40,10 @@
 	proposeTimeout = time.Second
 	// lateCheckDelay is the number of windows after which a decision is compared with the totals.
 	lateCheckDelay = 2
+	// standstill is the time without a step from which on the process counts as suspended, and knownAfter how long
+	// after a start or a suspension the entries that follow are known: several of their polls and retries.
+	standstill = time.Second
+	knownAfter = 3 * time.Second
 	// maxLoggedEntries bounds the missing entries that a log line names.
 	maxLoggedEntries = 5
 )
@@ -76,10 +80,14 @@
 	// asked them.
 	collectedAt time.Duration
 	leading     bool
+	// steppedAt is when the latest step ended, and knownAt from when on all entries are known.
+	steppedAt, knownAt time.Duration
 }
 
 // New returns a Closer.
-func New(cfg Config) *Closer { return &Closer{cfg: cfg} }
+func New(cfg Config) *Closer {
+	return &Closer{cfg: cfg, steppedAt: cfg.Now(), knownAt: cfg.Now() + knownAfter}
+}
 
 // Run closes windows until ctx ends.
 func (c *Closer) Run(ctx context.Context) {
@@ -98,6 +106,10 @@
 // Step closes the windows that can be closed now. It does nothing while this process does not lead, or while a core
 // process does not know the command. It must not be called concurrently.
 func (c *Closer) Step(ctx context.Context) {
+	if now := c.cfg.Now(); now-c.steppedAt > standstill {
+		c.knownAt = now + knownAfter
+	}
+	defer func() { c.steppedAt = c.cfg.Now() }()
 	core := c.cfg.Core()
 	if !c.cfg.IsLeader() || core.GetCommandVersion() < bluebellstate.UsageVersion {
 		if c.leading {
@@ -133,7 +145,7 @@
 	entries := c.cfg.Entries()
 	for window := first; window <= ended && c.cfg.IsLeader(); window++ {
 		usage, missing, ok := bluebellusage.Close(bluebellusage.CloseInput{
-			Window: window, Length: c.cfg.Window, Totals: merged, Entries: entries, Now: now,
+			Window: window, Length: c.cfg.Window, Totals: merged, Entries: entries, EntriesUnknown: c.cfg.Now() < c.knownAt, Now: now,
 		})
 		if !ok || !c.decide(ctx, usage, len(entries), missing, answered) {
 			return
--- a/bluebellcore/internal/bluebellcloser/closer_test.go
+++ b/bluebellcore/internal/bluebellcloser/closer_test.go
@@ -221,3 +221,23 @@
 	d.run(20 * second)
 	require.Empty(t, d.decided())
 }
+
+// Guards against a window that is closed without the counts of entries that do not follow again yet, after all core
+// processes have restarted, or by a leader that was suspended.
+func TestEntriesAreAwaitedAfterStandstill(t *testing.T) {
+	d := newDeployment()
+	x := d.cores["x"]
+	x.leads, x.entries = true, []string{"e"}
+	d.now = 4 * second
+	x.report("e", 0, 5, 0)
+	d.run(6 * second)
+	require.Empty(t, d.decided(), "it has just started")
+	d.run(8 * second)
+	require.Equal(t, map[int64]uint64{0: 5}, d.decided())
+	d.now = 11 * second
+	x.report("e", 1, 5, 1)
+	d.run(12 * second)
+	require.Len(t, d.decided(), 1, "it was suspended")
+	d.run(15 * second)
+	require.Len(t, d.decided(), 2)
+}
