--- a/bluebell/bluebelldeployment/deployment.go
+++ b/bluebell/bluebelldeployment/deployment.go
@@ -341,8 +341,13 @@
 // Target returns the target of the given name, or nil.
 func (d *Deployment) Target(name string) *Target { return d.targets[name] }
 
-// Targets returns all targets.
-func (d *Deployment) Targets() []Target { return d.declaration.Targets }
+// Targets returns all targets, or nil if d is nil.
+func (d *Deployment) Targets() []Target {
+	if d == nil {
+		return nil
+	}
+	return d.declaration.Targets
+}
 
 // Stores returns all cache stores, or nil if d is nil.
 func (d *Deployment) Stores() []Store {
--- a/bluebell/bluebellstate/core.go
+++ b/bluebell/bluebellstate/core.go
@@ -25,11 +25,15 @@
 // replaced at each change.
 func (m *Machine) CoreState() *pb.CoreState { return m.core }
 
-// editCore replaces the core state by a copy that edit has changed. edit may change the copy's lists, but
-// not their elements.
+// editCore replaces the core state by a copy that edit has changed. edit may change the copy's lists, but not
+// their elements.
 func (m *Machine) editCore(edit func(next *pb.CoreState)) {
-	next := &pb.CoreState{CommandVersion: m.core.CommandVersion, Departures: slices.Clone(m.core.Departures)}
-	next.Scales = slices.Clone(m.core.Scales)
+	next := &pb.CoreState{
+		CommandVersion: m.core.CommandVersion,
+		Departures:     slices.Clone(m.core.Departures),
+		Usage:          slices.Clone(m.core.Usage),
+		Scales:         slices.Clone(m.core.Scales),
+	}
 	edit(next)
 	m.core = next
 }
--- a/bluebellcore/internal/bluebellcorenode/scale.go
+++ b/bluebellcore/internal/bluebellcorenode/scale.go
@@ -18,7 +18,7 @@
 	return bluebellscaler.New(bluebellscaler.Config{
 		Enabled:  func() bool { return bluebellplatform.ScalesEndpoints(n.cfg.Settings().GetProvider().GetDuties()) },
 		IsLeader: n.isLeader, Registry: n.registry, Deployment: n.source.Deployment,
-		Targets: func() []bluebelldeployment.Target { return declared.current().Targets() },
+		Targets:   func() []bluebelldeployment.Target { return declared.current().Targets() },
 		CoreState: n.coreState,
 		Loads:     func() []bluebellfeed.PeerLoads { return append(n.follower.PeerLoads(), n.source.OwnLoads()) },
 		Cores:     func() int { return len(n.otherCores()) + 1 },
