Placement: less urgent calls leave room for more urgent ones at engines

Cause: at the crest of a wave, urgent calls of 800 to 2,400 tokens waited inside engines, behind the prompts of large calls or for their memory. Of these, most were late at the engine and not in the entry's queue.

Change, for targets with RanksByUrgency only: - A call of a lower rank counts as late at an engine that has unread prompts if reading these and its own would take more than 0.75 of the shortest objective of the more urgent ranks. - The lowest rank fills an engine's memory up to 0.85 at its homes (the highest up to 1, as before), and up to 0.6 away from them as before (the highest up to 0.75). - During congestion at an entry, only the lowest rank has to begin within 0.35 of its objective. The others were refused for large ones when they had to. - Unread tokens are reported by priority and summed in the feed. The time before a call still counts all of them: an engine admits urgent calls first, but reads the prompts of calls that it has admitted in their order, and all that fit are admitted.

Tested: go test ./bluebellplacement ./bluebellqueue ./bluebellfeed ./bluebelldeployment, bluebelloverload, bluebellgate/internal/bluebellrelay and bluebellgateway; linter for the same packages.

--- a/bluebell/bluebelldeployment/urgency.go
+++ b/bluebell/bluebelldeployment/urgency.go
@@ -16,13 +16,8 @@
 	}
 	lowest := math.MinInt
 	shortest := time.Duration(math.MaxInt64) // objective of the lowest rank
-	var routes []*Route
-	for i := range d.declaration.Routes {
-		r := &d.declaration.Routes[i]
-		if !r.sendsTo(target) {
-			continue
-		}
-		routes = append(routes, r)
+	routes := d.RoutesOf(target)
+	for _, r := range routes {
 		switch {
 		case r.Priority > lowest:
 			lowest, shortest = r.Priority, r.longestObjective()
@@ -43,6 +38,20 @@
 	return above > 0
 }
 
+// RoutesOf returns the routes that send calls to a target.
+func (d *Deployment) RoutesOf(target string) []*Route {
+	var routes []*Route
+	for i := range d.declaration.Routes {
+		if r := &d.declaration.Routes[i]; r.sendsTo(target) {
+			routes = append(routes, r)
+		}
+	}
+	return routes
+}
+
+// Customers returns all customers.
+func (d *Deployment) Customers() []Customer { return d.declaration.Customers }
+
 // sendsTo reports whether a target gets calls of the route.
 func (r *Route) sendsTo(target string) bool {
 	for _, t := range r.Targets {
--- a/bluebell/bluebellfeed/feed_test.go
+++ b/bluebell/bluebellfeed/feed_test.go
@@ -175,7 +175,7 @@
 		},
 		Uses: func() []bluebellfeed.Use {
 			return []bluebellfeed.Use{
-				{Endpoint: "i-1", Calls: 1, Tokens: 100, Unread: 10},
+				{Endpoint: "i-1", Calls: 1, Tokens: 100, Unread: 10, UnreadByPriority: bluebellplacement.TokensByPriority{3: 4, 5: 6}},
 				{
 					Endpoint: "i-2", Failing: 1, AnsweredAt: d.now() - answerAge,
 					Limit:   bluebellplacement.RateLimit{Named: true, PerSecond: 1.4, At: d.now() - answerAge},
@@ -319,7 +319,7 @@
 			return false
 		}
 		answeredAgo := d.now() - failing.AnsweredAt
-		return len(uses) == 3 && busy == (bluebellfeed.Use{Endpoint: "i-1", Calls: 2, Tokens: 200, Unread: 20}) &&
+		return len(uses) == 3 && busy == (bluebellfeed.Use{Endpoint: "i-1", Calls: 2, Tokens: 200, Unread: 20, UnreadByPriority: bluebellplacement.TokensByPriority{3: 8, 5: 12}}) &&
 			failing.Failing == 2 && answeredAgo >= answerAge && answeredAgo < answerAge+timeout &&
 			failing.Limit.Named && failing.Limit.PerSecond == 1.4 && d.now()-failing.Limit.At >= answerAge &&
 			failing.Brittle.Named && failing.Brittle.PerSecond == 3 && d.now()-failing.Brittle.At >= answerAge
--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -43,6 +43,7 @@
 	s.use.Calls += sign * u.Calls
 	s.use.Tokens += sign * u.Tokens
 	s.use.Unread += sign * u.Unread
+	addSign(&s.use.UnreadByPriority, u.UnreadByPriority, sign)
 	s.use.Failing += sign * u.Failing
 	s.use.Waited += time.Duration(sign) * u.Waited
 	s.use.AnsweredAt = max(s.use.AnsweredAt, u.AnsweredAt)
@@ -244,6 +245,7 @@
 			sum.Calls += u.Calls
 			sum.Tokens += u.Tokens
 			sum.Unread += u.Unread
+			addSign(&sum.UnreadByPriority, u.UnreadByPriority, 1)
 			sum.Failing += u.Failing
 			sum.Waited += u.Waited
 			sum.AnsweredAt = max(sum.AnsweredAt, u.AnsweredAt)
@@ -264,6 +266,7 @@
 func (l *loads) encode(uses []Use, now time.Duration) []byte {
 	t := &pb.UseTable{}
 	var limits, brittle limitColumns
+	var priorities []bluebellplacement.TokensByPriority
 	for i, u := range uses {
 		if u.Endpoint = ""; u == (Use{}) {
 			continue
@@ -275,9 +278,11 @@
 		t.Names, t.Calls, t.Failing = append(t.Names, uint32(i)), append(t.Calls, uint32(max(u.Calls, 0))), append(t.Failing, uint32(max(u.Failing, 0)))
 		t.Tokens, t.Unread = append(t.Tokens, uint64(max(u.Tokens, 0))), append(t.Unread, uint64(max(u.Unread, 0)))
 		t.AnsweredMillis, t.WaitedMillis = append(t.AnsweredMillis, answered), append(t.WaitedMillis, uint64(max(u.Waited, 0).Milliseconds()))
+		priorities = append(priorities, u.UnreadByPriority)
 		limits.add(len(t.Names)-1, u.Limit, now)
 		brittle.add(len(t.Names)-1, u.Brittle, now)
 	}
+	encodePriorityColumns(t, priorities)
 	t.LimitRows, t.LimitThousandths, t.LimitMillis = limits.rows, limits.thousandths, limits.millis
 	t.BrittleRows, t.BrittleThousandths, t.BrittleMillis = brittle.rows, brittle.thousandths, brittle.millis
 	encoded, err := proto.Marshal(t)
--- a/bluebell/bluebellfeed/loads_test.go
+++ b/bluebell/bluebellfeed/loads_test.go
@@ -110,7 +110,11 @@
 	require.NoError(t, err)
 	badBrittle, err := proto.Marshal(&pb.UseTable{BrittleRows: []uint32{0}, BrittleThousandths: []uint64{3}})
 	require.NoError(t, err)
-	for _, uses := range [][]byte{malformed, []byte("\xff\xff\xff"), append(malformed, 0x0a), badLimits, badBrittle} {
+	badPriorities, err := proto.Marshal(&pb.UseTable{PriorityRows: []uint32{0}, PriorityCount: 3, PriorityUnread: []uint64{1, 2}})
+	require.NoError(t, err)
+	badPriorityRow, err := proto.Marshal(&pb.UseTable{PriorityRows: []uint32{4}, PriorityCount: 1, PriorityUnread: []uint64{1}})
+	require.NoError(t, err)
+	for _, uses := range [][]byte{malformed, []byte("\xff\xff\xff"), append(malformed, 0x0a), badLimits, badBrittle, badPriorities, badPriorityRow} {
 		d.cores["c1"].alter = func(r *pb.FollowReply) { r.Uses = uses }
 		e := d.follow(t, "e1", "c1")
 		eventually(t, "the source answers", func() bool { return e.FreshSources() == 1 && d.cores["c1"].polledAsPrimary("e1") > 1 })
--- a/bluebell/bluebellfeed/use.go
+++ b/bluebell/bluebellfeed/use.go
@@ -25,6 +25,8 @@
 	// Tokens is the memory that the calls take, Unread the number of prompt tokens that are
 	// not known to have been processed. Both are in tokens.
 	Tokens, Unread int
+	// UnreadByPriority is the part of Unread that belongs to calls of each priority, where they are known.
+	UnreadByPriority bluebellplacement.TokensByPriority
 	// Failing is the number of entries with a recent failure and no answer since.
 	Failing int
 	// AnsweredAt is the time of the last answer on the clock of this process, 0 if there was
@@ -42,6 +44,7 @@
 	u.Calls = max(u.Calls-part.Calls, 0)
 	u.Tokens = max(u.Tokens-part.Tokens, 0)
 	u.Unread = max(u.Unread-part.Unread, 0)
+	u.UnreadByPriority = u.UnreadByPriority.Sub(part.UnreadByPriority)
 	u.Failing = max(u.Failing-part.Failing, 0)
 	u.Waited = max(u.Waited-part.Waited, 0)
 	return u
@@ -54,6 +57,7 @@
 		m := &pb.EndpointUse{
 			Endpoint: u.Endpoint, Calls: uint32(max(u.Calls, 0)), Tokens: uint64(max(u.Tokens, 0)),
 			Unread: uint64(max(u.Unread, 0)), Failing: uint32(max(u.Failing, 0)),
+			UnreadByPriority: encodePriorities(u.UnreadByPriority),
 		}
 		if u.AnsweredAt > 0 {
 			m.AnsweredAgo = durationpb.New(now - u.AnsweredAt)
@@ -72,7 +76,7 @@
 func decodeReport(m *pb.EndpointUse, now time.Duration) Use {
 	u := Use{
 		Endpoint: m.Endpoint, Calls: int(m.Calls), Tokens: int(m.Tokens), Unread: int(m.Unread), Failing: int(m.Failing),
-		Waited: m.Waited.AsDuration(),
+		Waited: m.Waited.AsDuration(), UnreadByPriority: decodePriorities(m.UnreadByPriority),
 	}
 	if m.AnsweredAgo != nil {
 		u.AnsweredAt = timeOfAnswer(now, m.AnsweredAgo.AsDuration())
@@ -142,6 +146,9 @@
 			uses[i].AnsweredAt = timeOfAnswer(now, time.Duration(millis-1)*time.Millisecond)
 		}
 	}
+	if err := decodePriorityColumns(&t, uses); err != nil {
+		return nil, err
+	}
 	limits := limitColumns{t.LimitRows, t.LimitThousandths, t.LimitMillis}
 	if err := limits.decode(now, n, func(row int, l bluebellplacement.RateLimit) { uses[row].Limit = l }); err != nil {
 		return nil, err
--- a/bluebell/bluebellplacement/cost.go
+++ b/bluebell/bluebellplacement/cost.go
@@ -69,7 +69,7 @@
 		recompute = t.speed.prefillTime(tokens)
 	}
 	unread := max(c.state.prefillTokens+c.others.PrefillTokens, 0)
-	c.readsOthers = unread > 0
+	c.unread, c.readsOthers = unread, unread > 0
 	c.expected = fetch + t.speed.prefillTime(c.prefillTokens+unread) + time.Duration(c.state.running+c.others.Calls)*runningCallCost
 	c.busy = c.state.running+c.others.Calls > 0
 	c.cost = c.expected + (fetchWeight-1)*fetch
--- a/bluebell/bluebellplacement/doc.go
+++ b/bluebell/bluebellplacement/doc.go
@@ -16,6 +16,12 @@
 // prompt is sent elsewhere if its home would be slower although it has the prompt's blocks.
 // Endpoints of plain services are compared by their calls in flight.
 //
+// # Ranks of calls
+//
+// Where the calls of a target are ranked by urgency (Fleet.Ranks), less urgent ones leave a part of
+// each engine's memory free for more urgent ones, and are sent to no engine whose unread prompts would
+// then delay these beyond a part of their objective. The unread tokens are reported by priority.
+//
 // # Predictions
 //
 // The speed of the engines is estimated from the calls that found an engine without unread
--- a/bluebell/bluebellplacement/endpointstate.go
+++ b/bluebell/bluebellplacement/endpointstate.go
@@ -71,6 +71,8 @@
 	running int
 	// prefillTokens is the number of prompt tokens in calls that have had no first event.
 	prefillTokens int
+	// unreadByPriority is the part of prefillTokens of calls that are ranked by urgency.
+	unreadByPriority TokensByPriority
 	// tokens is the memory that the calls in flight take, in tokens.
 	tokens int
 	// meanFirstEvent is the moving average of the time to the first event.
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -93,6 +93,9 @@
 	ColdRates map[string]float64
 	// TokenCapacity holds the number of tokens that an engine has memory for, by target.
 	TokenCapacity map[string]int
+	// Ranks holds the ranks of calls, the most urgent first, of the targets whose calls are ranked by
+	// urgency. These have at least two. Other targets are not listed.
+	Ranks map[string][]Rank
 	// UseByOthers holds the use of endpoints by the other entries, by endpoint ID.
 	UseByOthers map[string]EndpointUse
 	// UsePending is set while a new entry does not know yet how the other entries use the endpoints
@@ -114,6 +117,9 @@
 	// Tokens is the memory that the prompts and answers take. PrefillTokens is the number
 	// of prompt tokens that are not known to have been processed.
 	Tokens, PrefillTokens int
+	// UnreadByPriority is the part of PrefillTokens that belongs to calls of each priority. Calls that
+	// are not ranked by urgency, and those of entries of earlier releases, are missing.
+	UnreadByPriority TokensByPriority
 	// Failing is the number of entries with a recent failure of the endpoint and no answer
 	// since.
 	Failing int
@@ -129,7 +135,8 @@
 	return EndpointUse{
 		Calls: u.Calls + other.Calls, Tokens: u.Tokens + other.Tokens, PrefillTokens: u.PrefillTokens + other.PrefillTokens,
 		Failing: u.Failing + other.Failing, AnsweredAt: max(u.AnsweredAt, other.AnsweredAt),
-		Limit: u.Limit.Later(other.Limit), Brittle: u.Brittle.Later(other.Brittle),
+		UnreadByPriority: u.UnreadByPriority.Add(other.UnreadByPriority),
+		Limit:            u.Limit.Later(other.Limit), Brittle: u.Brittle.Later(other.Brittle),
 	}
 }
 
@@ -144,8 +151,8 @@
 	}
 	p.fleet = f
 	p.updateStatements()
-	for _, t := range p.targets {
-		t.members = t.members[:0]
+	for name, t := range p.targets {
+		t.members, t.ranks = t.members[:0], f.Ranks[name]
 	}
 	p.newestVersions = map[string]uint64{}
 	for model := range f.NamedVersions {
@@ -155,7 +162,7 @@
 		e := &f.Endpoints[i]
 		t := p.targets[e.Target]
 		if t == nil {
-			t = &targetState{states: map[string]*endpointState{}, lastUses: map[string]promptUse{}}
+			t = &targetState{states: map[string]*endpointState{}, lastUses: map[string]promptUse{}, ranks: f.Ranks[e.Target]}
 			p.targets[e.Target] = t
 		}
 		t.members = append(t.members, p.newMember(t, e))
--- a/bluebell/bluebellplacement/health.go
+++ b/bluebell/bluebellplacement/health.go
@@ -37,7 +37,7 @@
 // use returns the use of the endpoint that is reported to other entries.
 func (s *endpointState) use(now time.Duration) EndpointUse {
 	u := EndpointUse{
-		Calls: s.running, Tokens: s.tokens, PrefillTokens: s.prefillTokens, Limit: s.limit.reported(now), Brittle: s.brittle.reported(now),
+		Calls: s.running, Tokens: s.tokens, PrefillTokens: s.prefillTokens, UnreadByPriority: s.unreadByPriority, Limit: s.limit.reported(now), Brittle: s.brittle.reported(now),
 	}
 	if s.failedAt > s.answeredAt && now-s.failedAt < failureReportedFor {
 		u.Failing = 1
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -72,6 +72,9 @@
 	Target string
 	// Model is "" for plain services.
 	Model string
+	// Priority is what the engine is told, 0 for the most urgent calls. It affects the choice for the
+	// targets in Fleet.Ranks only.
+	Priority int
 	// SharedBlock is the ID of the last block that other prompts share, a block being a
 	// piece of a prompt that is cached. SharedTokens is the number of tokens up to its
 	// end, OwnTokens the number of those that follow.
@@ -125,6 +128,9 @@
 	// prefillTokens and tokens are what the call adds to the fields of the same names in
 	// endpointState.
 	prefillTokens, tokens int
+	// priority is Request.Priority, and ranked set if the calls of the target are ranked by it.
+	priority int
+	ranked   bool
 	// ownTokens is the number of tokens that the engine certainly processes before it
 	// answers, 0 if it processes others first.
 	ownTokens   int
@@ -203,6 +209,8 @@
 	speed    speedEstimate
 	// runTime is the moving average of the time that answered calls spend at their endpoint.
 	runTime time.Duration
+	// ranks are those of the target in Fleet.Ranks.
+	ranks []Rank
 	// handOvers counts the results of holders.
 	handOvers int
 }
@@ -277,8 +285,10 @@
 	late bool
 	// busy candidates are engines with calls in flight. readsOthers is set if some of their
 	// prompts are not known to have been processed.
-	busy          bool
-	readsOthers   bool
+	busy        bool
+	readsOthers bool
+	// unread is the number of their tokens.
+	unread        int
 	expected      time.Duration
 	cost          time.Duration
 	prefillTokens int
@@ -334,6 +344,7 @@
 			Endpoint: *c.endpoint, Weights: c.weights, AtHome: c.home, HomeAddress: home.address, HomeDomain: home.domain,
 			Expected: c.expected, Predicted: t.slowdown.predict(now, c.expected), Typical: t.meanFirstEvent(), RegistrationAge: p.registrationAge(now, c.member), Candidates: count,
 			prefillTokens: c.prefillTokens, tokens: r.Tokens(), sharedBlock: r.SharedBlock, prefilled: new(bool),
+			priority: boundedPriority(r.Priority), ranked: t.ranked(),
 			target: t, state: c.state, ownTokens: ownTokens, returning: c.startReturn(now),
 		}, Picked
 	}
@@ -391,8 +402,8 @@
 	for i := range candidates {
 		c := &candidates[i]
 		p.setCost(now, t, c, r, lastUse, newest)
-		c.full = p.isFull(c, r)
-		c.late = c.isLate(now, t, r)
+		c.full = p.isFull(t, c, r)
+		c.late = c.isLate(now, t, r) || t.ranked() && c.delaysUrgent(t, r)
 		summary.full, summary.late = summary.full || c.full, summary.late || c.late
 		summary.allSuspect = summary.allSuspect && c.suspect
 		if (c.home || c.alternate) && !c.suspect {
--- a/bluebell/bluebellplacement/use.go
+++ b/bluebell/bluebellplacement/use.go
@@ -11,13 +11,16 @@
 
 // isFull reports whether a call would take memory that is reserved for cached blocks. An
 // idle engine is never full.
-func (p *Placer) isFull(c *candidate, r Request) bool {
+func (p *Placer) isFull(t *targetState, c *candidate, r Request) bool {
 	capacity := p.fleet.TokenCapacity[c.endpoint.Target]
 	used := c.state.tokens + c.others.Tokens
 	share := awayFillShare
 	if c.home || c.alternate {
 		share = homeFillShare
 	}
+	if t.ranked() {
+		share = t.rankFillShare(c, r.Priority)
+	}
 	return capacity > 0 && used > 0 && float64(used+r.Tokens()) > share*float64(capacity)
 }
 
@@ -49,7 +52,7 @@
 	c.sentAt = now
 	c.withState(func(t *targetState, s *endpointState) {
 		s.running++
-		s.prefillTokens += c.prefillTokens
+		s.addUnread(*c, 1)
 		s.tokens += c.tokens
 		if c.sharedBlock == "" {
 			return
@@ -74,7 +77,7 @@
 		*c.prefilled = true
 		t.slowdown.record(now, c.Expected, now-c.sentAt)
 		t.speed.record(c.ownTokens, now-c.sentAt)
-		s.prefillTokens -= c.prefillTokens
+		s.addUnread(c, -1)
 		s.recordFirstEvent(now, now-c.sentAt)
 		if c.returning != nil {
 			c.returning.answered(now, c.Endpoint.Slots)
@@ -94,7 +97,7 @@
 		s.tokens -= c.tokens
 		if !*c.prefilled {
 			*c.prefilled = true
-			s.prefillTokens -= c.prefillTokens
+			s.addUnread(c, -1)
 		}
 		s.recordOutcome(now, o)
 		s.recordRoom(now, c.sentAt, o)
@@ -105,6 +108,14 @@
 	p.recordReachability(now, c.Endpoint, o)
 }
 
+// addUnread adds the unread tokens of a call to those of the endpoint, or removes them if sign is -1.
+func (s *endpointState) addUnread(c Choice, sign int) {
+	s.prefillTokens += sign * c.prefillTokens
+	if c.ranked {
+		s.unreadByPriority[c.priority] += sign * c.prefillTokens
+	}
+}
+
 // recordRunTime updates runTime with a call that was answered.
 func (t *targetState) recordRunTime(d time.Duration) {
 	if t.runTime == 0 {
--- a/bluebell/bluebellqueue/queue.go
+++ b/bluebell/bluebellqueue/queue.go
@@ -57,10 +57,25 @@
 	// caller cannot be told to retry them, so refusing them has no benefit while there is
 	// time.
 	MayHaveRun bool
+	// Urgency is the place of the call among those of a target whose calls are ranked by urgency.
+	Urgency Urgency
 	// Tokens is the memory that the call takes on an engine; 0 for plain services.
 	Tokens int
 }
 
+// Urgency tells which of a target's calls give way to others when there is too little capacity.
+type Urgency int
+
+// The values of Urgency.
+const (
+	// Unranked calls are those of targets whose calls are not ranked by urgency.
+	Unranked Urgency = iota
+	// Urgent calls are above the lowest rank of their target.
+	Urgent
+	// Lenient calls are of the lowest rank. They give way to urgent ones.
+	Lenient
+)
+
 // TryResult is the result of trying to find an endpoint for a waiter.
 type TryResult int
 
@@ -134,14 +149,15 @@
 // A late waiter gets its objective once more, counted from now: when late calls were sent
 // wherever there was memory, they made others late. During congestion the limit is much
 // shorter, because answers then begin later than expected; it makes large calls give way
-// to the many small ones.
+// to the many small ones. Urgent calls, to which others give way, keep their objective: they
+// were refused for large ones when they had to begin within a third of it.
 func FirstEventBy(w Waiter, now time.Duration, waiting int) time.Duration {
 	switch {
 	case w.MayHaveRun, w.Objective <= 0:
 		return 0
 	case w.late(now):
 		return now + w.Objective
-	case waiting >= congestionThreshold:
+	case waiting >= congestionThreshold && w.Urgency != Urgent:
 		return min(w.ObjectiveEnd, now+time.Duration(congestedShare*float64(w.Objective)))
 	}
 	return w.ObjectiveEnd
--- a/bluebell/bluebellqueue/queue_test.go
+++ b/bluebell/bluebellqueue/queue_test.go
@@ -44,6 +44,11 @@
 	require.Equal(t, 2*time.Second, bluebellqueue.FirstEventBy(w, time.Second, 1))
 	require.Equal(t, 4*time.Second, bluebellqueue.FirstEventBy(w, 3*time.Second, 9), "a late call gets its objective again")
 	require.Equal(t, 1350*time.Millisecond, bluebellqueue.FirstEventBy(w, time.Second, 2), "congestion")
+	urgent := w
+	urgent.Urgency = bluebellqueue.Urgent
+	require.Equal(t, 2*time.Second, bluebellqueue.FirstEventBy(urgent, time.Second, 2), "others give way to urgent calls")
+	urgent.Urgency = bluebellqueue.Lenient
+	require.Equal(t, 1350*time.Millisecond, bluebellqueue.FirstEventBy(urgent, time.Second, 2))
 	without := w
 	without.Objective = 0
 	require.Zero(t, bluebellqueue.FirstEventBy(without, time.Second, 9), "no objective")
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -105,6 +105,8 @@
 	deployment *pb.Deployment
 	// namedVersions holds the versions named for each model, the current one last.
 	namedVersions map[string][]bluebellplacement.NamedVersion
+	// ranks holds the ranks of calls of the deployment in force, by target.
+	ranks map[string][]bluebellplacement.Rank
 }
 
 // New returns a Gateway that does not listen yet.
@@ -246,8 +248,12 @@
 		}
 		next.Deployment = declared
 	}
+	ranks := map[string][]bluebellplacement.Rank{}
+	if next.Deployment != nil {
+		ranks = bluebellrelay.Ranks(next.Deployment)
+	}
 	g.mu.Lock()
-	g.deployment = d
+	g.deployment, g.ranks = d, ranks
 	for _, w := range d.Weights {
 		g.namedVersions[w.Model] = g.namedVersions[w.Model][:0:0]
 		for _, n := range append(slices.Clone(w.Earlier), &pb.NamedVersion{Version: w.Version, NamedAt: w.NamedAt}) {
@@ -309,7 +315,7 @@
 		At: g.now(), Endpoints: endpoints, DomainsOut: g.deployment.GetDomainsOut(), Loading: g.follower.Loading(),
 		NamedVersions: make(map[string][]bluebellplacement.NamedVersion, len(g.namedVersions)), Entries: g.follower.Entries(),
 		ColdRates: map[string]float64{}, TokenCapacity: map[string]int{}, UseByOthers: g.updateOtherUses(), RegistrationsLive: g.follower.FreshSources() > 0,
-		SilentSince: g.follower.SilentSince(), UsePending: g.usePending(),
+		SilentSince: g.follower.SilentSince(), UsePending: g.usePending(), Ranks: g.ranks,
 	}
 	for model, named := range g.namedVersions {
 		fleet.NamedVersions[model] = named
@@ -345,6 +351,7 @@
 	for id, u := range g.placer.Uses(g.now()) {
 		list = append(list, bluebellfeed.Use{
 			Endpoint: id, Calls: u.Calls, Tokens: u.Tokens, Unread: u.PrefillTokens, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit, Brittle: u.Brittle,
+			UnreadByPriority: u.UnreadByPriority,
 		})
 	}
 	// Fetches from cache stores are reported in the same way, with the address of the store
@@ -371,6 +378,7 @@
 		fetches[u.Endpoint] = bluebelltier.Load{Tokens: u.Unread, LargeFetches: u.Calls, Overdue: u.Waited}
 		uses[u.Endpoint] = bluebellplacement.EndpointUse{
 			Calls: u.Calls, Tokens: u.Tokens, PrefillTokens: u.Unread, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit, Brittle: u.Brittle,
+			UnreadByPriority: u.UnreadByPriority,
 		}
 	}
 	g.otherFetches.Store(&fetches)
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -270,7 +270,7 @@
 // placementRequest adds the description of the call to a request to the placer.
 func (c *activeCall) placementRequest(r bluebellplacement.Request) bluebellplacement.Request {
 	cfg := &c.relay.cfg
-	r.Target, r.IgnoreLinks = c.request.Target.Name, c.ignoreLinks
+	r.Target, r.Priority, r.IgnoreLinks = c.request.Target.Name, c.request.priority(), c.ignoreLinks
 	if c.request.Target.Engine != nil {
 		r.Model = c.request.Call.Model
 		describePrompt(&r, c.request.Call)
@@ -287,6 +287,7 @@
 	w := bluebellqueue.Waiter{
 		Priority: c.request.priority(), Arrived: now, ObjectiveEnd: c.start + c.request.Route.Objective, Deadline: now + c.timeLeft(),
 		Objective: c.request.Route.Objective, MayHaveRun: c.runs > 0, Tokens: r.Tokens(),
+		Urgency: urgencyOf(cfg.Placer.Ranks(r.Target), c.request.priority()),
 	}
 	until := bluebellqueue.WaitUntil(w)
 	call := &waitingCall{waiter: w, request: r, unfitUntil: until}
--- a/bluebellgate/internal/bluebellrelay/request.go
+++ b/bluebellgate/internal/bluebellrelay/request.go
@@ -45,7 +45,12 @@
 	if r.Customer != nil && r.Customer.HasPriority {
 		customer = r.Customer.Priority
 	}
-	return customer*routePriorities + min(r.Route.Priority, routePriorities-1)
+	return callPriority(customer, r.Route)
+}
+
+// callPriority returns the priority of a call by that of its customer and by its route.
+func callPriority(customer int, route *bluebelldeployment.Route) int {
+	return customer*routePriorities + min(route.Priority, routePriorities-1)
 }
 
 // Sink receives the answer to a call.
--- a/bluebellsim/bluebelloverload/entry.go
+++ b/bluebellsim/bluebelloverload/entry.go
@@ -87,11 +87,12 @@
 		own := e.reportedUses[id]
 		others[id] = bluebellplacement.EndpointUse{
 			Calls: sum.Calls - own.Calls, Tokens: sum.Tokens - own.Tokens, PrefillTokens: sum.PrefillTokens - own.PrefillTokens,
-			Failing: sum.Failing - own.Failing, AnsweredAt: sum.AnsweredAt,
+			Failing: sum.Failing - own.Failing, AnsweredAt: sum.AnsweredAt, UnreadByPriority: sum.UnreadByPriority.Sub(own.UnreadByPriority),
 		}
 	}
 	e.placer.Update(bluebellplacement.Fleet{
 		Endpoints: endpoints, Entries: e.sim.entryNames, TokenCapacity: map[string]int{target: e.sim.load.EngineRoom}, UseByOthers: others, RegistrationsLive: true,
+		Ranks: map[string][]bluebellplacement.Rank{target: e.sim.load.ranks()},
 	})
 }
 
@@ -100,12 +101,13 @@
 func (e *entry) placeOrQueue(c *call) {
 	k, now := c.kind, e.sim.eventQueue.Now()
 	r := bluebellplacement.Request{
-		Target: target, Model: model, SharedBlock: c.subject, SharedTokens: k.SharedTokens, OwnTokens: k.OwnTokens, OutputTokens: k.OutputTokens,
+		Target: target, Model: model, Priority: k.Priority, SharedBlock: c.subject, SharedTokens: k.SharedTokens, OwnTokens: k.OwnTokens, OutputTokens: k.OutputTokens,
 		Tried: c.tried, FetchTime: e.cachePlanner.FetchTime(e.cacheRequest(c, e.domain)),
 	}
 	q := &queuedCall{call: c, request: r, waiter: bluebellqueue.Waiter{
 		Priority: k.Priority, Arrived: now, ObjectiveEnd: c.receivedAt + k.Objective.Duration(), Deadline: c.deadline,
 		Objective: k.Objective.Duration(), MayHaveRun: c.mayHaveRun, Tokens: r.Tokens(),
+		Urgency: e.sim.load.urgency(k.Priority),
 	}}
 	q.waitUntil = bluebellqueue.WaitUntil(q.waiter)
 	if k.SharedTokens >= minHomeWaitTokens && len(c.tried) == 0 {
--- a/bluebellsim/bluebelloverload/load.go
+++ b/bluebellsim/bluebelloverload/load.go
@@ -3,10 +3,15 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/tailscale/hujson"
+
+	"bluebellhaven.org/bluebell/bluebellplacement"
+	"bluebellhaven.org/bluebell/bluebellqueue"
 )
 
 // Load files are JSON with comments. They allow a load that occurred once to be replayed. The
@@ -31,8 +36,10 @@
 	StoreBytesPerSecond float64
 	// Duration is the time in which calls arrive.
 	Duration Seconds
-	Kinds    []CallKind
-	Troubles []Fault
+	// RanksByUrgency is set if the calls are ranked by the urgency of their kinds.
+	RanksByUrgency bool
+	Kinds          []CallKind
+	Troubles       []Fault
 }
 
 // CallKind describes calls with prompts of one shape.
@@ -114,6 +121,36 @@
 	return nil
 }
 
+// ranks returns the ranks of the kinds, the most urgent first, if calls are ranked by urgency.
+func (l Load) ranks() []bluebellplacement.Rank {
+	if !l.RanksByUrgency {
+		return nil
+	}
+	objectives := map[int]time.Duration{}
+	for _, k := range l.Kinds {
+		if o, known := objectives[k.Priority]; !known || k.Objective.Duration() < o {
+			objectives[k.Priority] = k.Objective.Duration()
+		}
+	}
+	var ranks []bluebellplacement.Rank
+	for _, p := range slices.Sorted(maps.Keys(objectives)) {
+		ranks = append(ranks, bluebellplacement.Rank{Priority: p, Objective: objectives[p]})
+	}
+	return ranks
+}
+
+// urgency returns the place of a priority among the ranks.
+func (l Load) urgency(priority int) bluebellqueue.Urgency {
+	ranks := l.ranks()
+	switch {
+	case len(ranks) < 2:
+		return bluebellqueue.Unranked
+	case priority < ranks[len(ranks)-1].Priority:
+		return bluebellqueue.Urgent
+	}
+	return bluebellqueue.Lenient
+}
+
 // ScaleCalls returns a copy of the load with PerSecond of all kinds multiplied by factor.
 func (l Load) ScaleCalls(factor float64) Load {
 	kinds := make([]CallKind, len(l.Kinds))
