bluebellcluster: randomised runs decide and report usage windows

Members that act as the leader at any time propose different counts of a window, and report what their state holds; a run fails if a window has two decisions or reports, or loses its decision. The mutation ReportUndecided is found with seed 1.

go test -race ./bluebellusage ./bluebellstate, go test -run 'Usage|Mutations|SameSeed' ./bluebellcluster: ok.

--- a/bluebellsim/bluebellcluster/cluster.go
+++ b/bluebellsim/bluebellcluster/cluster.go
@@ -37,11 +37,13 @@
 	ForgetCommit Mutation = "ForgetCommit"
 	// SkipCorrupt starts a member with an empty log when its log is corrupt.
 	SkipCorrupt Mutation = "SkipCorrupt"
+	// ReportUndecided reports the usage of a window before it is decided.
+	ReportUndecided Mutation = "ReportUndecided"
 )
 
 // Mutations returns all mutations except None.
 func Mutations() []Mutation {
-	return []Mutation{IgnoreSync, SameIdentity, VoteAtOnce, Drift, DispatchHeld, ForgetReleased, ForgetCommit, SkipCorrupt}
+	return []Mutation{IgnoreSync, SameIdentity, VoteAtOnce, Drift, DispatchHeld, ForgetReleased, ForgetCommit, SkipCorrupt, ReportUndecided}
 }
 
 // Config configures a Simulation.
@@ -52,6 +54,9 @@
 	// Voters is the number of voting members.
 	Voters   int
 	Mutation Mutation
+	// Usage adds members that decide usage windows and report them. Runs without it are the same as before they
+	// were added. It is implied by the mutations of usage.
+	Usage bool
 }
 
 // Report counts the events and faults of a run.
@@ -78,6 +83,8 @@
 	Changes, Conflicts, Resent int
 	// Orders counts the checks that the leader alone holds the lease.
 	Orders int
+	// UsageDecisions counts decided usage windows, UsageReports the reports that were sent, repeats included.
+	UsageDecisions, UsageReports int
 	// SimulatedTime is the duration of the run in simulated time.
 	SimulatedTime time.Duration
 }
@@ -109,6 +116,8 @@
 	r.Conflicts += o.Conflicts
 	r.Resent += o.Resent
 	r.Orders += o.Orders
+	r.UsageDecisions += o.UsageDecisions
+	r.UsageReports += o.UsageReports
 	r.SimulatedTime += o.SimulatedTime
 }
 
@@ -173,6 +182,8 @@
 	committedByIndex map[uint64]committedEntry
 
 	clients *clients
+	// usage is nil in runs without it.
+	usage *usageClients
 }
 
 // link is a network direction between two members, given by their VM indexes.
@@ -206,6 +217,9 @@
 		initial.Voters = append(initial.Voters, memberName(i, 0))
 	}
 	sim.clients = newClients(sim)
+	if cfg.Usage || cfg.Mutation == ReportUndecided {
+		sim.usage = newUsageClients(sim)
+	}
 	for i := range cfg.Voters {
 		m := newMember(sim, i, initial)
 		sim.members = append(sim.members, m)
@@ -237,6 +251,9 @@
 		e.run()
 	}
 	sim.clients.checkHistories()
+	if sim.usage != nil {
+		sim.usage.check()
+	}
 	return sim.report, nil
 }
 
--- a/bluebellsim/bluebellcluster/cluster_test.go
+++ b/bluebellsim/bluebellcluster/cluster_test.go
@@ -31,12 +31,29 @@
 	}
 }
 
+// TestUsageIsDecidedAndReportedOnce guards against two decisions of a usage window, against reports that
+// differ, and against decisions that a crash, a lost disk or a snapshot loses.
+func TestUsageIsDecidedAndReportedOnce(t *testing.T) {
+	for _, voters := range []int{3, 5} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("Voters%d/Seed%d", voters, seed), func(t *testing.T) {
+				t.Parallel()
+				report, err := bluebellcluster.New(bluebellcluster.Config{Seed: seed, Steps: 40_000, Voters: voters, Usage: true}).Run()
+				require.NoError(t, err)
+				require.Greater(t, report.UsageDecisions, 5)
+				require.Greater(t, report.UsageReports, report.UsageDecisions/2)
+			})
+		}
+	}
+}
+
 // TestMutationsCauseViolations disables one safeguard at a time. The seeds are ones whose
 // runs violate an invariant.
 func TestMutationsCauseViolations(t *testing.T) {
 	seeds := map[bluebellcluster.Mutation]uint64{
 		bluebellcluster.IgnoreSync: 3, bluebellcluster.SameIdentity: 10, bluebellcluster.VoteAtOnce: 1, bluebellcluster.Drift: 3,
 		bluebellcluster.DispatchHeld: 2, bluebellcluster.ForgetReleased: 2, bluebellcluster.ForgetCommit: 1, bluebellcluster.SkipCorrupt: 10,
+		bluebellcluster.ReportUndecided: 1,
 	}
 	for _, m := range bluebellcluster.Mutations() {
 		t.Run(string(m), func(t *testing.T) {
--- a/bluebellsim/bluebellcluster/doc.go
+++ b/bluebellsim/bluebellcluster/doc.go
@@ -26,7 +26,8 @@
 // that a member publishes never decreases, also over a restart. A non-idempotent call is
 // dispatched at most once. Accepted changes have distinct revisions. At the end of a run
 // the histories of claims (rights to run a non-idempotent call) and of configuration
-// changes are checked for linearizability.
+// changes are checked for linearizability. With Config.Usage, a usage window is decided once and never reported with
+// different counts, and no decision is lost.
 //
 // # Mutations
 //
