--- a/bluebell/bluebellusage/clock.go
+++ b/bluebell/bluebellusage/clock.go
@@ -23,6 +23,8 @@
 	// offset is the latest time of day at the time 0 of the monotonic clock, in Unix nanoseconds.
 	offset int64
 	known  bool
+	// ownAhead is how far the process's own clock was ahead at that time.
+	ownAhead time.Duration
 }
 
 // statement is what a source has stated, as an offset, and when.
@@ -62,9 +64,18 @@
 	slices.SortFunc(offsets, cmp.Compare[int64])
 	c.offset = c.median(offsets)
 	c.known = true
+	c.ownAhead = time.Duration(ownOffset - c.offset)
 	return time.Unix(0, c.offset+int64(now))
 }
 
+// OwnAhead returns how far the process's own clock was ahead of the latest result of Now; it is negative if the clock
+// was behind.
+func (c *Clock) OwnAhead() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ownAhead
+}
+
 // median returns the median of sorted offsets. Of the two in the middle of an even number it returns the one nearer
 // to the previous time of day, so that a jump of one of two clocks is not followed. c.mu must be held.
 func (c *Clock) median(offsets []int64) int64 {
--- a/bluebell/bluebellusage/counter_test.go
+++ b/bluebell/bluebellusage/counter_test.go
@@ -120,6 +120,7 @@
 	observe("y", 100*time.Millisecond)
 	observe("z", -time.Hour)
 	near(time.Hour, "one of the sources and the own clock are wrong")
+	require.InDelta(t, time.Hour, c.OwnAhead(), float64(second))
 	near(0, "one source is wrong")
 	mono += 6 * second
 	c.Observe("x", epoch.Add(mono-4*second).UnixNano(), mono-5*second, mono)
--- a/bluebellcore/internal/bluebellcorenode/usage.go
+++ b/bluebellcore/internal/bluebellcorenode/usage.go
@@ -35,6 +35,7 @@
 func (n *Node) recordUsage(entry string, r *pb.UsageReport) {
 	if n.usage != nil {
 		n.usage.Record(n.timeOfDay(), entry, r)
+		n.metrics.Scope.Gauge("clock_ahead_seconds").Update(n.clock.OwnAhead().Seconds())
 	}
 }
 
--- a/bluebellgate/internal/bluebellgateway/usage.go
+++ b/bluebellgate/internal/bluebellgateway/usage.go
@@ -17,7 +17,9 @@
 	}
 	g.clock = bluebellusage.NewClock()
 	g.usage = bluebellusage.NewCounter(bluebellusage.CounterConfig{Window: window, Incarnation: rand.Uint64()})
+	ahead := g.metrics.Scope.Gauge("clock_ahead_seconds")
 	follower.Usage = func(since bluebellusage.Cursor) (*pb.UsageReport, bluebellusage.Cursor) {
+		ahead.Update(g.clock.OwnAhead().Seconds())
 		return g.usage.Report(g.timeOfDay(), since)
 	}
 	follower.UsageWindowEnd = func() time.Duration { return g.usage.UntilEnd(g.timeOfDay()) }
