Usage reports: report each ended window at once, expire old windows once per window

A poll that ended between the end of a window and the delay of the entry moved the report of that window to the next one due, up to 1 s later. Totals.Record looked through the windows of all entries for each report, about 600 times a second with 295 entries; it now does so once in each window (0.5 us a report). Core processes state their time only where usage is reported.

go test -race ./bluebellusage, 3 runs of -run Usage ./bluebellfeed: ok.

--- a/bluebell/bluebellfeed/usage.go
+++ b/bluebell/bluebellfeed/usage.go
@@ -28,7 +28,7 @@
 	cursor bluebellusage.Cursor
 	// sent is the cursor of the report in the latest poll, which counts once the source has replied.
 	sent bluebellusage.Cursor
-	// reportedAt is when that poll was sent, and endsAt when the window ended or ends that was open then.
+	// reportedAt is when the latest report was sent, and endsAt when the end of the current window is to be reported.
 	reportedAt, endsAt time.Duration
 }
 
@@ -40,14 +40,17 @@
 	}
 	now := f.cfg.Now()
 	at.sent = at.cursor
-	if now >= at.endsAt || now-at.reportedAt >= usageInterval {
+	ended := now >= at.endsAt
+	if ended || now-at.reportedAt >= usageInterval {
 		report, cursor := f.cfg.Usage(at.cursor)
 		r.Usage, at.sent = report, cursor
 		if report != nil {
 			at.reportedAt = now
 		}
 	}
-	at.endsAt = now + f.cfg.UsageWindowEnd() + f.usageDelay()
+	if ended {
+		at.endsAt = now + f.cfg.UsageWindowEnd() + f.usageDelay()
+	}
 	if wait := at.endsAt - now; wait < r.Wait.AsDuration() {
 		r.Wait = durationpb.New(wait)
 	}
--- a/bluebell/bluebellusage/totals.go
+++ b/bluebell/bluebellusage/totals.go
@@ -37,6 +37,8 @@
 
 	mu      sync.Mutex
 	reports map[reporter]*reported
+	// expiredAt is the window in which old windows were last deleted.
+	expiredAt int64
 }
 
 // NewTotals returns Totals for windows of the given length.
@@ -76,8 +78,12 @@
 	return n
 }
 
-// expire deletes old windows, and reporters of which no window is left. t.mu must be held.
+// expire deletes old windows, and reporters of which no window is left, once in each window. t.mu must be held.
 func (t *Totals) expire(current int64) {
+	if t.expiredAt == current {
+		return
+	}
+	t.expiredAt = current
 	for key, r := range t.reports {
 		for window := range r.windows {
 			if window <= current-KeptWindows {
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -133,7 +133,7 @@
 		Registry: n.registry, Directory: directory, Epoch: rand.Uint64(), Cores: n.recentCores, Domain: n.domainOf,
 		PeerLoads: func() []bluebellfeed.PeerLoads { return n.follower.PeerLoads() }, Suspects: suspects, Now: n.now, After: time.After,
 		HasLeader:   func() bool { return n.voter.Status().Leader != "" },
-		RecordUsage: n.recordUsage, WallClock: time.Now,
+		RecordUsage: n.recordUsage, WallClock: n.statedClock(),
 	})
 	if err := n.openVoter(s); err != nil {
 		return nil, err
--- a/bluebellcore/internal/bluebellcorenode/usage.go
+++ b/bluebellcore/internal/bluebellcorenode/usage.go
@@ -41,3 +41,11 @@
 
 // timeOfDay returns the time of day on which this process and the other core processes agree.
 func (n *Node) timeOfDay() time.Time { return n.clock.Now(n.now(), time.Now()) }
+
+// statedClock returns the clock whose time followers are told, or nil if usage is not reported.
+func (n *Node) statedClock() func() time.Time {
+	if n.usage == nil {
+		return nil
+	}
+	return time.Now
+}
