--- a/bluebell/bluebellusage/close.go
+++ b/bluebell/bluebellusage/close.go
@@ -1,6 +1,7 @@
 package bluebellusage
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -8,9 +9,9 @@
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
-// closeAfter is how long after its end a window is closed although entries have not reported it as final. A change
-// of the leader and the report fit in the remaining time until it is due.
-const closeAfter = 4 * time.Second
+// closeShare is the share of the due time after which a window is closed although entries have not reported it as
+// final: 4 s of 10. A change of the leader and the report fit in the rest.
+const closeShare = 0.4
 
 // Merged holds the totals of several core processes.
 type Merged struct {
@@ -88,8 +89,9 @@
 // CloseInput is what the closing of a window depends on.
 type CloseInput struct {
 	Window int64
-	// Length is the length of a window.
-	Length time.Duration
+	// Length is the length of a window, and Due the time after its end within which its report is due, DefaultDue if
+	// it is 0.
+	Length, Due time.Duration
 	// Totals are those of all core processes that have answered.
 	Totals Merged
 	// Entries are the entries that follow a core process.
@@ -101,10 +103,12 @@
 }
 
 // Close returns the usage to decide for a window, and the entries that have not reported it as final. ok is false
-// while the window stays open: it has not ended, or entries are missing or unknown and closeAfter has not passed.
+// while the window stays open: it has not ended, or entries are missing or unknown and closeShare of the due time has not
+// passed.
 func Close(in CloseInput) (usage *pb.DecideUsage, missing []string, ok bool) {
 	age := in.Now.Sub(EndOf(in.Window, in.Length))
 	missing = in.Totals.Missing(in.Window, in.Entries)
+	closeAfter := time.Duration(closeShare * float64(cmp.Or(in.Due, DefaultDue)))
 	if age < 0 || age < closeAfter && (len(missing) > 0 || in.EntriesUnknown) {
 		return nil, missing, false
 	}
--- a/bluebell/bluebellusage/counter.go
+++ b/bluebell/bluebellusage/counter.go
@@ -14,7 +14,7 @@
 	// covers the due time and a change of the leader many times.
 	KeptWindows = 24
 	// assumedAfter is how long after it was sent a call without an answer is assumed to run. Refusals come within
-	// milliseconds, and the leader closes a window closeAfter after its end.
+	// milliseconds, and the leader closes a window of which the report is due after 10 s 4 s after its end.
 	assumedAfter = 2 * time.Second
 )
 
--- a/bluebell/bluebellusage/replay_test.go
+++ b/bluebell/bluebellusage/replay_test.go
@@ -304,8 +304,11 @@
 		require.Equal(t, closes, ok, after)
 		require.Equal(t, []string{"e"}, missing)
 	}
-	in.Entries, in.Now = nil, epoch.Add(4900*time.Millisecond)
+	in.Due, in.Now = 5*second, epoch.Add(7*second)
 	_, _, ok := bluebellusage.Close(in)
+	require.True(t, ok, "a report that is due earlier is closed earlier")
+	in.Entries, in.Now = nil, epoch.Add(4900*time.Millisecond)
+	_, _, ok = bluebellusage.Close(in)
 	require.False(t, ok, "the window has not ended")
 	in.Now = epoch.Add(6 * second)
 	_, _, ok = bluebellusage.Close(in)
--- a/bluebellcore/internal/bluebellcloser/closer.go
+++ b/bluebellcore/internal/bluebellcloser/closer.go
@@ -145,7 +145,7 @@
 	entries := c.cfg.Entries()
 	for window := first; window <= ended && c.cfg.IsLeader(); window++ {
 		usage, missing, ok := bluebellusage.Close(bluebellusage.CloseInput{
-			Window: window, Length: c.cfg.Window, Totals: merged, Entries: entries, EntriesUnknown: c.cfg.Now() < c.knownAt, Now: now,
+			Window: window, Length: c.cfg.Window, Due: c.cfg.Due, Totals: merged, Entries: entries, EntriesUnknown: c.cfg.Now() < c.knownAt, Now: now,
 		})
 		if !ok || !c.decide(ctx, usage, len(entries), missing, answered) {
 			return
