--- a/bluebellcore/internal/bluebellcorenode/usage.go
+++ b/bluebellcore/internal/bluebellcorenode/usage.go
@@ -35,8 +35,17 @@
 func (n *Node) recordUsage(entry string, r *pb.UsageReport) {
 	if n.usage != nil {
 		n.usage.Record(n.timeOfDay(), entry, r)
+		n.metrics.Scope.Gauge("clock_ahead_seconds").Update(n.clock.OwnAhead().Seconds())
 	}
 }
 
 // timeOfDay returns the time of day on which this process and the other core processes agree.
 func (n *Node) timeOfDay() time.Time { return n.clock.Now(n.now(), time.Now()) }
+
+// statedClock returns the clock whose time followers are told, or nil if usage is not reported.
+func (n *Node) statedClock() func() time.Time {
+	if n.usage == nil {
+		return nil
+	}
+	return time.Now
+}
