bluebellduty: lease, fencing number and proof of leadership once for orders and duties

The calls to the provider need the same rules as orders of weights: one holder, a wait after a change of leader, a barrier before each call. The orderer had them built in, measured time by a clock that stops while the VM is suspended, and could agree its barrier through another leader.

bluebellduty.Holder now implements this for both. The leadership is identified by its term, times are those of the clock that includes suspension, commands go to the own voter only, and a barrier returns the latest fencing number, so that a holder whose number was superseded learns of it. A number that an endpoint refuses with 412 is not used again until the lease is taken anew; that endpoint is ordered again after 5 s, doubled with each refusal up to 80 s.

--- a/bluebell/bluebellstate/core_test.go
+++ b/bluebell/bluebellstate/core_test.go
@@ -75,3 +75,14 @@
 	require.Equal(t, pb.Verdict_Refused, m.Apply(&pb.Command{Body: &pb.Command_RecordDeparture{RecordDeparture: &pb.RecordDeparture{}}}).Verdict)
 	require.Empty(t, m.CoreState().Departures)
 }
+
+// The holder of an earlier fencing number must learn from its barrier that a later one was taken.
+func TestBarrierReturnsLatestFencingNumber(t *testing.T) {
+	m := bluebellstate.New()
+	barrier := &pb.Command{Body: &pb.Command_Barrier{Barrier: &pb.Barrier{}}}
+	require.Zero(t, m.Apply(barrier).Fencing)
+	for n := range uint64(2) {
+		m.Apply(&pb.Command{Body: &pb.Command_TakeOrders{TakeOrders: &pb.TakeOrders{Holder: "c1"}}})
+		require.Equal(t, n+1, m.Apply(barrier).Fencing)
+	}
+}
--- a/bluebell/bluebellstate/machine.go
+++ b/bluebell/bluebellstate/machine.go
@@ -80,7 +80,10 @@
 	case *pb.Command_SetCommandVersion:
 		return m.setCommandVersion(body.SetCommandVersion)
 	case *pb.Command_Barrier:
-		return m.accepted()
+		// The number proves to the holder of an earlier one that it is no longer the holder.
+		result := m.accepted()
+		result.Fencing = m.fencingNumber
+		return result
 	}
 	return m.applyChange(c)
 }
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -38,6 +38,7 @@
 	"bluebellhaven.org/bluebell/bluebellvoter"
 	"bluebellhaven.org/bluebell/bluebellwal"
 	"bluebellhaven.org/bluebellcore/internal/bluebellcontrol"
+	"bluebellhaven.org/bluebellcore/internal/bluebellduty"
 	"bluebellhaven.org/bluebellcore/internal/bluebellinventory"
 	"bluebellhaven.org/bluebellcore/internal/bluebelljudge"
 	"bluebellhaven.org/bluebellcore/internal/bluebellorder"
@@ -87,6 +88,7 @@
 	registry  *bluebellfleet.Registry
 	source    *bluebellfeed.Source
 	follower  *bluebellfeed.Follower
+	duty      *bluebellduty.Holder
 	orderer   *bluebellorder.Orderer
 	inventory *bluebellinventory.Inventory
 	control   *bluebellcontrol.Server
@@ -139,8 +141,9 @@
 	n.judge = bluebelljudge.New(bluebelljudge.Config{
 		Ledger: suspects, Deployment: n.source.Deployment, IsLeader: n.isLeader, Propose: n.propose, Now: n.now, WallClock: time.Now, Logger: cfg.Logger,
 	})
+	n.duty = n.newHolder(s)
 	n.orderer = bluebellorder.New(bluebellorder.Config{
-		Holder: n.address, Lease: millis(s.GetBounds().GetOrderLeaseMillis()),
+		Holder: n.address, Duty: n.duty, Lease: millis(s.GetBounds().GetOrderLeaseMillis()),
 		Registry: n.registry, Deployment: n.source.Deployment, SetLoading: n.source.SetLoading,
 		IsLeader: n.isLeader, Propose: n.propose, Dial: cfg.Dial, Now: n.now, Logger: cfg.Logger,
 		IncrementCounter: func(name string) { n.metrics.Scope.Counter(name).Inc(1) },
--- a/bluebellcore/internal/bluebellorder/order.go
+++ b/bluebellcore/internal/bluebellorder/order.go
@@ -1,10 +1,10 @@
 // Package bluebellorder orders endpoints to load the versions of model weights that operators
 // have requested.
 //
-// Only the leader sends orders. It commits a barrier to the log before each order, which
-// proves that it still leads, and sends the order within barrierTimeout. A new leader waits
-// until no order of the previous leader can still be in transit. Each order carries a fencing
-// number from the log, so that endpoints that check it can reject orders of earlier leaders.
+// Only the leader sends orders, when bluebellduty allows it. Each order carries a fencing number
+// from the log, so that endpoints that check it can refuse orders of earlier leaders. After such a
+// refusal the number is not used again, and the endpoint gets its next order after a longer delay,
+// so that one endpoint that refuses all numbers does not keep the others from their orders.
 //
 // # Usage
 //
@@ -34,16 +34,15 @@
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/bluebell/bluebellstate"
+	"bluebellhaven.org/bluebellcore/internal/bluebellduty"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
 const (
 	// pollInterval is how often the leader looks for endpoints to order.
 	pollInterval = 100 * time.Millisecond
-	// barrierTimeout bounds the time between the proof of leadership and the sending of an
-	// order.
-	barrierTimeout = 500 * time.Millisecond
-	callTimeout    = 500 * time.Millisecond
+	// CallTimeout bounds a call to an endpoint.
+	CallTimeout = 500 * time.Millisecond
 	// propagationDelay is the time entries need to receive that an endpoint is about to load.
 	propagationDelay = 100 * time.Millisecond
 	// firstReportDelay and reportInterval set the times of requests for an endpoint's report
@@ -56,6 +55,11 @@
 	loadTimeout = 6 * time.Second
 	// retryDelay is the delay after a failed order before the endpoint is ordered again.
 	retryDelay = 500 * time.Millisecond
+	// minRefusedDelay and maxRefusedDelay bound the delay after an endpoint has refused a fencing
+	// number. It doubles with each refusal of the endpoint in succession.
+	minRefusedDelay = 5 * time.Second
+	maxRefusedDelay = 80 * time.Second
+	maxRefusals     = 4
 	// maxParallelShare is the largest share of a target's endpoints with an order in progress,
 	// and minParallel the least number that is allowed. About half of these endpoints load,
 	// for a second or more; the others wait two or three seconds for their running calls. All
@@ -74,6 +78,10 @@
 type Config struct {
 	// Holder identifies this process in orders.
 	Holder string
+	// Duty decides when this process may send orders. If nil, a new one is made from Holder,
+	// Lease, IsLeader, Propose and Now; without the term it does not notice a leadership that is
+	// lost and regained within pollInterval.
+	Duty *bluebellduty.Holder
 	// Lease is the time within which orders must not come from two different holders.
 	Lease      time.Duration
 	Registry   *bluebellfleet.Registry
@@ -96,21 +104,24 @@
 	mu      sync.Mutex
 	loading map[string]bool
 	retryAt map[string]time.Duration
-
-	// The fields below are used by the goroutine of Run only.
-	leaderSince time.Duration
-	wasLeader   bool
-	fencing     uint64
+	// refusals is the number of orders in succession whose fencing number an endpoint refused.
+	refusals map[string]int
 }
 
 // New returns an orderer that has sent no orders yet.
 func New(cfg Config) *Orderer {
+	if cfg.Duty == nil {
+		cfg.Duty = bluebellduty.New(bluebellduty.Config{
+			Holder: cfg.Holder, Lease: cfg.Lease, LongestCall: CallTimeout, Leadership: func() (uint64, bool) { return 0, cfg.IsLeader() },
+			Propose: cfg.Propose, Uptime: cfg.Now, Count: cfg.IncrementCounter, Logger: cfg.Logger,
+		})
+	}
 	return &Orderer{
 		cfg: cfg,
 		http: &http.Client{Transport: &http.Transport{
 			DialContext: cfg.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		}},
-		loading: map[string]bool{}, retryAt: map[string]time.Duration{},
+		loading: map[string]bool{}, retryAt: map[string]time.Duration{}, refusals: map[string]int{},
 	}
 }
 
@@ -126,10 +137,14 @@
 		case <-ctx.Done():
 			return
 		}
-		if !o.readyToOrder(ctx) {
+		if !o.cfg.Duty.Poll() || !o.anyOutdated() {
+			continue
+		}
+		fencing := o.cfg.Duty.Acquire(ctx)
+		if fencing == 0 {
 			continue
 		}
-		for _, order := range o.selectOrders() {
+		for _, order := range o.selectOrders(fencing) {
 			o.markLoading(order)
 			orders.Go(func() {
 				defer o.unmarkLoading(order)
@@ -139,34 +154,6 @@
 	}
 }
 
-// readyToOrder reports whether this process leads, an endpoint has outdated weights, and
-// orders of an earlier leader can no longer be in transit. It acquires a fencing number once
-// per leadership.
-func (o *Orderer) readyToOrder(ctx context.Context) bool {
-	if !o.cfg.IsLeader() {
-		o.wasLeader, o.fencing = false, 0
-		return false
-	}
-	if !o.wasLeader {
-		o.wasLeader, o.leaderSince = true, o.cfg.Now()
-	}
-	if !o.anyOutdated() || o.cfg.Now()-o.leaderSince < o.cfg.Lease+barrierTimeout+callTimeout {
-		return false
-	}
-	if o.fencing > 0 {
-		return true
-	}
-	callCtx, cancel := context.WithTimeout(ctx, barrierTimeout)
-	defer cancel()
-	result, err := o.cfg.Propose(callCtx, &pb.Command{Body: &pb.Command_TakeOrders{TakeOrders: &pb.TakeOrders{Holder: o.cfg.Holder}}})
-	if err != nil {
-		return false
-	}
-	o.fencing = result.Fencing
-	o.cfg.Logger.Info("fencing number acquired", "Holder", o.cfg.Holder, "Fencing", o.fencing)
-	return true
-}
-
 // loadOrder is an order to one endpoint to load a version of a model's weights.
 type loadOrder struct {
 	endpoint bluebellfleet.Endpoint
@@ -197,8 +184,8 @@
 	return "", 0, false
 }
 
-// selectOrders returns the orders to send now.
-func (o *Orderer) selectOrders() []loadOrder {
+// selectOrders returns the orders to send now with the given number.
+func (o *Orderer) selectOrders(fencing uint64) []loadOrder {
 	d, _ := o.cfg.Deployment()
 	endpoints := o.cfg.Registry.Endpoints()
 	serving := map[string]int{}
@@ -228,7 +215,7 @@
 			continue
 		}
 		inProgress[e.Target]++
-		selected = append(selected, loadOrder{endpoint: e, model: model, version: version, fencing: o.fencing})
+		selected = append(selected, loadOrder{endpoint: e, model: model, version: version, fencing: fencing})
 	}
 	return selected
 }
@@ -280,12 +267,28 @@
 		err = o.awaitLoaded(ctx, order)
 		o.cfg.Logger.Info("order finished", "Endpoint", order.endpoint.ID, "Version", order.version, "Took", o.cfg.Now()-start, "Error", err)
 		if err == nil {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			delete(o.refusals, order.endpoint.ID)
 			return
 		}
 	}
+	o.scheduleRetry(order, status)
+}
+
+// scheduleRetry sets when an endpoint may be ordered again after an order that failed with the
+// given status, 0 if there was no answer.
+func (o *Orderer) scheduleRetry(order loadOrder, status int) {
+	id, delay := order.endpoint.ID, retryDelay
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.retryAt[order.endpoint.ID] = o.cfg.Now() + retryDelay
+	if status == bluebellplatform.OrderFencingRefused {
+		o.cfg.Duty.Refused(order.fencing)
+		o.cfg.IncrementCounter("orders_fencing_refused")
+		delay = min(minRefusedDelay<<o.refusals[id], maxRefusedDelay)
+		o.refusals[id] = min(o.refusals[id]+1, maxRefusals)
+	}
+	o.retryAt[id] = o.cfg.Now() + delay
 }
 
 // report requests the state of an endpoint.
@@ -304,20 +307,19 @@
 // the order if it has accepted another one since the report with the given sequence: an
 // order that got no answer may be carried out seconds later, and must not undo a newer one.
 func (o *Orderer) sendOrder(ctx context.Context, order loadOrder, sequence uint64) (int, error) {
-	barrierCtx, cancel := context.WithTimeout(ctx, barrierTimeout)
-	defer cancel()
-	if _, err := o.cfg.Propose(barrierCtx, &pb.Command{Body: &pb.Command_Barrier{Barrier: &pb.Barrier{}}}); err != nil {
-		return 0, err
-	}
-	if !o.cfg.IsLeader() || barrierCtx.Err() != nil {
-		return 0, errors.New("leadership is no longer certain; order not sent")
-	}
 	body, err := bluebellplatform.EncodeWeightsOrder(bluebellplatform.WeightsOrder{
 		Model: order.model, Version: order.version, Holder: o.cfg.Holder, Fencing: order.fencing, Sequence: &sequence,
 	})
 	if err != nil {
 		return 0, err
 	}
+	proof, err := o.cfg.Duty.Prove(ctx, order.fencing)
+	if err != nil {
+		return 0, err
+	}
+	if err := proof.Check(); err != nil {
+		return 0, err
+	}
 	status, _, err := o.call(ctx, order, http.MethodPost, bluebellplatform.OrderPath, body)
 	return status, err
 }
@@ -339,7 +341,7 @@
 }
 
 func (o *Orderer) call(ctx context.Context, order loadOrder, method, path string, body []byte) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+order.endpoint.Address+path, bytes.NewReader(body))
 	if err != nil {
