--- a/bluebell/bluebellconfig/parse.go
+++ b/bluebell/bluebellconfig/parse.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"net"
 	"os"
 	"slices"
 	"strconv"
@@ -77,10 +78,35 @@
 			"Name": s.Name, "Address": s.Address, "ControlAddress": s.ControlAddress,
 			"Secret": s.Secret, "DataFolder": s.DataFolder,
 		})
+		d.checkProvider(s.Provider)
+		d.checkUsage(s.Bounds)
 	}
 	return &s, d.sortedFindings()
 }
 
+// checkProvider checks the provider's settings, which may be unset.
+func (d *document) checkProvider(p *pb.Provider) {
+	if p == nil {
+		return
+	}
+	if _, _, err := net.SplitHostPort(p.Address); err != nil {
+		d.addFinding("Provider.Address", "Provider.Address %q must be an IP address and a port", p.Address)
+	}
+	if p.CallsPerSecond <= 0 {
+		d.addFinding("Provider.CallsPerSecond", "Provider.CallsPerSecond must be greater than 0")
+	}
+}
+
+// checkUsage checks the bounds on reports of usage, each of which may be unset.
+func (d *document) checkUsage(b *pb.Bounds) {
+	if b.GetUsageWindow() != nil && b.UsageWindow.AsDuration() <= 0 {
+		d.addFinding("Bounds.UsageWindow", "Bounds.UsageWindow must be longer than 0s")
+	}
+	if b.GetUsageTolerance() < 0 {
+		d.addFinding("Bounds.UsageTolerance", "Bounds.UsageTolerance must not be negative")
+	}
+}
+
 // requireFields adds a finding for each field whose value is empty. It takes the values by
 // field name.
 func (d *document) requireFields(values map[string]string) {
