--- a/bluebell/bluebellprovider/queue.go
+++ b/bluebell/bluebellprovider/queue.go
@@ -323,3 +323,9 @@
 		}
 	}
 }
+
+// ScaleOrder is the number of endpoints that is agreed for a target in a failure domain.
+type ScaleOrder struct {
+	Target, FailureDomain string
+	Endpoints             uint32
+}
