bluebellcorenode: start the sender of duties where the settings name a provider

The sources of usage windows and numbers of endpoints are function fields that are nil until their packages are there; a duty without a source, or one that the settings do not name, is not performed. Without a provider nothing is started, and a new leader waits as long as before.

--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -42,6 +42,7 @@
 	"bluebellhaven.org/bluebellcore/internal/bluebellinventory"
 	"bluebellhaven.org/bluebellcore/internal/bluebelljudge"
 	"bluebellhaven.org/bluebellcore/internal/bluebellorder"
+	"bluebellhaven.org/bluebellcore/internal/bluebellsender"
 )
 
 const (
@@ -78,18 +79,20 @@
 
 // Node is a core process.
 type Node struct {
-	cfg       Config
-	id        string
-	address   string
-	started   time.Time
-	pool      *bluebellpeer.Pool
-	voter     *bluebellvoter.Voter
-	outboxes  *bluebellpeer.Outboxes
-	registry  *bluebellfleet.Registry
-	source    *bluebellfeed.Source
-	follower  *bluebellfeed.Follower
-	duty      *bluebellduty.Holder
-	orderer   *bluebellorder.Orderer
+	cfg      Config
+	id       string
+	address  string
+	started  time.Time
+	pool     *bluebellpeer.Pool
+	voter    *bluebellvoter.Voter
+	outboxes *bluebellpeer.Outboxes
+	registry *bluebellfleet.Registry
+	source   *bluebellfeed.Source
+	follower *bluebellfeed.Follower
+	duty     *bluebellduty.Holder
+	orderer  *bluebellorder.Orderer
+	// sender is nil if the deployment has no provider.
+	sender    *bluebellsender.Sender
 	inventory *bluebellinventory.Inventory
 	control   *bluebellcontrol.Server
 	metrics   *bluebellmetrics.Metrics
@@ -148,6 +151,8 @@
 		IsLeader: n.isLeader, Propose: n.propose, Dial: cfg.Dial, Now: n.now, Logger: cfg.Logger,
 		IncrementCounter: func(name string) { n.metrics.Scope.Counter(name).Inc(1) },
 	})
+	// The sources of both duties are not part of this program yet.
+	n.sender = n.newSender(s, dutyInputs{})
 	retirement := &weightsRetirement{registry: n.registry, deployment: n.source.Deployment, now: n.now, completeSince: map[string]time.Duration{}}
 	declared := &declaredStores{deployment: n.source.Deployment}
 	n.inventory = bluebellinventory.New(bluebellinventory.Config{
@@ -230,6 +235,9 @@
 	tasks.Go(func(ctx context.Context) error { n.maintainMembers(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.judge.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { n.orderer.Run(ctx); return nil })
+	if n.sender != nil {
+		tasks.Go(func(ctx context.Context) error { n.sender.Run(ctx); return nil })
+	}
 	tasks.Go(func(ctx context.Context) error { n.inventory.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { return n.control.Serve(ctx, control) })
 	tasks.Go(func(ctx context.Context) error {
