--- a/bluebell/bluebellconfig/parse.go
+++ b/bluebell/bluebellconfig/parse.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"net"
 	"os"
 	"slices"
 	"strconv"
@@ -64,6 +65,7 @@
 	d := decode(file, text, &s)
 	if len(d.findings) == 0 {
 		d.requireFields(map[string]string{"Name": s.Name, "Address": s.Address, "CallerAddress": s.CallerAddress, "Secret": s.Secret})
+		d.checkUsage(s.Bounds)
 	}
 	return &s, d.sortedFindings()
 }
@@ -77,6 +79,8 @@
 			"Name": s.Name, "Address": s.Address, "ControlAddress": s.ControlAddress,
 			"Secret": s.Secret, "DataFolder": s.DataFolder,
 		})
+		d.checkProvider(s.Provider)
+		d.checkUsage(s.Bounds)
 	}
 	return &s, d.sortedFindings()
 }
@@ -87,10 +91,40 @@
 	d := decode(file, text, added)
 	if len(d.findings) == 0 {
 		proto.Merge(to, added)
+		switch s := to.(type) {
+		case *pb.CoreSettings:
+			d.checkProvider(s.Provider)
+			d.checkUsage(s.Bounds)
+		case *pb.GateSettings:
+			d.checkUsage(s.Bounds)
+		}
 	}
 	return d.sortedFindings()
 }
 
+// checkProvider checks the provider's settings, which may be unset.
+func (d *document) checkProvider(p *pb.Provider) {
+	if p == nil {
+		return
+	}
+	if _, _, err := net.SplitHostPort(p.Address); err != nil {
+		d.addFinding("Provider.Address", "Provider.Address %q must be an IP address and a port", p.Address)
+	}
+	if p.CallsPerSecond <= 0 {
+		d.addFinding("Provider.CallsPerSecond", "Provider.CallsPerSecond must be greater than 0")
+	}
+}
+
+// checkUsage checks the bounds on reports of usage, each of which may be unset.
+func (d *document) checkUsage(b *pb.Bounds) {
+	if b.GetUsageWindow() != nil && b.UsageWindow.AsDuration() <= 0 {
+		d.addFinding("Bounds.UsageWindow", "Bounds.UsageWindow must be longer than 0s")
+	}
+	if b.GetUsageTolerance() < 0 {
+		d.addFinding("Bounds.UsageTolerance", "Bounds.UsageTolerance must not be negative")
+	}
+}
+
 // requireFields adds a finding for each field whose value is empty. It takes the values by
 // field name.
 func (d *document) requireFields(values map[string]string) {
--- a/bluebell/bluebellconfig/process_test.go
+++ b/bluebell/bluebellconfig/process_test.go
@@ -107,3 +107,16 @@
 	require.True(t, findings.Empty(), findings.Error())
 	require.Nil(t, core.Provider)
 }
+
+// Values with which no call could be sent, or a window would never end, whether they are in the file or added.
+func TestInvalidProviderSettings(t *testing.T) {
+	for _, invalid := range []string{
+		`"Provider": {"Address": "10.0.0.1", "CallsPerSecond": 50}`, `"Provider": {"Address": "10.0.0.1:80"}`,
+		`"Provider": {"Address": "10.0.0.1:80", "CallsPerSecond": -1}`,
+		`"Bounds": {"UsageWindow": "0s"}`, `"Bounds": {"UsageTolerance": -0.1}`,
+	} {
+		_, findings := bluebellconfig.ParseCoreSettings("core.jsonc", []byte(`{"Name": "n", "Address": "a", "ControlAddress": "c", "DataFolder": "d", "Secret": "s", `+invalid+`,}`))
+		require.Len(t, findings, 1, invalid)
+		require.Len(t, bluebellconfig.AddSettings("added", []byte(`{`+invalid+`}`), &pb.CoreSettings{}), 1, invalid)
+	}
+}
--- a/bluebell/bluebellstate/machine.go
+++ b/bluebell/bluebellstate/machine.go
@@ -86,7 +86,10 @@
 	case *pb.Command_RecordUsageSent:
 		return m.recordUsageSent(body.RecordUsageSent)
 	case *pb.Command_Barrier:
-		return m.accepted()
+		// The number proves to the holder of an earlier one that it is no longer the holder.
+		result := m.accepted()
+		result.Fencing = m.fencingNumber
+		return result
 	}
 	return m.applyChange(c)
 }
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -40,10 +40,12 @@
 	"bluebellhaven.org/bluebell/bluebellwal"
 	"bluebellhaven.org/bluebellcore/internal/bluebellcloser"
 	"bluebellhaven.org/bluebellcore/internal/bluebellcontrol"
+	"bluebellhaven.org/bluebellcore/internal/bluebellduty"
 	"bluebellhaven.org/bluebellcore/internal/bluebellinventory"
 	"bluebellhaven.org/bluebellcore/internal/bluebelljudge"
 	"bluebellhaven.org/bluebellcore/internal/bluebellorder"
 	"bluebellhaven.org/bluebellcore/internal/bluebellscaler"
+	"bluebellhaven.org/bluebellcore/internal/bluebellsender"
 )
 
 const (
@@ -80,17 +82,20 @@
 
 // Node is a core process.
 type Node struct {
-	cfg       Config
-	id        string
-	address   string
-	started   time.Time
-	pool      *bluebellpeer.Pool
-	voter     *bluebellvoter.Voter
-	outboxes  *bluebellpeer.Outboxes
-	registry  *bluebellfleet.Registry
-	source    *bluebellfeed.Source
-	follower  *bluebellfeed.Follower
-	orderer   *bluebellorder.Orderer
+	cfg      Config
+	id       string
+	address  string
+	started  time.Time
+	pool     *bluebellpeer.Pool
+	voter    *bluebellvoter.Voter
+	outboxes *bluebellpeer.Outboxes
+	registry *bluebellfleet.Registry
+	source   *bluebellfeed.Source
+	follower *bluebellfeed.Follower
+	duty     *bluebellduty.Holder
+	orderer  *bluebellorder.Orderer
+	// sender is nil if the deployment has no provider.
+	sender    *bluebellsender.Sender
 	inventory *bluebellinventory.Inventory
 	control   *bluebellcontrol.Server
 	metrics   *bluebellmetrics.Metrics
@@ -153,12 +158,14 @@
 	n.judge = bluebelljudge.New(bluebelljudge.Config{
 		Ledger: suspects, Deployment: n.source.Deployment, IsLeader: n.isLeader, Propose: n.propose, Now: n.now, WallClock: time.Now, Logger: cfg.Logger,
 	})
+	n.duty = n.newHolder(s)
 	n.orderer = bluebellorder.New(bluebellorder.Config{
-		Holder: n.address, Lease: millis(s.GetBounds().GetOrderLeaseMillis()),
+		Holder: n.address, Duty: n.duty, Lease: millis(s.GetBounds().GetOrderLeaseMillis()),
 		Registry: n.registry, Deployment: n.source.Deployment, SetLoading: n.source.SetLoading,
 		IsLeader: n.isLeader, Propose: n.propose, Dial: cfg.Dial, Now: n.now, Logger: cfg.Logger,
 		IncrementCounter: func(name string) { n.metrics.Scope.Counter(name).Inc(1) },
 	})
+	n.sender = n.newSender(s)
 	retirement := &weightsRetirement{registry: n.registry, deployment: n.source.Deployment, now: n.now, completeSince: map[string]time.Duration{}}
 	n.scaler = n.newScaler(declared)
 	n.inventory = bluebellinventory.New(bluebellinventory.Config{
@@ -245,6 +252,9 @@
 	if n.closer != nil {
 		tasks.Go(func(ctx context.Context) error { n.closer.Run(ctx); return nil })
 	}
+	if n.sender != nil {
+		tasks.Go(func(ctx context.Context) error { n.sender.Run(ctx); return nil })
+	}
 	tasks.Go(func(ctx context.Context) error { n.inventory.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { return n.control.Serve(ctx, control) })
 	tasks.Go(func(ctx context.Context) error {
--- a/bluebellcore/internal/bluebellcorenode/scale.go
+++ b/bluebellcore/internal/bluebellcorenode/scale.go
@@ -1,8 +1,11 @@
 package bluebellcorenode
 
 import (
+	"slices"
+
 	"bluebellhaven.org/bluebell/bluebelldeployment"
 	"bluebellhaven.org/bluebell/bluebellfeed"
+	"bluebellhaven.org/bluebell/bluebellprovider"
 	"bluebellhaven.org/bluebellcore/internal/bluebellscaler"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
@@ -16,7 +19,10 @@
 // newScaler returns the scaler of this process.
 func (n *Node) newScaler(declared *declaredDeployment) *bluebellscaler.Scaler {
 	return bluebellscaler.New(bluebellscaler.Config{
-		Enabled:  func() bool { return bluebellplatform.ScalesEndpoints(n.cfg.Settings().GetProvider().GetDuties()) },
+		Enabled: func() bool {
+			duties, _ := bluebellplatform.DecodeDuties(n.cfg.Settings().GetProvider().GetDuties())
+			return slices.Contains(duties, bluebellprovider.Scale)
+		},
 		IsLeader: n.isLeader, Registry: n.registry, Deployment: n.source.Deployment,
 		Targets:   func() []bluebelldeployment.Target { return declared.current().Targets() },
 		CoreState: n.coreState,
