Entries: refuse calls at once by the pressure of all entries, with a time to return

Cause: an entry of 79 sees two calls waiting at most and takes that for congestion. A call that gets no engine learned of it after half of its objective, and was told to return at a time unrelated to when there is room.

Change, for targets with RanksByUrgency only: - Entries report the calls that wait and those told to return (TargetDemand); core processes sum them with the uses. - bluebellpressure computes the time in which all usable engines read what goes before a call. A call that finds no engine is refused at once if that exceeds its deadline, and with the chance 1 - left/pressure if it exceeds its objective, so that entries that see the same old sums refuse only the excess. Late calls and those that may have run wait as before. While engines take calls, nothing is refused. - A refused caller returns after that time, in a step of 0.1 s for which few others are due, within a third of the time that it has left. - An arriving call that goes before all waiting ones is tried at once. - The cause in the line "call finished" states the pressure; counters refused_at_once_priority_N and refused_waited_priority_N.

Not tested: a relay that refuses at once, with real processes.

--- a/bluebell/bluebellfeed/feed_test.go
+++ b/bluebell/bluebellfeed/feed_test.go
@@ -21,6 +21,7 @@
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellplacement"
+	"bluebellhaven.org/bluebell/bluebellpressure"
 )
 
 const (
@@ -184,6 +185,12 @@
 				{Endpoint: "s-1", Calls: 2, Waited: time.Minute},
 			}
 		},
+		Demands: func() bluebellfeed.Demands {
+			return bluebellfeed.Demands{"llm": {
+				Waiting: bluebellplacement.TokensByPriority{5: 2}, Tokens: bluebellplacement.TokensByPriority{5: 24_000},
+				Returning: [bluebellpressure.ReturnSteps]int{40: 1},
+			}}
+		},
 		Poll: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
 			return d.cores[source].poll(ctx, r)
 		},
--- a/bluebell/bluebellfeed/follower.go
+++ b/bluebell/bluebellfeed/follower.go
@@ -62,6 +62,8 @@
 	// Uses returns, for each endpoint, the calls that this entry has in flight and the
 	// failures that it has seen. It is nil in other processes.
 	Uses func() []Use
+	// Demands returns the calls that wait at this entry or were told to return. It may be nil.
+	Demands func() Demands
 	// LostTargets returns the targets to whose endpoints this entry can open no connection. It is
 	// nil in other processes.
 	LostTargets func() []string
@@ -98,6 +100,8 @@
 	// the last reply as a primary source, without what this process had reported.
 	names          []string
 	uses           []Use
+	demands        Demands
+	demandsAt      time.Duration
 	entries        []EntryState
 	entriesVersion uint64
 	directory      *bluebelldirectory.View
@@ -120,8 +124,10 @@
 	// firstReplyAt is when the first source answered, 0 before.
 	firstReplyAt time.Duration
 	// reports holds the latest reports by number, reported is the number of the last one.
-	reports  map[uint64][]Use
-	reported uint64
+	reports map[uint64][]Use
+	// demandReports holds the demands of the latest reports.
+	demandReports map[uint64]demandReport
+	reported      uint64
 	// coreNamedAt holds, by address, when a source last named a core process. coreDomains
 	// holds the known failure domains of core processes.
 	coreNamedAt map[string]time.Duration
@@ -140,7 +146,7 @@
 // NewFollower returns a follower without sources. Run starts polling.
 func NewFollower(cfg FollowerConfig) *Follower {
 	return &Follower{
-		cfg: cfg, sources: map[string]*source{}, reports: map[uint64][]Use{}, coreNamedAt: map[string]time.Duration{},
+		cfg: cfg, sources: map[string]*source{}, reports: map[uint64][]Use{}, demandReports: map[uint64]demandReport{}, coreNamedAt: map[string]time.Duration{},
 		coresChanged: make(chan struct{}, 1), coreDomains: map[string]string{}, entryNamedAt: map[string]time.Duration{},
 		known: map[string]knownEntry{},
 	}
@@ -399,6 +405,11 @@
 		uses = f.cfg.Uses()
 		r.Uses = encodeReport(uses, f.cfg.Now())
 	}
+	var demands Demands
+	if f.cfg.Demands != nil {
+		demands = f.cfg.Demands()
+		r.Demands = encodeDemands(demands)
+	}
 	if f.cfg.Suspicions != nil {
 		r.Suspicions = encodeSuspicions(f.cfg.Suspicions(), f.cfg.Now())
 	}
@@ -411,6 +422,8 @@
 	r.Report = f.reported
 	f.reports[r.Report] = uses
 	delete(f.reports, r.Report-keptReports)
+	f.demandReports[r.Report] = demandReport{demands: demands, at: f.cfg.Now()}
+	delete(f.demandReports, r.Report-keptReports)
 	if s := f.sources[address]; s != nil {
 		r.KnownNames, r.EntriesVersion = uint32(len(s.names)), s.entriesVersion
 	}
@@ -472,7 +485,7 @@
 	if request.Primary {
 		f.recordLoads(address, s, request, reply, now)
 	} else {
-		s.names, s.uses, s.entries, s.entriesVersion = nil, nil, nil, 0
+		s.names, s.uses, s.demands, s.entries, s.entriesVersion = nil, nil, nil, nil, 0
 		// The view is no longer updated, and is loaded again if the source becomes primary.
 		s.directory = bluebelldirectory.NewView()
 	}
--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -33,6 +33,9 @@
 	Uses []Use
 	// Entries are the entries that follow it, with the targets that they have lost.
 	Entries []EntryState
+	// Demands are those of the same entries at the time DemandsAt.
+	Demands   Demands
+	DemandsAt time.Duration
 }
 
 // loadSum is the sum of the uses of one endpoint by the entries that report to this process.
@@ -84,6 +87,7 @@
 	names        []int
 	uses         []Use
 	lostTargets  []string
+	demands      Demands
 }
 
 // seenEntry is when an entry last polled, with or without a report, and its failure domain.
@@ -105,10 +109,12 @@
 	seen    map[string]seenEntry
 
 	// own holds the sums of this process, total those of all processes.
-	own, total         []byte
-	builtAt            time.Duration
-	ownList, totalList entryList
-	listedAt           time.Duration
+	own, total []byte
+	// ownDemands and totalDemands are the same for the demands.
+	ownDemands, totalDemands []*pb.TargetDemand
+	builtAt                  time.Duration
+	ownList, totalList       entryList
+	listedAt                 time.Duration
 }
 
 func newLoads(now func() time.Duration, peers func() []PeerLoads) *loads {
@@ -201,9 +207,9 @@
 	defer l.mu.Unlock()
 	l.build(l.now())
 	list := l.ownList
-	reply.Uses = l.own
+	reply.Uses, reply.Demands = l.own, l.ownDemands
 	if r.Entry {
-		list, reply.Uses = l.totalList, l.total
+		list, reply.Uses, reply.Demands = l.totalList, l.total, l.totalDemands
 	}
 	if own := l.reports[r.Process]; own != nil && r.Entry {
 		reply.ReportIncluded = l.included(own)
@@ -254,6 +260,7 @@
 		}
 	}
 	l.total = l.encode(uses, now)
+	l.buildDemands(peers, now)
 	l.builtAt = now
 	if now-l.listedAt >= listInterval {
 		l.listedAt = now
--- a/bluebell/bluebellfeed/primary.go
+++ b/bluebell/bluebellfeed/primary.go
@@ -138,6 +138,8 @@
 		return
 	}
 	s.uses = subtractReport(uses, f.reports[reply.ReportIncluded])
+	own := f.demandReports[reply.ReportIncluded]
+	s.demands, s.demandsAt = decodeDemands(reply.Demands).sub(own.demands, now-own.at), now
 }
 
 // subtractReport returns the uses without a report that they include.
@@ -175,7 +177,7 @@
 	var all []PeerLoads
 	for _, s := range f.sources {
 		if f.isFresh(s) {
-			all = append(all, PeerLoads{Uses: s.uses, Entries: s.entries})
+			all = append(all, PeerLoads{Uses: s.uses, Entries: s.entries, Demands: s.demands, DemandsAt: s.demandsAt})
 		}
 	}
 	return all
--- a/bluebell/bluebellfeed/source.go
+++ b/bluebell/bluebellfeed/source.go
@@ -233,6 +233,7 @@
 	s.loads.polled(r.Process, r.FailureDomain)
 	if r.Primary {
 		s.loads.record(r.Process, r.Report, r.Uses, r.LostTargets)
+		s.loads.recordDemands(r.Process, r.Demands)
 		if now := s.cfg.Now(); s.cfg.Suspects != nil {
 			s.cfg.Suspects.Record(r.Process, now, bluebellquarantine.Report{Number: r.Report, Suspects: decodeSuspicions(r.Suspicions, now)})
 		}
--- a/bluebell/bluebellqueue/queue.go
+++ b/bluebell/bluebellqueue/queue.go
@@ -120,6 +120,9 @@
 	return order
 }
 
+// Before reports whether a call is tried before another one.
+func Before(a, b Waiter, now time.Duration) bool { return compare(a, b, now) < 0 }
+
 // compare orders calls that can meet their objective before late ones, then by priority
 // and arrival.
 func compare(a, b Waiter, now time.Duration) int {
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -98,6 +98,7 @@
 	// otherFetches holds the fetches of other entries in flight, by cache store.
 	otherFetches atomic.Pointer[map[string]bluebelltier.Load]
 	changed      chan struct{}
+	relay        *bluebellrelay.Relay
 	// usesKnown is set once the uses of the other entries have been known.
 	usesKnown atomic.Bool
 
@@ -130,6 +131,7 @@
 		},
 		OnDeployment: g.applyDeployment,
 		Uses:         g.endpointUses,
+		Demands:      g.demands,
 		LostTargets:  g.links.Lost,
 		Suspicions:   func() []bluebellquarantine.Suspect { return g.guard.Report(g.now()) },
 		OnSuspected:  g.guard.SetListed,
@@ -160,8 +162,9 @@
 			g.links.RecordOpened(g.now(), address)
 		},
 	})
+	g.relay = g.newRelay(bounds)
 	g.frontend = bluebellfrontend.New(bluebellfrontend.Config{
-		Routing: func() bluebellfrontend.Routing { return *g.routing.Load() }, Relay: g.newRelay(bounds), Ready: g.ready, Stranded: g.stranded,
+		Routing: func() bluebellfrontend.Routing { return *g.routing.Load() }, Relay: g.relay, Ready: g.ready, Stranded: g.stranded,
 		StopTimeout: bounds.GetStop().AsDuration(), Random: rand.Float64,
 		CountStatus: func(status int) {
 			g.metrics.Scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("answers").Inc(1)
@@ -182,8 +185,9 @@
 		RetryLimits: bluebellrelay.RetryLimits{
 			Ratio: bounds.GetRetryRatio(), Window: bounds.GetRetryWindow().AsDuration(), Slack: bounds.GetRetrySlack(),
 		},
-		RecordWait: func(target string, d time.Duration) { scoped(target).Histogram("waited", buckets).RecordDuration(d) },
-		CountEvent: func(name, target string) { scoped(target).Counter(name).Inc(1) },
+		OtherDemand: g.otherDemand,
+		RecordWait:  func(target string, d time.Duration) { scoped(target).Histogram("waited", buckets).RecordDuration(d) },
+		CountEvent:  func(name, target string) { scoped(target).Counter(name).Inc(1) },
 		RecordFirstEvent: func(target string, d time.Duration) {
 			scoped(target).Histogram("first_event", buckets).RecordDuration(d)
 		},
--- a/bluebellgate/internal/bluebellrelay/finish.go
+++ b/bluebellgate/internal/bluebellrelay/finish.go
@@ -65,9 +65,12 @@
 func (c *activeCall) refuse() {
 	inTime := c.request.Route.Objective - (c.relay.cfg.Now() - c.start)
 	after := bluebellqueue.RetryAfter(time.Until(c.request.Deadline), inTime, c.relay.cfg.Random())
+	roomAfter, atRoom := c.returnAfter()
 	switch {
 	case c.retryAfter > 0:
 		after = c.retryAfter
+	case atRoom:
+		after = roomAfter
 	case c.allowedAt > 0:
 		after = max(after, bluebellqueue.RetryAt(c.allowedAt, c.relay.cfg.Random())-c.relay.cfg.Now())
 	}
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -15,6 +15,7 @@
 	"bluebellhaven.org/bluebell/bluebelllimit"
 	"bluebellhaven.org/bluebell/bluebelllink"
 	"bluebellhaven.org/bluebell/bluebellplacement"
+	"bluebellhaven.org/bluebell/bluebellpressure"
 	"bluebellhaven.org/bluebell/bluebellquarantine"
 	"bluebellhaven.org/bluebell/bluebellqueue"
 	"bluebellhaven.org/bluebell/bluebelltier"
@@ -62,6 +63,8 @@
 	// over while they are lost. Without them, no links are ever lost and no calls handed over.
 	Links    *bluebelllink.Tracker
 	Handover HandoverConfig
+	// OtherDemand returns the calls that wait at other entries for a target. It may be nil.
+	OtherDemand func(target string) bluebellpressure.Demand
 	// Now returns the time of a monotonic clock.
 	Now func() time.Duration
 	// Random returns a random number in [0, 1).
@@ -140,6 +143,10 @@
 	unframed bool
 	// allowedAt is when the limits of the endpoints allow the next call, 0 if not known.
 	allowedAt time.Duration
+	// saturated is set if the latest search found no endpoint for lack of room, and refusal if the call
+	// was refused on arrival for it.
+	saturated bool
+	refusal   *bluebellpressure.Refusal
 	// subjects are the parts of the call that may be in quarantine.
 	subjects []bluebellquarantine.Subject
 	// crashed is set once an attempt has ended in a crash. Later ones use new connections, which shows
@@ -298,6 +305,7 @@
 		call.homesOnlyUntil = bluebellqueue.HomesOnlyUntil(w)
 	}
 	choice, result := c.relay.waitQueue(r.Target).wait(ctx, call, until)
+	c.saturated, c.refusal = result.Saturated(), call.refusal
 	if waited := cfg.Now() - now; waited > pollInterval {
 		cfg.RecordWait(r.Target, waited)
 	}
@@ -310,7 +318,10 @@
 	defer r.mu.Unlock()
 	q := r.waitQueues[target]
 	if q == nil {
-		q = &waitQueue{now: r.cfg.Now, trySelect: r.trySelect}
+		q = &waitQueue{
+			now: r.cfg.Now, trySelect: r.trySelect, random: r.cfg.Random,
+			pressure: func(own bluebellpressure.Demand) bluebellpressure.State { return r.pressure(target, own) },
+		}
 		r.waitQueues[target] = q
 	}
 	return q
@@ -351,7 +362,11 @@
 		c.allowedAt = choice.AllowedAt
 	}
 	if result != bluebellplacement.Picked {
-		c.cause = errors.Join(c.cause, errors.New("no endpoint selected: "+result.String()))
+		reason := "no endpoint selected: " + result.String()
+		if c.refusal != nil {
+			reason += ", " + c.refusal.String()
+		}
+		c.cause = errors.Join(c.cause, errors.New(reason))
 		return resultFinal
 	}
 	timeLeft := c.timeLeft()
--- a/bluebellgate/internal/bluebellrelay/waitqueue.go
+++ b/bluebellgate/internal/bluebellrelay/waitqueue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bluebellhaven.org/bluebell/bluebellplacement"
+	"bluebellhaven.org/bluebell/bluebellpressure"
 	"bluebellhaven.org/bluebell/bluebellqueue"
 )
 
@@ -37,6 +38,8 @@
 	// endpoint in time.
 	selected  chan struct{}
 	withdrawn bool
+	// refusal is set if the call was refused on arrival.
+	refusal *bluebellpressure.Refusal
 }
 
 // waitQueue holds the calls that wait for an endpoint of one target.
@@ -53,6 +56,12 @@
 	// limit is set if the call that was tried last found only endpoints that take no call for the
 	// limits that they name.
 	limit *bluebellqueue.Limit
+	// pressure returns the state of the target, given the demand at this entry, and random a number in
+	// [0, 1).
+	pressure func(own bluebellpressure.Demand) bluebellpressure.State
+	random   func() float64
+	// returns are the callers that were told to return.
+	returns bluebellpressure.Returns
 }
 
 // wait returns an endpoint for a call, or why none is available by the end of its wait.
@@ -91,11 +100,14 @@
 	defer q.mu.Unlock()
 	call.selected = make(chan struct{})
 	// Other calls may wait for limits because they have tried the other endpoints.
-	if len(q.calls) == 0 || q.limit != nil {
+	if len(q.calls) == 0 || q.limit != nil || call.ranked() && q.goesFirst(call) {
 		if q.try(call) || q.isHopeless(call, len(q.calls)) {
 			return true
 		}
 	}
+	if q.refusesAtOnce(call) {
+		return true
+	}
 	q.calls = append(q.calls, call)
 	if !q.polling {
 		q.polling = true
--- a/bluebellsim/bluebelloverload/entry.go
+++ b/bluebellsim/bluebelloverload/entry.go
@@ -10,6 +10,7 @@
 	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	"bluebellhaven.org/bluebell/bluebellplacement"
+	"bluebellhaven.org/bluebell/bluebellpressure"
 	"bluebellhaven.org/bluebell/bluebellqueue"
 	"bluebellhaven.org/bluebell/bluebelltier"
 )
@@ -56,6 +57,11 @@
 	reportedFetches map[string]bluebelltier.Load
 	// pollScheduled is set while the next call of pollQueue is scheduled.
 	pollScheduled bool
+	// othersDemand is the demand at the other entries, as of othersDemandAt, reportedDemand what this one
+	// last reported, and returns the callers that it told to return.
+	othersDemand, reportedDemand bluebellpressure.Demand
+	othersDemandAt               time.Duration
+	returns                      bluebellpressure.Returns
 }
 
 func (sim *simulation) newEntry(i int) *entry {
@@ -76,6 +82,7 @@
 
 // report sets what the entry sends to the core processes with a poll.
 func (e *entry) report() {
+	e.reportedDemand = e.demand()
 	e.reportedUses, e.reportedFetches = e.placer.Uses(e.sim.eventQueue.Now()), e.cachePlanner.InFlight()
 }
 
@@ -113,7 +120,11 @@
 	if k.SharedTokens >= minHomeWaitTokens && len(c.tried) == 0 {
 		q.homesOnlyUntil = bluebellqueue.HomesOnlyUntil(q.waiter)
 	}
-	if len(e.queue) == 0 && e.tryPlace(q) == bluebellqueue.Placed {
+	if (len(e.queue) == 0 || e.goesFirst(q)) && e.tryPlace(q) == bluebellqueue.Placed {
+		return
+	}
+	if e.refusesAtOnce(q) {
+		e.sim.refuse(q)
 		return
 	}
 	e.queue = append(e.queue, q)
@@ -123,13 +134,20 @@
 	}
 }
 
+// goesFirst reports whether the calls are ranked by urgency and none that waits goes before a new one.
+func (e *entry) goesFirst(q *queuedCall) bool {
+	return q.waiter.Urgency != bluebellqueue.Unranked && !slices.ContainsFunc(e.queue, func(other *queuedCall) bool {
+		return !bluebellqueue.Before(q.waiter, other.waiter, e.sim.eventQueue.Now())
+	})
+}
+
 // pollQueue tries to place the waiting calls, and refuses those that have waited too long.
 func (e *entry) pollQueue() {
 	e.admit()
 	var left []*queuedCall
 	for _, q := range e.queue {
 		if e.sim.eventQueue.Now() >= q.waitUntil && !q.call.ended {
-			e.sim.refuse(q.call)
+			e.sim.refuse(q)
 			continue
 		}
 		left = append(left, q)
--- a/bluebellsim/bluebelloverload/fault.go
+++ b/bluebellsim/bluebelloverload/fault.go
@@ -4,6 +4,7 @@
 	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	"bluebellhaven.org/bluebell/bluebellplacement"
+	"bluebellhaven.org/bluebell/bluebellpressure"
 	"bluebellhaven.org/bluebell/bluebelltier"
 )
 
@@ -96,6 +97,8 @@
 func (sim *simulation) exchangeReports() {
 	sim.eventQueue.After(corePollInterval, sim.exchangeReports)
 	var sums [2]map[string]bluebellplacement.EndpointUse
+	var demands [2]bluebellpressure.Demand
+	reportedAt := sim.eventQueue.Now()
 	for side := range sums {
 		sums[side] = map[string]bluebellplacement.EndpointUse{}
 		sim.fetchSums[side] = map[string]bluebelltier.Load{}
@@ -106,6 +109,7 @@
 			if sim.cut && side != sim.side(e.domain) {
 				continue
 			}
+			demands[side] = demands[side].Add(e.reportedDemand)
 			for id, u := range e.reportedUses {
 				sums[side][id] = sums[side][id].Add(u)
 			}
@@ -127,6 +131,7 @@
 	sim.eventQueue.After(corePollInterval/2, func() {
 		for _, e := range sim.entries {
 			e.update(endpoints, sums[sim.side(e.domain)])
+			e.othersDemand, e.othersDemandAt = demands[sim.side(e.domain)].Sub(e.reportedDemand), reportedAt
 		}
 	})
 }
--- a/bluebellsim/bluebelloverload/simulation.go
+++ b/bluebellsim/bluebelloverload/simulation.go
@@ -287,13 +287,14 @@
 }
 
 // refuse ends a call as refused, or schedules the caller's only retry if the call has not run.
-func (sim *simulation) refuse(c *call) {
+func (sim *simulation) refuse(q *queuedCall) {
+	c := q.call
 	if c.retried || c.mayHaveRun {
 		sim.end(c, refused)
 		return
 	}
 	c.retried, c.tried = true, nil
-	sim.eventQueue.After(minRetryAfter+time.Duration(sim.rand.Float64()*float64(retryAfterSpread)), func() {
+	sim.eventQueue.After(c.entry.returnAfter(q), func() {
 		if !c.ended {
 			c.entry, c.receivedAt = sim.entries[sim.rand.IntN(len(sim.entries))], sim.eventQueue.Now()
 			sim.place(c)
