Pressure: calls that would wait in vain are refused at once, and callers return in time

Found by review. The chance of a refusal was derived from the objective, while a call gives up after half of it: at twice the load at most 18 % were refused at once, and the others waited for nothing. Now it rises from when half of the time that a call waits is taken by others. Times to return no longer count less urgent calls, count those who return earlier, and are never rounded up beyond a third of the time left. Calls that may have run are not held back for more urgent ones. A call is tried once before it is refused.

--- a/bluebell/bluebellplacement/urgency.go
+++ b/bluebell/bluebellplacement/urgency.go
@@ -93,7 +93,8 @@
 // late. An engine starts waiting calls in order of priority, but reads the prompts of those that it has
 // started in the order in which it has, so that all unread tokens are ahead of a later call. An engine without unread tokens takes any call, since a large one would have no place otherwise.
 func (c *candidate) delaysUrgent(t *targetState, r Request) bool {
-	if !c.readsOthers {
+	// A call without a limit may have run, so refusing it has no benefit.
+	if !c.readsOthers || r.FirstEventBy <= 0 {
 		return false
 	}
 	shortest := time.Duration(0)
--- a/bluebell/bluebellpressure/doc.go
+++ b/bluebell/bluebellpressure/doc.go
@@ -10,9 +10,9 @@
 // # Pressure
 //
 // Pressure is the time in which all usable engines together read what is ahead of a call: the unread
-// prompts at the engines, and those that wait at all entries and are as urgent or more. It is a lower
-// bound of the time until the call's own prompt is read, since the engines are never equally busy. A call
-// that exceeds it is refused. The sums of other entries are some hundred milliseconds old, and all
+// prompts at the engines, and those that wait at all entries and are as urgent or more. It is an
+// estimate of the time until the call's own prompt is read: the engines are never equally busy, and a
+// prompt counts as unread until its first event. A call for which it is too long is refused. The sums of other entries are some hundred milliseconds old, and all
 // entries see the same ones. Each therefore refuses only the excess, by chance: if all refused, and then
 // all admitted, the engines would be idle and overloaded in turn. The waiting calls of the entry itself
 // are counted as they are.
@@ -22,7 +22,7 @@
 // A refused caller returns after the time in which what is ahead is read, spread over the steps of 0.1 s
 // for which the fewest other callers have been told to return. Returning callers present nothing that
 // identifies them, and return at any entry. No place is kept for a particular one: the number of those
-// due is known at all entries, and only spreads them.
+// due is known at all entries, and those who are sent away later return after them.
 //
 // # Usage
 //
--- a/bluebell/bluebellpressure/pressure.go
+++ b/bluebell/bluebellpressure/pressure.go
@@ -13,6 +13,14 @@
 	// returnSpread is the least range of times over which callers return that are refused together, so
 	// that they do not return together.
 	returnSpread = 400 * time.Millisecond
+	// fullShare is the part of the time that a call waits which other waiting calls may use before it may
+	// be refused. Between it and the whole time, the share of the calls that is admitted falls to 0.
+	fullShare = 0.5
+	// returnMargin is the part of the time left that is used up when the caller learns of it, and
+	// returnResolution that of the header that tells it: a time that is rounded up beyond the largest
+	// share would make the caller give up.
+	returnMargin     = 20 * time.Millisecond
+	returnResolution = 10 * time.Millisecond
 )
 
 // State is the state of a target.
@@ -30,7 +38,9 @@
 // Call is a call that has found no engine.
 type Call struct {
 	Now, ObjectiveEnd, Deadline time.Duration
-	Priority                    int
+	// Until is when the call gives up waiting, 0 if it waits until its objective has passed.
+	Until    time.Duration
+	Priority int
 	// Tokens is the number of prompt tokens that an engine has to read for the call.
 	Tokens int
 }
@@ -86,38 +96,84 @@
 		return Refusal{Ahead: ahead, Left: left, Deadline: true}, true
 	}
 	left := c.ObjectiveEnd - c.Now - read
-	if late || left <= 0 || ahead <= left {
+	if late || left <= 0 {
 		return Refusal{}, false
 	}
-	return Refusal{Ahead: ahead, Left: left}, random >= float64(left)/float64(ahead)
+	share := 1.0
+	if ahead > left {
+		share = float64(left) / float64(ahead)
+	}
+	if c.Until > c.Now {
+		// What waits has to be sent to engines before the call gives up. Calls that wait are known at once,
+		// so the share may fall steeply.
+		waiting := float64(ahead-s.readTime(s.Unread)) / float64(c.Until-c.Now)
+		share = min(share, (1-waiting)/(1-fullShare))
+	}
+	return Refusal{Ahead: ahead, Left: left}, share < 1 && random >= share
 }
 
-// ReturnAfter returns the time after which a refused caller returns: when what is ahead of it has been
-// read, in a step for which few others have been told to return. random is in [0, 1).
+// ReturnAfter returns the time after which a refused caller returns: when what is ahead of it, and the
+// calls of those who return earlier, have been read, in a step for which few others have been told to
+// return. random is in [0, 1).
 func (s State) ReturnAfter(c Call, random float64) time.Duration {
-	latest := time.Duration(maxReturnShare * float64(c.Deadline-c.Now))
-	first := minReturn
-	if s.Rate > 0 {
-		first = max(first, s.Ahead(c.Priority, true))
+	latest := max(time.Duration(maxReturnShare*float64(c.Deadline-c.Now-returnMargin)).Truncate(returnResolution), 0)
+	first := max(min(max(s.roomAfter(c), minReturn), latest-returnSpread), min(minReturn, latest))
+	from, to := int(first/ReturnStep), int(latest/ReturnStep)
+	if from >= ReturnSteps {
+		return first + time.Duration(random*float64(latest-first))
 	}
-	first = max(min(first, latest-returnSpread), min(minReturn, latest))
-	if latest <= first {
-		return max(latest, 0)
+	// Each step is chosen with a chance that grows with the part of it that is within the bounds, and
+	// shrinks with the number of callers due in it.
+	weight := func(step int) float64 {
+		begin, end := max(time.Duration(step)*ReturnStep, first), min(time.Duration(step+1)*ReturnStep, latest)
+		return float64(end-begin) / float64(ReturnStep) / float64(1+s.returning(step))
 	}
-	// Each step is chosen with a chance that shrinks with the number of callers due in it.
-	from, to := int(first/ReturnStep), min(int(latest/ReturnStep), ReturnSteps-1)
 	sum := 0.0
 	for step := from; step <= to; step++ {
-		sum += 1 / float64(1+s.Demand.Returning[step])
+		sum += weight(step)
 	}
 	draw := random * sum
 	for step := from; step <= to; step++ {
-		weight := 1 / float64(1+s.Demand.Returning[step])
-		if draw < weight || step == to {
-			at := time.Duration((float64(step) + draw/weight) * float64(ReturnStep))
-			return min(max(at, first), latest)
+		if w := weight(step); draw < w {
+			begin, end := max(time.Duration(step)*ReturnStep, first), min(time.Duration(step+1)*ReturnStep, latest)
+			return begin + time.Duration(draw/w*float64(end-begin))
+		} else {
+			draw -= w
 		}
-		draw -= weight
 	}
 	return latest
 }
+
+// returning returns the number of callers that return in a step, 0 for those that are not known.
+func (s State) returning(step int) int {
+	if step < ReturnSteps {
+		return s.Demand.Returning[step]
+	}
+	return 0
+}
+
+// roomAfter returns the time after which the engines have read what is ahead of a call that returns then:
+// what is ahead of it now, and the prompts of the callers that have returned until then. These count as
+// large as those that wait, since their size is not known.
+func (s State) roomAfter(c Call) time.Duration {
+	if s.Rate <= 0 {
+		return 0
+	}
+	waiting, tokens := 0, 0
+	for p, n := range s.Demand.Waiting {
+		waiting, tokens = waiting+n, tokens+s.Demand.Tokens[p]
+	}
+	mean := c.Tokens
+	if waiting > 0 {
+		mean = tokens / waiting
+	}
+	// The call comes back within its objective.
+	ahead, returned := s.Ahead(c.Priority, false), 0
+	for step, n := range s.Demand.Returning {
+		if at := time.Duration(step) * ReturnStep; at >= ahead+s.readTime(returned*mean) {
+			return at
+		}
+		returned += n
+	}
+	return ahead + s.readTime(returned*mean)
+}
--- a/bluebell/bluebellpressure/pressure_test.go
+++ b/bluebell/bluebellpressure/pressure_test.go
@@ -126,3 +126,71 @@
 	later := bluebellpressure.Demand{Returning: steps}.After(100 * ms)
 	require.Equal(t, 2, later.Returning[0])
 }
+
+// Calls gave up after half of their objective, while the pressure was compared with the whole: at twice the
+// load, most of those that got no engine waited for nothing. At most a tenth of the calls may wait in vain.
+func TestFewCallsWaitInVain(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	const step, tokens, capacity = 10 * ms, 12_000, 60 * 61_000
+	type waiting struct {
+		until time.Duration
+		left  float64
+	}
+	var queue []waiting
+	arrived, inVain, served := 0, 0, 0
+	for now := time.Duration(0); now < 10*time.Second; now += step {
+		for range 6 { // 600 a second, of which the engines read 305
+			arrived++
+			state := engines(0, bluebellplacement.TokensByPriority{5: tokens * len(queue)})
+			c := bluebellpressure.Call{Now: now, ObjectiveEnd: now + 1000*ms, Deadline: now + 15*time.Second, Until: now + 500*ms, Priority: 5, Tokens: tokens}
+			if _, refused := state.Refuse(c, rng.Float64()); !refused {
+				queue = append(queue, waiting{c.Until, tokens})
+			}
+		}
+		for drained := capacity * step.Seconds(); drained > 0 && len(queue) > 0; {
+			part := min(drained, queue[0].left)
+			drained, queue[0].left = drained-part, queue[0].left-part
+			if queue[0].left <= 0 {
+				queue, served = queue[1:], served+1
+			}
+		}
+		kept := queue[:0]
+		for _, w := range queue {
+			if w.until > now {
+				kept = append(kept, w)
+				continue
+			}
+			inVain++
+		}
+		queue = kept
+	}
+	require.Less(t, inVain, arrived/10)
+	require.Greater(t, served, arrived*45/100, "the engines always have something to read")
+}
+
+// A time that the header rounds up beyond a third of what the caller has left makes it give up. Callers with
+// long deadlines must return at different times although the known steps end before.
+func TestReturnTimesAreAccepted(t *testing.T) {
+	state := engines(0, bluebellplacement.TokensByPriority{5: 40_000_000}) // 10.9 s
+	for _, left := range []time.Duration{995 * 3 * ms, 4 * time.Second, 15 * time.Second, 60 * time.Second} {
+		c := bluebellpressure.Call{Deadline: left, ObjectiveEnd: 800 * ms, Priority: 5, Tokens: 12_000}
+		earliest, latest := state.ReturnAfter(c, 0), state.ReturnAfter(c, 0.999)
+		require.LessOrEqual(t, latest.Round(10*ms), (left-10*ms)/3)
+		require.Greater(t, latest-earliest, 300*ms, "deadline %v", left)
+	}
+}
+
+// Callers that are sent away later must return after those who were sent away before, when these have been
+// read. All of them were told the same time in a long overload.
+func TestLaterCallersReturnAfterEarlierOnes(t *testing.T) {
+	state := engines(0, bluebellplacement.TokensByPriority{5: 3_660_000}) // 1 s
+	state.Demand.Waiting[5] = 305
+	c := bluebellpressure.Call{Deadline: 15 * time.Second, ObjectiveEnd: 800 * ms, Priority: 5, Tokens: 12_000}
+	require.InDelta(t, time.Second, state.ReturnAfter(c, 0), float64(10*ms))
+	for step := range 15 {
+		state.Demand.Returning[step] = 30 // 450 callers, 1.5 s
+	}
+	require.GreaterOrEqual(t, state.ReturnAfter(c, 0), 2400*ms)
+	c.Priority = 3
+	require.Less(t, state.ReturnAfter(c, 0), 1600*ms, "what waits is less urgent")
+}
--- a/bluebellgate/internal/bluebellrelay/pressure.go
+++ b/bluebellgate/internal/bluebellrelay/pressure.go
@@ -63,14 +63,16 @@
 		return false
 	}
 	refusal, refused := q.pressure(q.demandLocked()).Refuse(bluebellpressure.Call{
-		Now: q.now(), ObjectiveEnd: call.waiter.ObjectiveEnd, Deadline: call.waiter.Deadline, Priority: call.waiter.Priority,
+		Now: q.now(), ObjectiveEnd: call.waiter.ObjectiveEnd, Deadline: call.waiter.Deadline, Until: call.until, Priority: call.waiter.Priority,
 		Tokens: call.request.PrefillTokens(),
 	}, q.random())
-	if refused {
-		call.refusal = &refusal
-		call.result = bluebellplacement.AllLate
+	// The pressure is that of all engines together: one may have room although calls wait.
+	if !refused || call.result == bluebellplacement.Untried && q.try(call) {
+		return false
 	}
-	return refused
+	call.refusal = &refusal
+	call.result = bluebellplacement.AllLate
+	return true
 }
 
 // goesFirst reports whether no waiting call goes before a new one. q.mu must be held.
--- a/bluebellgate/internal/bluebellrelay/waitqueue.go
+++ b/bluebellgate/internal/bluebellrelay/waitqueue.go
@@ -101,11 +101,15 @@
 	call.selected = make(chan struct{})
 	// Other calls may wait for limits because they have tried the other endpoints.
 	if len(q.calls) == 0 || q.limit != nil || call.ranked() && q.goesFirst(call) {
-		if q.try(call) || q.isHopeless(call, len(q.calls)) {
+		ahead := len(q.calls)
+		if call.ranked() && q.goesFirst(call) {
+			ahead = 0
+		}
+		if q.try(call) || q.isHopeless(call, ahead) {
 			return true
 		}
 	}
-	if q.refusesAtOnce(call) {
+	if q.refusesAtOnce(call) || call.hasResult() {
 		return true
 	}
 	q.calls = append(q.calls, call)
