Usage windows await those cut off lately; calls of duties are not delivered late

Found by review. - A window was decided as soon as every entry that could be heard had reported it. A failure domain that was cut off 2.3 s before its end and came back 2 s after it was missing from the counts, a third of them. Entries and core processes that were heard within the time in which the window is open are now awaited, up to 4 s after its end. - A leader whose clock was an hour ahead decided all windows until then, and the log refused the real ones. - The system delivered a call to the provider after its process had ended, if its packets had to be sent again. Connections are closed by a reset now, and given up after 1 s without an acknowledgement. - Numbers of targets that are no longer declared were ordered for ever. - A refusal that may belong to another call counted as one that did not run.

Tests: TestWindowWaitsForThoseCutOffLately, TestWrongClockDecidesNoWindows; both fail without the change.

--- a/bluebell/bluebelldeployment/deployment.go
+++ b/bluebell/bluebelldeployment/deployment.go
@@ -338,8 +338,13 @@
 // if any customer is declared.
 func (d *Deployment) RequiresKeys() bool { return len(d.declaration.Customers) > 0 }
 
-// Target returns the target of the given name, or nil.
-func (d *Deployment) Target(name string) *Target { return d.targets[name] }
+// Target returns the target of the given name, or nil if there is none or d is nil.
+func (d *Deployment) Target(name string) *Target {
+	if d == nil {
+		return nil
+	}
+	return d.targets[name]
+}
 
 // Targets returns all targets, or nil if d is nil.
 func (d *Deployment) Targets() []Target {
--- a/bluebell/bluebellusage/close.go
+++ b/bluebell/bluebellusage/close.go
@@ -86,6 +86,22 @@
 	return late
 }
 
+// LastFinal returns the latest window that any entry has reported as final. It reports false if none has.
+func (m Merged) LastFinal() (window int64, ok bool) {
+	for _, r := range m.reports {
+		if r.final > 0 && (!ok || r.final > window) {
+			window, ok = r.final, true
+		}
+	}
+	return window, ok
+}
+
+// CloseAfter returns how long after its end a window is closed although entries have not reported it as final. due
+// is the time after its end within which its report is due, 0 for DefaultDue.
+func CloseAfter(due time.Duration) time.Duration {
+	return time.Duration(closeShare * float64(cmp.Or(due, DefaultDue)))
+}
+
 // CloseInput is what the closing of a window depends on.
 type CloseInput struct {
 	Window int64
@@ -108,7 +124,7 @@
 func Close(in CloseInput) (usage *pb.DecideUsage, missing []string, ok bool) {
 	age := in.Now.Sub(EndOf(in.Window, in.Length))
 	missing = in.Totals.Missing(in.Window, in.Entries)
-	closeAfter := time.Duration(closeShare * float64(cmp.Or(in.Due, DefaultDue)))
+	closeAfter := CloseAfter(in.Due)
 	if age < 0 || age < closeAfter && (len(missing) > 0 || in.EntriesUnknown) {
 		return nil, missing, false
 	}
--- a/bluebellcore/internal/bluebellcloser/closer.go
+++ b/bluebellcore/internal/bluebellcloser/closer.go
@@ -14,6 +14,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +46,9 @@
 	// after a start or a suspension the entries that follow are known: several of their polls and retries.
 	standstill = time.Second
 	knownAfter = 3 * time.Second
+	// maxSilentWindows is the number of windows in succession that may be decided although no entry, of those
+	// that follow, has reported one of them as final.
+	maxSilentWindows = 4
 	// maxLoggedEntries bounds the missing entries that a log line names.
 	maxLoggedEntries = 5
 )
@@ -82,11 +87,17 @@
 	leading     bool
 	// steppedAt is when the latest step ended, and knownAt from when on all entries are known.
 	steppedAt, knownAt time.Duration
+	// listedAt is when an entry was last listed while this process led, and answeredAt when another core
+	// process last answered. Their counts are awaited although they cannot be heard at the moment.
+	listedAt, answeredAt map[string]time.Duration
 }
 
 // New returns a Closer.
 func New(cfg Config) *Closer {
-	return &Closer{cfg: cfg, steppedAt: cfg.Now(), knownAt: cfg.Now() + knownAfter}
+	return &Closer{
+		cfg: cfg, steppedAt: cfg.Now(), knownAt: cfg.Now() + knownAfter,
+		listedAt: map[string]time.Duration{}, answeredAt: map[string]time.Duration{},
+	}
 }
 
 // Run closes windows until ctx ends.
@@ -119,6 +130,7 @@
 		}
 		return
 	}
+	c.listEntries()
 	// The age of a window is that before the totals are collected: if the process stands still in between, the
 	// totals are older than the window seems to be.
 	now := c.cfg.TimeOfDay()
@@ -134,7 +146,7 @@
 		// Windows that the log would not keep are not decided.
 		first = max(last+1, ended-bluebellstate.MaxUsageWindows+1)
 	}
-	merged, answered := c.collect(ctx, first, ended, core)
+	merged, answered, complete := c.collect(ctx, first, ended, core)
 	if !decided {
 		oldest, counted := merged.First()
 		if !counted || oldest > ended {
@@ -142,10 +154,15 @@
 		}
 		first = oldest
 	}
-	entries := c.cfg.Entries()
+	entries := slices.Sorted(maps.Keys(c.listedAt))
+	if final, reported := merged.LastFinal(); reported && len(entries) > 0 {
+		// No entry has seen the end of a much later window: this process's time of day is wrong. Windows that
+		// are decided too early would keep the real ones from being decided.
+		ended = min(ended, final+maxSilentWindows)
+	}
 	for window := first; window <= ended && c.cfg.IsLeader(); window++ {
 		usage, missing, ok := bluebellusage.Close(bluebellusage.CloseInput{
-			Window: window, Length: c.cfg.Window, Due: c.cfg.Due, Totals: merged, Entries: entries, EntriesUnknown: c.cfg.Now() < c.knownAt, Now: now,
+			Window: window, Length: c.cfg.Window, Due: c.cfg.Due, Totals: merged, Entries: entries, EntriesUnknown: !complete || c.cfg.Now() < c.knownAt, Now: now,
 		})
 		if !ok || !c.decide(ctx, usage, len(entries), missing, answered) {
 			return
@@ -154,9 +171,27 @@
 	}
 }
 
+// listEntries notes which entries follow a core process. Those that were listed within the time in which a window
+// is open for them are kept: an entry or a failure domain that was cut off a moment ago has counts that are not
+// known yet.
+func (c *Closer) listEntries() {
+	now := c.cfg.Now()
+	for _, entry := range c.cfg.Entries() {
+		c.listedAt[entry] = now
+	}
+	maps.DeleteFunc(c.listedAt, func(_ string, at time.Duration) bool { return now-at > c.awaited() })
+	maps.DeleteFunc(c.answeredAt, func(_ string, at time.Duration) bool { return now-at > c.awaited() })
+}
+
+// awaited returns how long an entry or core process that is not heard is awaited.
+func (c *Closer) awaited() time.Duration {
+	return c.cfg.Window + bluebellusage.CloseAfter(c.cfg.Due)
+}
+
 // collect returns the totals of the windows from first to last, and of those whose decisions are to be compared with
-// them, of this process and the others, and the number of core processes that they are from.
-func (c *Closer) collect(ctx context.Context, first, last int64, core *pb.CoreState) (merged bluebellusage.Merged, answered int) {
+// them, of this process and the others, and the number of core processes that they are from. complete is unset if
+// one that has answered lately does not answer now.
+func (c *Closer) collect(ctx context.Context, first, last int64, core *pb.CoreState) (merged bluebellusage.Merged, answered int, complete bool) {
 	var windows []int64
 	for w := max(first-lateCheckDelay, last-bluebellusage.KeptWindows+1); w <= last; w++ {
 		// A decided window is compared once.
@@ -165,6 +200,7 @@
 		}
 	}
 	var mu sync.Mutex
+	complete = true
 	replies := [][]*pb.EntryUsage{c.cfg.Totals.Collect(windows)}
 	var calls conc.WaitGroup
 	for _, peer := range c.cfg.Peers() {
@@ -172,17 +208,21 @@
 			callCtx, cancel := context.WithTimeout(ctx, collectTimeout)
 			defer cancel()
 			reply, err := c.cfg.Collect(callCtx, peer, &pb.CollectUsageRequest{Windows: windows})
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil {
 				c.cfg.AddCount("usage_collect_failures", 1)
+				if _, lately := c.answeredAt[peer]; lately {
+					complete = false
+				}
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
+			c.answeredAt[peer] = c.cfg.Now()
 			replies = append(replies, reply.Entries)
 		})
 	}
 	calls.Wait()
-	return bluebellusage.Merge(replies...), len(replies)
+	return bluebellusage.Merge(replies...), len(replies), complete
 }
 
 // decide has the usage of a window decided and logs the result. It reports whether the window is decided.
--- a/bluebellcore/internal/bluebellcloser/closer_test.go
+++ b/bluebellcore/internal/bluebellcloser/closer_test.go
@@ -241,3 +241,46 @@
 	d.run(15 * second)
 	require.Len(t, d.decided(), 2)
 }
+
+// Guards against a window that is decided without the counts of entries, or of the core process that has them, which
+// were cut off around its end and come back before it must be closed: a third of the calls would be missing.
+func TestWindowWaitsForThoseCutOffLately(t *testing.T) {
+	d := newDeployment()
+	x, y := d.cores["x"], d.cores["y"]
+	x.leads, x.entries = true, []string{"e", "f"}
+	d.run(2700 * time.Millisecond)
+	x.entries = []string{"e"}
+	d.run(5200 * time.Millisecond)
+	x.report("e", 0, 5, 0)
+	d.run(7 * second)
+	require.Empty(t, d.decided())
+	x.entries = []string{"e", "f"}
+	y.report("f", 0, 3, 0)
+	d.run(8 * second)
+	require.Equal(t, map[int64]uint64{0: 8}, d.decided())
+
+	// The second window has its counts at a core process that does not answer for a moment.
+	x.report("e", 1, 5, 1)
+	y.report("f", 1, 3, 1)
+	y.cut = true
+	d.run(12 * second)
+	y.cut = false
+	d.run(13 * second)
+	require.Equal(t, uint64(8), d.decided()[1])
+}
+
+// Guards against windows of the future that are decided by a wrong clock: the log refuses the real ones then.
+func TestWrongClockDecidesNoWindows(t *testing.T) {
+	d := newDeployment()
+	x := d.cores["x"]
+	x.leads, x.entries = true, []string{"e"}
+	d.now = second
+	x.report("e", 0, 5, -1)
+	d.run(5300 * time.Millisecond)
+	x.report("e", 0, 5, 0)
+	d.run(7 * second)
+	require.Len(t, d.decided(), 1)
+	d.now += time.Hour
+	d.run(d.now + 2*second)
+	require.LessOrEqual(t, len(d.decided()), 5)
+}
--- a/bluebellcore/internal/bluebellcorenode/duties.go
+++ b/bluebellcore/internal/bluebellcorenode/duties.go
@@ -79,7 +79,12 @@
 // scaleOrders returns the agreed numbers of endpoints.
 func (n *Node) scaleOrders() []bluebellprovider.ScaleOrder {
 	var orders []bluebellprovider.ScaleOrder
+	declared := n.declared.current()
 	for _, s := range n.Scales() {
+		// The number of a target that is no longer declared, or not scaled, is no longer ordered.
+		if target := declared.Target(s.Target); target == nil || target.Scale == nil {
+			continue
+		}
 		orders = append(orders, bluebellprovider.ScaleOrder{Target: s.Target, FailureDomain: s.FailureDomain, Endpoints: uint32(s.Endpoints)})
 	}
 	return orders
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -101,6 +101,7 @@
 	metrics   *bluebellmetrics.Metrics
 	judge     *bluebelljudge.Judge
 	scaler    *bluebellscaler.Scaler
+	declared  *declaredDeployment
 	// usage holds the totals that entries have reported, and closer decides windows. Both are nil if usage is not
 	// reported. clock is the time of day.
 	usage  *bluebellusage.Totals
@@ -136,6 +137,7 @@
 	n.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: n.now, MaxEndpoints: bluebellcontrol.MaxEndpoints})
 	directory := bluebelldirectory.New()
 	declared := &declaredDeployment{deployment: func() (*pb.Deployment, uint64) { return n.source.Deployment() }}
+	n.declared = declared
 	suspects := bluebellquarantine.NewLedger(bluebellquarantine.LedgerConfig{Registered: n.registeredIncarnations})
 	n.source = bluebellfeed.NewSource(bluebellfeed.SourceConfig{
 		Registry: n.registry, Directory: directory, Epoch: rand.Uint64(), Cores: n.recentCores, Domain: n.domainOf,
--- a/bluebellcore/internal/bluebellsender/sender.go
+++ b/bluebellcore/internal/bluebellsender/sender.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -50,6 +51,8 @@
 	// recordVersion is the version of commands that has RecordUsageSent.
 	recordVersion    = 2
 	maxResponseBytes = 64 << 10
+	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, which the syscall package lacks.
+	tcpUserTimeout = 0x12
 )
 
 // Config sets up a Sender.
@@ -275,6 +278,10 @@
 		return bluebellprovider.Unreachable, 0, err
 	}
 	defer func() { _ = conn.Close() }()
+	// If this process ends or its machine stops, the system must not deliver the call later: another
+	// holder may have acted by then. Closing with a reset discards only what was not sent, since the
+	// response is read before.
+	discardOnClose(conn)
 	proof, err := s.cfg.Duty.Prove(ctx, call.Fencing)
 	if err != nil {
 		return bluebellprovider.NotSent, 0, err
@@ -286,22 +293,28 @@
 		return bluebellprovider.NotSent, 0, err
 	}
 	if _, err := conn.Write(request); err != nil {
-		return bluebellprovider.Unanswered, 0, reset(conn, err)
+		return bluebellprovider.Unanswered, 0, err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxResponseBytes)), nil)
 	if err != nil {
-		return bluebellprovider.Unanswered, 0, reset(conn, err)
+		return bluebellprovider.Unanswered, 0, err
 	}
 	return bluebellplatform.DecodeProviderStatus(response.StatusCode), response.StatusCode, nil
 }
 
-// reset makes the system discard what it has not sent of a call when the connection is closed. It
-// returns the error of the call.
-func reset(conn net.Conn, err error) error {
-	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = c.SetLinger(0)
+// discardOnClose makes the system discard what it has not delivered of a call when the connection is closed, and
+// when it has not been acknowledged for CallTimeout.
+func discardOnClose(conn net.Conn) {
+	c, ok := conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	_ = c.SetLinger(0)
+	if raw, err := c.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(CallTimeout.Milliseconds()))
+		})
 	}
-	return err
 }
 
 // encode returns the bytes of a request.
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -61,8 +61,9 @@
 	a := bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header())
 	c.unframed = exchange.Unframed()
 	c.recordStatements(choice, exchange, a)
-	c.endUsage(!a.NotRun)
-	if a.NotRun && c.helper == "" && refusalApplies(a, exchange) {
+	refused := a.NotRun && c.helper == "" && refusalApplies(a, exchange)
+	c.endUsage(!refused)
+	if refused {
 		return c.handleNotRun(choice, exchange, a)
 	}
 	c.countRun()
