Entries use received loads at once instead of by a timer

Where loads are exchanged every 20 ms, the placer was refreshed by a timer of its own, which doubled the wake-ups of an entry and added up to 20 ms to the age of the loads. It is refreshed with each reply now. Reports are kept for over a second at these intervals too, as their comment says.

--- a/bluebell/bluebellfeed/follower.go
+++ b/bluebell/bluebellfeed/follower.go
@@ -84,6 +84,8 @@
 	// OnTime is called with the time of day that a source has stated, in Unix nanoseconds, and the times of the
 	// request and of the reply. It may be nil.
 	OnTime func(source string, unixNanos int64, requestedAt, repliedAt time.Duration)
+	// OnLoads is called when the primary source has sent loads. It may be nil.
+	OnLoads func()
 	// Poll sends a request to a source and returns its reply.
 	Poll func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error)
 	// Objective returns the shortest declared objective of calls to models, 0 if there is none.
@@ -483,6 +485,9 @@
 		f.passSuspicions(address, request, reply, now)
 		f.applyDeployment(reply)
 		f.choosePrimary()
+		if request.Primary && f.cfg.OnLoads != nil {
+			f.cfg.OnLoads()
+		}
 	}
 }
 
--- a/bluebell/bluebellfeed/primary.go
+++ b/bluebell/bluebellfeed/primary.go
@@ -24,7 +24,7 @@
 	nearGrace = 300 * time.Millisecond
 	// keptReports is the number of reports that are kept to be subtracted from sums: those
 	// of over a second.
-	keptReports = 16
+	keptReports = 64
 	// entriesInterval is how often the list of entries is made at most.
 	entriesInterval = 500 * time.Millisecond
 )
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -101,8 +101,9 @@
 	routing atomic.Pointer[bluebellfrontend.Routing]
 	// otherFetches holds the fetches of other entries in flight, by cache store.
 	otherFetches atomic.Pointer[map[string]bluebelltier.Load]
-	changed      chan struct{}
-	relay        *bluebellrelay.Relay
+	// loadsReceived gets an element when the loads of other entries have arrived.
+	loadsReceived chan struct{}
+	relay         *bluebellrelay.Relay
 	// usesKnown is set once the uses of the other entries have been known.
 	usesKnown atomic.Bool
 
@@ -119,7 +120,7 @@
 	s := cfg.Settings()
 	g := &Gateway{
 		cfg: cfg, address: bluebellprocess.HostPort(s.Address, s.PeerPort), started: time.Now(),
-		guard: bluebellquarantine.NewGuard(), changed: make(chan struct{}, 1), namedVersions: map[string][]bluebellplacement.NamedVersion{},
+		guard: bluebellquarantine.NewGuard(), loadsReceived: make(chan struct{}, 1), namedVersions: map[string][]bluebellplacement.NamedVersion{},
 		metrics: bluebellmetrics.New(bluebellmetrics.Config{Prefix: "bluebell_gate", Logger: cfg.Logger}),
 	}
 	g.routing.Store(&bluebellfrontend.Routing{})
@@ -138,6 +139,7 @@
 		Demands:      g.demands,
 		LostTargets:  g.links.Lost,
 		Objective:    g.shortestObjective,
+		OnLoads:      g.noteLoads,
 		Suspicions:   func() []bluebellquarantine.Suspect { return g.guard.Report(g.now()) },
 		OnSuspected:  g.guard.SetListed,
 		Poll: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
@@ -308,17 +310,27 @@
 		_, changed := g.registry.LastRoutingChange()
 		g.updatePlacer()
 		g.links.Advance(g.now())
-		// What entries report to each other is used no later than it is received.
-		wait := min(refreshInterval, bluebellfeed.IntervalsFor(g.shortestObjective(), len(g.follower.Entries())).EntryWait)
 		select {
 		case <-changed:
-		case <-time.After(wait):
+		case <-g.loadsReceived:
+		case <-time.After(refreshInterval):
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// noteLoads makes refreshPlacer use loads that have arrived, where they are exchanged more often than it does so anyway.
+func (g *Gateway) noteLoads() {
+	if bluebellfeed.IntervalsFor(g.shortestObjective(), len(g.follower.Entries())).EntryWait >= refreshInterval {
+		return
+	}
+	select {
+	case g.loadsReceived <- struct{}{}:
+	default:
+	}
+}
+
 // updatePlacer passes the current state of the fleet to the placer, and closes idle
 // connections to endpoints that are gone or leave.
 func (g *Gateway) updatePlacer() {
