Read the load reports of endpoints

Entries did not know of load that other senders put on an endpoint: they found out by late answers, and kept away from the endpoint long after the load had ended.

Endpoints may now state running calls, waiting calls, slots and a work percentage in Load-Report. Entries exchange the latest report of each endpoint. A report raises the expected time to that of a full endpoint at most, never lowers it, and counts for a second. Calls of plain services are spread by the share of slots that is free of calls of others, smoothed over a second. Targets without reports keep their path.

Malformed reports are counted, logged once a second at most, and never fail a call.

--- a/bluebell/bluebellfeed/feed_test.go
+++ b/bluebell/bluebellfeed/feed_test.go
@@ -180,6 +180,7 @@
 					Endpoint: "i-2", Failing: 1, AnsweredAt: d.now() - answerAge,
 					Limit:   bluebellplacement.RateLimit{Named: true, PerSecond: 1.4, At: d.now() - answerAge},
 					Brittle: bluebellplacement.RateLimit{Named: true, PerSecond: 3, At: d.now() - answerAge},
+					Report:  bluebellplacement.LoadReport{Running: 3, Waiting: 2, Slots: 8, WorkPercent: 140, At: d.now() - answerAge},
 				},
 				{Endpoint: "s-1", Calls: 2, Waited: time.Minute},
 			}
--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -48,6 +48,7 @@
 	s.use.AnsweredAt = max(s.use.AnsweredAt, u.AnsweredAt)
 	s.use.Limit = s.use.Limit.Later(u.Limit)
 	s.use.Brittle = s.use.Brittle.Later(u.Brittle)
+	s.use.Report = s.use.Report.Later(u.Report)
 }
 
 // at returns the sum at the time now.
@@ -62,6 +63,9 @@
 	if now-u.Brittle.At > limitRetention {
 		u.Brittle = bluebellplacement.RateLimit{}
 	}
+	if !u.Report.IsFresh(now) {
+		u.Report = bluebellplacement.LoadReport{}
+	}
 	return u
 }
 
@@ -249,6 +253,7 @@
 			sum.AnsweredAt = max(sum.AnsweredAt, u.AnsweredAt)
 			sum.Limit = sum.Limit.Later(u.Limit)
 			sum.Brittle = sum.Brittle.Later(u.Brittle)
+			sum.Report = sum.Report.Later(u.Report)
 		}
 	}
 	l.total = l.encode(uses, now)
@@ -277,6 +282,7 @@
 		t.AnsweredMillis, t.WaitedMillis = append(t.AnsweredMillis, answered), append(t.WaitedMillis, uint64(max(u.Waited, 0).Milliseconds()))
 		limits.add(len(t.Names)-1, u.Limit, now)
 		brittle.add(len(t.Names)-1, u.Brittle, now)
+		addLoadReport(t, len(t.Names)-1, u.Report, now)
 	}
 	t.LimitRows, t.LimitThousandths, t.LimitMillis = limits.rows, limits.thousandths, limits.millis
 	t.BrittleRows, t.BrittleThousandths, t.BrittleMillis = brittle.rows, brittle.thousandths, brittle.millis
--- a/bluebell/bluebellfeed/loads_test.go
+++ b/bluebell/bluebellfeed/loads_test.go
@@ -110,7 +110,9 @@
 	require.NoError(t, err)
 	badBrittle, err := proto.Marshal(&pb.UseTable{BrittleRows: []uint32{0}, BrittleThousandths: []uint64{3}})
 	require.NoError(t, err)
-	for _, uses := range [][]byte{malformed, []byte("\xff\xff\xff"), append(malformed, 0x0a), badLimits, badBrittle} {
+	badReports, err := proto.Marshal(&pb.UseTable{ReportRows: []uint32{0}, ReportRunning: []uint32{3}})
+	require.NoError(t, err)
+	for _, uses := range [][]byte{malformed, []byte("\xff\xff\xff"), append(malformed, 0x0a), badLimits, badBrittle, badReports} {
 		d.cores["c1"].alter = func(r *pb.FollowReply) { r.Uses = uses }
 		e := d.follow(t, "e1", "c1")
 		eventually(t, "the source answers", func() bool { return e.FreshSources() == 1 && d.cores["c1"].polledAsPrimary("e1") > 1 })
--- a/bluebell/bluebellfeed/use.go
+++ b/bluebell/bluebellfeed/use.go
@@ -35,6 +35,8 @@
 	// Limit is the latest that the endpoint has said about the number of calls a second that it takes,
 	// Brittle about the number that it can turn away.
 	Limit, Brittle bluebellplacement.RateLimit
+	// Report is the latest load report of the endpoint.
+	Report bluebellplacement.LoadReport
 }
 
 // minus returns the use without a part of it. The last answer and limits stay: they are the latest.
@@ -63,6 +65,7 @@
 		}
 		m.LimitThousandths, m.LimitMillis = encodeLimit(u.Limit, now)
 		m.BrittleThousandths, m.BrittleMillis = encodeLimit(u.Brittle, now)
+		m.Report = encodeLoadReport(u.Report, now)
 		list = append(list, m)
 	}
 	return list
@@ -79,6 +82,7 @@
 	}
 	u.Limit = decodeLimit(m.LimitThousandths, m.LimitMillis, now)
 	u.Brittle = decodeLimit(m.BrittleThousandths, m.BrittleMillis, now)
+	u.Report = decodeLoadReport(m.Report, now)
 	return u
 }
 
@@ -150,6 +154,9 @@
 	if err := brittle.decode(now, n, func(row int, l bluebellplacement.RateLimit) { uses[row].Brittle = l }); err != nil {
 		return nil, err
 	}
+	if err := decodeLoadReports(&t, uses, now); err != nil {
+		return nil, err
+	}
 	return uses, nil
 }
 
--- a/bluebell/bluebellplacement/cost.go
+++ b/bluebell/bluebellplacement/cost.go
@@ -27,8 +27,14 @@
 		// Endpoints of plain services are compared by their calls in flight.
 		c.expected = c.state.responseTime() * time.Duration(1+c.state.running)
 		c.cost = c.expected
+		if t.reportsLoad {
+			p.addReportedCalls(now, t, c)
+		}
 	} else {
 		p.setPromptCost(t, c, r, missingShare(now, c, r, lastUse), newest)
+		if t.reportsLoad {
+			c.addReportedLoad(now)
+		}
 	}
 	if !c.home && r.SharedBlock != "" {
 		c.cost += evictionCost
--- a/bluebell/bluebellplacement/endpointstate.go
+++ b/bluebell/bluebellplacement/endpointstate.go
@@ -116,6 +116,9 @@
 	// is brittle, by the entries as of holdersVersion.
 	holders        []string
 	holdersVersion uint64
+	load           reportedLoad
+	// othersCalls is the number of calls of the other entries.
+	othersCalls int
 	// pickedAt is when the endpoint was last picked, 0 if never.
 	pickedAt time.Duration
 }
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -122,6 +122,8 @@
 	// Limit is the latest that the endpoint has said about its limit, Brittle about the number of
 	// calls that it can turn away in a second.
 	Limit, Brittle RateLimit
+	// Report is the latest load report of the endpoint.
+	Report LoadReport
 }
 
 // Add returns the sum of the uses by two sets of entries.
@@ -130,6 +132,7 @@
 		Calls: u.Calls + other.Calls, Tokens: u.Tokens + other.Tokens, PrefillTokens: u.PrefillTokens + other.PrefillTokens,
 		Failing: u.Failing + other.Failing, AnsweredAt: max(u.AnsweredAt, other.AnsweredAt),
 		Limit: u.Limit.Later(other.Limit), Brittle: u.Brittle.Later(other.Brittle),
+		Report: u.Report.Later(other.Report),
 	}
 }
 
@@ -191,6 +194,7 @@
 	}
 	f := &p.fleet
 	s.learnLimits(f.At, e.StartUnixMillis, f.UseByOthers[e.ID])
+	t.reportsLoad = t.reportsLoad || s.load.made
 	return member{
 		endpoint: e, state: s, hash: s.hash, others: f.UseByOthers[e.ID], near: e.FailureDomain == p.cfg.FailureDomain,
 		open:        e.State == bluebellfleet.Serving && !p.callerAddresses[e.Address] && !slices.Contains(f.DomainsOut, e.FailureDomain) && !slices.Contains(f.Loading, e.ID),
--- a/bluebell/bluebellplacement/health.go
+++ b/bluebell/bluebellplacement/health.go
@@ -38,6 +38,7 @@
 func (s *endpointState) use(now time.Duration) EndpointUse {
 	u := EndpointUse{
 		Calls: s.running, Tokens: s.tokens, PrefillTokens: s.prefillTokens, Limit: s.limit.reported(now), Brittle: s.brittle.reported(now),
+		Report: s.load.reported(now),
 	}
 	if s.failedAt > s.answeredAt && now-s.failedAt < failureReportedFor {
 		u.Failing = 1
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	"bluebellhaven.org/bluebell/bluebelllink"
 )
@@ -205,6 +207,10 @@
 	runTime time.Duration
 	// handOvers counts the results of holders.
 	handOvers int
+	// reportsLoad is set once any of the endpoints has reported its load. spreads counts the variates of
+	// addReportedCalls.
+	reportsLoad bool
+	spreads     uint64
 }
 
 // member is an endpoint of a target with what the choice needs of the fleet.
@@ -232,6 +238,8 @@
 // Placer picks endpoints for calls. It is safe for concurrent use.
 type Placer struct {
 	cfg Config
+	// selfHash is the hash of Config.Self.
+	selfHash uint64
 
 	mu      sync.RWMutex
 	fleet   Fleet
@@ -254,7 +262,7 @@
 func New(cfg Config) *Placer {
 	return &Placer{
 		cfg: cfg, targets: map[string]*targetState{}, domains: map[string]*domainState{}, entriesVersion: 1, statements: map[incarnation]*statement{},
-		callerAddresses: cfg.callerAddresses(nil),
+		callerAddresses: cfg.callerAddresses(nil), selfHash: xxhash.Sum64String(cfg.Self),
 	}
 }
 
--- a/bluebell/bluebellplacement/ratelimit.go
+++ b/bluebell/bluebellplacement/ratelimit.go
@@ -121,12 +121,15 @@
 	if s.startUnixMillis != startUnixMillis {
 		if s.startUnixMillis != 0 {
 			s.limit = sharedLimit{latest: RateLimit{At: now}}
+			s.load = reportedLoad{since: now}
 			s.brittle, s.window, s.givenUp = sharedLimit{latest: RateLimit{At: now}, linger: brittleLinger}, 0, nil
 		}
 		s.startUnixMillis = startUnixMillis
 	}
 	s.limit.learn(others.Limit)
 	s.brittle.learn(others.Brittle)
+	s.othersCalls = others.Calls
+	s.load.learn(others.Report, s.running+others.Calls)
 }
 
 // limitSenders returns the number of entries that send to an endpoint with this limit.
--- a/bluebell/bluebellplacement/use.go
+++ b/bluebell/bluebellplacement/use.go
@@ -49,6 +49,7 @@
 	c.sentAt = now
 	c.withState(func(t *targetState, s *endpointState) {
 		s.running++
+		s.load.sent(now)
 		s.prefillTokens += c.prefillTokens
 		s.tokens += c.tokens
 		if c.sharedBlock == "" {
@@ -76,6 +77,7 @@
 		t.speed.record(c.ownTokens, now-c.sentAt)
 		s.prefillTokens -= c.prefillTokens
 		s.recordFirstEvent(now, now-c.sentAt)
+		s.load.answered()
 		if c.returning != nil {
 			c.returning.answered(now, c.Endpoint.Slots)
 		}
@@ -88,6 +90,7 @@
 func (p *Placer) Done(c Choice, now time.Duration, o Outcome) {
 	c.withState(func(t *targetState, s *endpointState) {
 		s.running--
+		s.load.ended(c.sentAt)
 		if c.returning != nil {
 			c.returning.ended()
 		}
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -83,6 +83,10 @@
 	mu         sync.Mutex
 	budgets    map[string]*bluebelllimit.WindowBudget
 	waitQueues map[string]*waitQueue
+	// malformedLoggedAt is when a malformed load report was last logged, malformedUnlogged the number
+	// of those since.
+	malformedLoggedAt time.Duration
+	malformedUnlogged int
 }
 
 // New returns a Relay.
--- a/bluebellgate/internal/bluebellrelay/statement.go
+++ b/bluebellgate/internal/bluebellrelay/statement.go
@@ -20,6 +20,7 @@
 	// On a reused connection, a refusal without a call ID may be the one of an earlier call.
 	if a.CallID != "" || !exchange.Reused() {
 		c.recordPause(choice, a.Pause)
+		c.recordLoadReport(choice, a.Load)
 	}
 }
 
