Estimate the speed of each engine

Where some engines take 1.3 times as long as others, the one estimate of a target was that of the fast ones, and answers of the others came later than expected.

Each engine has an estimate relative to the target's, which starts there. An answer corrects it by a bounded step, downwards less than upwards, since calls may meet work that entries do not know of; answers that are late at most engines correct hardly anything. Entries report the estimates of the engines that they use (PrefillRate, weighted by PrefillCalls) and follow those of the others. An engine that is not known counts as fast as the upper quarter of the known ones.

--- a/bluebell/bluebellfeed/feed_test.go
+++ b/bluebell/bluebellfeed/feed_test.go
@@ -181,6 +181,7 @@
 					Limit:   bluebellplacement.RateLimit{Named: true, PerSecond: 1.4, At: d.now() - answerAge},
 					Brittle: bluebellplacement.RateLimit{Named: true, PerSecond: 3, At: d.now() - answerAge},
 					Report:  bluebellplacement.LoadReport{Running: 3, Waiting: 2, Slots: 8, WorkPercent: 140, At: d.now() - answerAge},
+					Speed:   bluebellplacement.NewSpeed(47_000, 3),
 				},
 				{Endpoint: "s-1", Calls: 2, Waited: time.Minute},
 			}
--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -49,6 +49,8 @@
 	s.use.Limit = s.use.Limit.Later(u.Limit)
 	s.use.Brittle = s.use.Brittle.Later(u.Brittle)
 	s.use.Report = s.use.Report.Later(u.Report)
+	s.use.Speed.Total += int64(sign) * u.Speed.Total
+	s.use.Speed.Calls += sign * u.Speed.Calls
 }
 
 // at returns the sum at the time now.
@@ -254,6 +256,7 @@
 			sum.Limit = sum.Limit.Later(u.Limit)
 			sum.Brittle = sum.Brittle.Later(u.Brittle)
 			sum.Report = sum.Report.Later(u.Report)
+			sum.Speed = sum.Speed.Add(u.Speed)
 		}
 	}
 	l.total = l.encode(uses, now)
@@ -283,6 +286,7 @@
 		limits.add(len(t.Names)-1, u.Limit, now)
 		brittle.add(len(t.Names)-1, u.Brittle, now)
 		addLoadReport(t, len(t.Names)-1, u.Report, now)
+		addSpeed(t, len(t.Names)-1, u.Speed)
 	}
 	t.LimitRows, t.LimitThousandths, t.LimitMillis = limits.rows, limits.thousandths, limits.millis
 	t.BrittleRows, t.BrittleThousandths, t.BrittleMillis = brittle.rows, brittle.thousandths, brittle.millis
--- a/bluebell/bluebellfeed/loads_test.go
+++ b/bluebell/bluebellfeed/loads_test.go
@@ -112,7 +112,9 @@
 	require.NoError(t, err)
 	badReports, err := proto.Marshal(&pb.UseTable{ReportRows: []uint32{0}, ReportRunning: []uint32{3}})
 	require.NoError(t, err)
-	for _, uses := range [][]byte{malformed, []byte("\xff\xff\xff"), append(malformed, 0x0a), badLimits, badBrittle, badReports} {
+	badSpeeds, err := proto.Marshal(&pb.UseTable{RateRows: []uint32{2}, PrefillRates: []uint32{3}, PrefillCalls: []uint32{1}})
+	require.NoError(t, err)
+	for _, uses := range [][]byte{malformed, []byte("\xff\xff\xff"), append(malformed, 0x0a), badLimits, badBrittle, badReports, badSpeeds} {
 		d.cores["c1"].alter = func(r *pb.FollowReply) { r.Uses = uses }
 		e := d.follow(t, "e1", "c1")
 		eventually(t, "the source answers", func() bool { return e.FreshSources() == 1 && d.cores["c1"].polledAsPrimary("e1") > 1 })
--- a/bluebell/bluebellfeed/use.go
+++ b/bluebell/bluebellfeed/use.go
@@ -37,6 +37,8 @@
 	Limit, Brittle bluebellplacement.RateLimit
 	// Report is the latest load report of the endpoint.
 	Report bluebellplacement.LoadReport
+	// Speed is the estimated speed of an engine.
+	Speed bluebellplacement.Speed
 }
 
 // minus returns the use without a part of it. The last answer and limits stay: they are the latest.
@@ -46,6 +48,7 @@
 	u.Unread = max(u.Unread-part.Unread, 0)
 	u.Failing = max(u.Failing-part.Failing, 0)
 	u.Waited = max(u.Waited-part.Waited, 0)
+	u.Speed = u.Speed.Minus(part.Speed)
 	return u
 }
 
@@ -66,6 +69,7 @@
 		m.LimitThousandths, m.LimitMillis = encodeLimit(u.Limit, now)
 		m.BrittleThousandths, m.BrittleMillis = encodeLimit(u.Brittle, now)
 		m.Report = encodeLoadReport(u.Report, now)
+		m.PrefillRate, m.PrefillCalls = encodeSpeed(u.Speed)
 		list = append(list, m)
 	}
 	return list
@@ -83,6 +87,7 @@
 	u.Limit = decodeLimit(m.LimitThousandths, m.LimitMillis, now)
 	u.Brittle = decodeLimit(m.BrittleThousandths, m.BrittleMillis, now)
 	u.Report = decodeLoadReport(m.Report, now)
+	u.Speed = decodeSpeed(m.PrefillRate, m.PrefillCalls)
 	return u
 }
 
@@ -157,6 +162,9 @@
 	if err := decodeLoadReports(&t, uses, now); err != nil {
 		return nil, err
 	}
+	if err := decodeSpeeds(&t, uses); err != nil {
+		return nil, err
+	}
 	return uses, nil
 }
 
--- a/bluebell/bluebellplacement/cost.go
+++ b/bluebell/bluebellplacement/cost.go
@@ -66,17 +66,19 @@
 // the newest named version of the weights.
 func (p *Placer) setPromptCost(t *targetState, c *candidate, r Request, share float64, newest uint64) {
 	c.prefillTokens = r.OwnTokens
+	rate := t.engineRate(&c.state.speed)
+	prefill := func(tokens int) time.Duration { return time.Duration(float64(tokens) / rate * float64(time.Second)) }
 	var fetch, recompute time.Duration
 	if r.FetchTime > 0 {
 		fetch = time.Duration(share * float64(r.FetchTime))
 	} else {
 		tokens := int(math.Round(share * float64(r.SharedTokens)))
 		c.prefillTokens += tokens
-		recompute = t.speed.prefillTime(tokens)
+		recompute = prefill(tokens)
 	}
 	unread := max(c.state.prefillTokens+c.others.PrefillTokens, 0)
 	c.readsOthers = unread > 0
-	c.expected = fetch + t.speed.prefillTime(c.prefillTokens+unread) + time.Duration(c.state.running+c.others.Calls)*runningCallCost
+	c.expected = fetch + prefill(c.prefillTokens+unread) + time.Duration(c.state.running+c.others.Calls)*runningCallCost
 	c.busy = c.state.running+c.others.Calls > 0
 	c.cost = c.expected + (fetchWeight-1)*fetch
 	if !c.home {
--- a/bluebell/bluebellplacement/doc.go
+++ b/bluebell/bluebellplacement/doc.go
@@ -19,10 +19,18 @@
 // # Predictions
 //
 // The speed of the engines is estimated from the calls that found an engine without unread
-// tokens, and the time to the first event is predicted from the expected one by a regression
-// over recent calls. An engine is not picked if the predicted answer would come too late, with
-// twice the prediction for engines that are not homes of the prompt. Without answers a slowdown
-// is forgotten within seconds.
+// tokens, for the target and, by corrections that entries share, for each engine. The time to
+// the first event is predicted from the expected one by a regression over recent calls. An
+// engine is not picked if the predicted answer would come too late, with twice the prediction
+// for engines that are not homes of the prompt. Without answers a slowdown is forgotten within
+// seconds.
+//
+// # Load reports
+//
+// Where endpoints report their load in their answers, entries exchange the latest reports. A
+// report raises the expected time, at most to that of a full endpoint, and counts for a second.
+// Calls of plain services are then spread by the share of slots that is free of calls which no
+// entry has sent.
 //
 // # Health
 //
--- a/bluebell/bluebellplacement/endpointstate.go
+++ b/bluebell/bluebellplacement/endpointstate.go
@@ -117,6 +117,7 @@
 	holders        []string
 	holdersVersion uint64
 	load           reportedLoad
+	speed          engineSpeed
 	// othersCalls is the number of calls of the other entries.
 	othersCalls int
 	// pickedAt is when the endpoint was last picked, 0 if never.
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -124,6 +124,8 @@
 	Limit, Brittle RateLimit
 	// Report is the latest load report of the endpoint.
 	Report LoadReport
+	// Speed is the estimated speed of an engine.
+	Speed Speed
 }
 
 // Add returns the sum of the uses by two sets of entries.
@@ -132,7 +134,7 @@
 		Calls: u.Calls + other.Calls, Tokens: u.Tokens + other.Tokens, PrefillTokens: u.PrefillTokens + other.PrefillTokens,
 		Failing: u.Failing + other.Failing, AnsweredAt: max(u.AnsweredAt, other.AnsweredAt),
 		Limit: u.Limit.Later(other.Limit), Brittle: u.Brittle.Later(other.Brittle),
-		Report: u.Report.Later(other.Report),
+		Report: u.Report.Later(other.Report), Speed: u.Speed.Add(other.Speed),
 	}
 }
 
@@ -168,6 +170,7 @@
 	}
 	for _, t := range p.targets {
 		t.removeAbsent()
+		t.updateRatios()
 	}
 }
 
@@ -194,6 +197,7 @@
 	}
 	f := &p.fleet
 	s.learnLimits(f.At, e.StartUnixMillis, f.UseByOthers[e.ID])
+	s.speed.learn(&t.speed, f.At, f.UseByOthers[e.ID].Speed)
 	t.reportsLoad = t.reportsLoad || s.load.made
 	return member{
 		endpoint: e, state: s, hash: s.hash, others: f.UseByOthers[e.ID], near: e.FailureDomain == p.cfg.FailureDomain,
--- a/bluebell/bluebellplacement/health.go
+++ b/bluebell/bluebellplacement/health.go
@@ -35,7 +35,7 @@
 )
 
 // use returns the use of the endpoint that is reported to other entries.
-func (s *endpointState) use(now time.Duration) EndpointUse {
+func (s *endpointState) use(now time.Duration, speed *speedEstimate) EndpointUse {
 	u := EndpointUse{
 		Calls: s.running, Tokens: s.tokens, PrefillTokens: s.prefillTokens, Limit: s.limit.reported(now), Brittle: s.brittle.reported(now),
 		Report: s.load.reported(now),
@@ -46,6 +46,10 @@
 	if s.answeredAt > 0 && now-s.answeredAt < answerReportedFor {
 		u.AnsweredAt = s.answeredAt
 	}
+	if u.Calls > 0 || u.AnsweredAt > 0 {
+		// Others keep what they have learned, so that reports need not contain all engines.
+		u.Speed = s.speed.reported(speed, now)
+	}
 	return u
 }
 
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -129,7 +129,9 @@
 	prefillTokens, tokens int
 	// ownTokens is the number of tokens that the engine certainly processes before it
 	// answers, 0 if it processes others first.
-	ownTokens   int
+	ownTokens int
+	// mostTokens is ownTokens with all shared ones that are not fetched.
+	mostTokens  int
 	target      *targetState
 	state       *endpointState
 	sharedBlock string
@@ -203,6 +205,11 @@
 	lastUses map[string]promptUse
 	slowdown slowdown
 	speed    speedEstimate
+	// usualRatio is the speed of engines that are not known, divided by the
+	// reference of speed; 0 if there are too few others. ratios is the
+	// memory for its computation.
+	usualRatio float64
+	ratios     []float64
 	// runTime is the moving average of the time that answered calls spend at their endpoint.
 	runTime time.Duration
 	// handOvers counts the results of holders.
@@ -334,7 +341,10 @@
 	}
 	count := summary.count
 	if c := p.firstAllowed(now, fits, summary.allSuspect, r); c != nil {
-		ownTokens := r.OwnTokens
+		ownTokens, mostTokens := r.OwnTokens, r.OwnTokens
+		if r.FetchTime == 0 {
+			mostTokens += r.SharedTokens
+		}
 		if c.readsOthers {
 			ownTokens = 0
 		}
@@ -342,7 +352,7 @@
 			Endpoint: *c.endpoint, Weights: c.weights, AtHome: c.home, HomeAddress: home.address, HomeDomain: home.domain,
 			Expected: c.expected, Predicted: t.slowdown.predict(now, c.expected), Typical: t.meanFirstEvent(), RegistrationAge: p.registrationAge(now, c.member), Candidates: count,
 			prefillTokens: c.prefillTokens, tokens: r.Tokens(), sharedBlock: r.SharedBlock, prefilled: new(bool),
-			target: t, state: c.state, ownTokens: ownTokens, returning: c.startReturn(now),
+			target: t, state: c.state, ownTokens: ownTokens, mostTokens: mostTokens, returning: c.startReturn(now),
 		}, Picked
 	}
 	switch {
--- a/bluebell/bluebellplacement/ratelimit.go
+++ b/bluebell/bluebellplacement/ratelimit.go
@@ -122,6 +122,7 @@
 		if s.startUnixMillis != 0 {
 			s.limit = sharedLimit{latest: RateLimit{At: now}}
 			s.load = reportedLoad{since: now}
+			s.speed = engineSpeed{}
 			s.brittle, s.window, s.givenUp = sharedLimit{latest: RateLimit{At: now}, linger: brittleLinger}, 0, nil
 		}
 		s.startUnixMillis = startUnixMillis
--- a/bluebell/bluebellplacement/speed.go
+++ b/bluebell/bluebellplacement/speed.go
@@ -29,6 +29,8 @@
 	// maxSpeedLoss is the share of the estimate by which one call can reduce it: seconds in
 	// which all answers are late, for example for slow stores, do not make engines slow.
 	maxSpeedLoss = 0.02
+	// referenceWeight is the weight of the rate in the reference with each call.
+	referenceWeight = 0.05
 )
 
 // speedEstimate estimates the number of prompt tokens that the engines of a target process
@@ -37,11 +39,16 @@
 	bounds []float64 // the latest ones, in a ring
 	next   int
 	rate   float64
+	// reference is the smoothed rate, to which the speeds of single engines relate: a change of the rate
+	// by one call must not change all of them.
+	reference float64
 	// shortest is the shortest time to the first event of any call, shortestTokens the number
 	// of its own tokens. What is not needed to read these is for the network and for one step
 	// of the engine.
 	shortest       time.Duration
 	shortestTokens int
+	// engines are the deviations of single engines from their estimates.
+	engines engineDeviations
 }
 
 // tokensPerSecond returns the estimate.
@@ -64,8 +71,7 @@
 	if ownTokens < minSpeedTokens {
 		return
 	}
-	overhead := max(s.shortest-s.prefillTime(s.shortestTokens), 0)
-	bound := float64(ownTokens) / max(took-overhead, took/2).Seconds()
+	bound := float64(ownTokens) / max(took-s.overhead(), took/2).Seconds()
 	if len(s.bounds) < maxSpeedSamples {
 		s.bounds = append(s.bounds, bound)
 	} else {
@@ -73,6 +79,7 @@
 		s.next = (s.next + 1) % maxSpeedSamples
 	}
 	sorted := slices.Sorted(slices.Values(s.bounds))
+	defer s.updateReference()
 	if len(s.bounds) < minSpeedSamples {
 		s.rate = max(sorted[len(sorted)-1], assumedPrefillRate)
 		return
@@ -80,6 +87,27 @@
 	s.rate = max(sorted[len(sorted)-speedRank], (1-maxSpeedLoss)*s.rate)
 }
 
+// updateReference lets the reference follow the rate.
+func (s *speedEstimate) updateReference() {
+	if len(s.bounds) < maxSpeedSamples {
+		s.reference = s.rate
+	}
+	s.reference += referenceWeight * (s.rate - s.reference)
+}
+
+// referenceRate returns the reference.
+func (s *speedEstimate) referenceRate() float64 {
+	if s.reference == 0 {
+		return assumedPrefillRate
+	}
+	return s.reference
+}
+
+// overhead returns the time to the first event that is not needed to read tokens.
+func (s *speedEstimate) overhead() time.Duration {
+	return max(s.shortest-s.prefillTime(s.shortestTokens), 0)
+}
+
 // prefillTime returns the time in which an engine processes prompt tokens.
 func (s *speedEstimate) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / s.tokensPerSecond() * float64(time.Second))
--- a/bluebell/bluebellplacement/use.go
+++ b/bluebell/bluebellplacement/use.go
@@ -30,7 +30,7 @@
 		linked := p.links(name) == bluebelllink.Linked
 		t.mu.Lock()
 		for id, s := range t.states {
-			u := s.use(now)
+			u := s.use(now, &t.speed)
 			if !linked {
 				// The failures say nothing about the endpoint.
 				u.Failing = 0
@@ -75,6 +75,7 @@
 		*c.prefilled = true
 		t.slowdown.record(now, c.Expected, now-c.sentAt)
 		t.speed.record(c.ownTokens, now-c.sentAt)
+		s.speed.record(&t.speed, engineSample{at: now, took: now - c.sentAt, own: c.ownTokens, most: c.mostTokens})
 		s.prefillTokens -= c.prefillTokens
 		s.recordFirstEvent(now, now-c.sentAt)
 		s.load.answered()
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -345,7 +345,7 @@
 	for id, u := range g.placer.Uses(g.now()) {
 		list = append(list, bluebellfeed.Use{
 			Endpoint: id, Calls: u.Calls, Tokens: u.Tokens, Unread: u.PrefillTokens, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit, Brittle: u.Brittle,
-			Report: u.Report,
+			Report: u.Report, Speed: u.Speed,
 		})
 	}
 	// Fetches from cache stores are reported in the same way, with the address of the store
@@ -372,7 +372,7 @@
 		fetches[u.Endpoint] = bluebelltier.Load{Tokens: u.Unread, LargeFetches: u.Calls, Overdue: u.Waited}
 		uses[u.Endpoint] = bluebellplacement.EndpointUse{
 			Calls: u.Calls, Tokens: u.Tokens, PrefillTokens: u.Unread, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit, Brittle: u.Brittle,
-			Report: u.Report,
+			Report: u.Report, Speed: u.Speed,
 		}
 	}
 	g.otherFetches.Store(&fetches)
--- a/bluebellsim/bluebelloverload/entry.go
+++ b/bluebellsim/bluebelloverload/entry.go
@@ -87,7 +87,7 @@
 		own := e.reportedUses[id]
 		others[id] = bluebellplacement.EndpointUse{
 			Calls: sum.Calls - own.Calls, Tokens: sum.Tokens - own.Tokens, PrefillTokens: sum.PrefillTokens - own.PrefillTokens,
-			Failing: sum.Failing - own.Failing, AnsweredAt: sum.AnsweredAt,
+			Failing: sum.Failing - own.Failing, AnsweredAt: sum.AnsweredAt, Speed: sum.Speed.Minus(own.Speed),
 		}
 	}
 	e.placer.Update(bluebellplacement.Fleet{
