Share out homes by the speeds of engines

An engine that takes 1.3 times as long was the home of as many prompts as a fast one, and busy longer.

The rendezvous order of homes is weighted, in steps of 15 % of the target's median. The speeds are the means of what all entries report, so entries compute the same; an engine changes its step only if its speed differs by a whole one, and has one only after 150 calls times seconds of reports. While all engines have the same step, the order is that of before. Most weighted scores are not computed, since a hash that is too low shows without its logarithm that the engine is no home. Changes are logged and counted.

--- a/bluebell/bluebellplacement/endpointstate.go
+++ b/bluebell/bluebellplacement/endpointstate.go
@@ -73,6 +73,7 @@
 	prefillTokens int
 	// tokens is the memory that the calls in flight take, in tokens.
 	tokens int
+	speed  engineSpeed
 	// meanFirstEvent is the moving average of the time to the first event.
 	meanFirstEvent time.Duration
 	// failed is the weighted number of failures and total the number of calls; both decay
@@ -117,7 +118,8 @@
 	holders        []string
 	holdersVersion uint64
 	load           reportedLoad
-	speed          engineSpeed
+	// home is kept when the endpoint starts again, so that homes do not move.
+	home homeWeight
 	// othersCalls is the number of calls of the other entries.
 	othersCalls int
 	// pickedAt is when the endpoint was last picked, 0 if never.
--- a/bluebell/bluebellplacement/enginespeed.go
+++ b/bluebell/bluebellplacement/enginespeed.go
@@ -87,8 +87,9 @@
 
 // engineSpeed estimates the speed of one engine relative to the reference of its target.
 type engineSpeed struct {
-	// logRatio is the logarithm of the ratio, ratio its exponential; 0 and 0 before the first estimate.
-	logRatio, ratio float64
+	// ratio is the speed divided by the reference of the target, logRatio its logarithm; 0 and 0 before
+	// the first estimate.
+	ratio, logRatio float64
 	samples         []engineSample // a ring
 	next            int
 	// sharedAt is when the estimates of others were last applied.
@@ -208,10 +209,17 @@
 	return NewSpeed(target.referenceRate()*math.Exp(e.logRatio+deviation), calls)
 }
 
-// learn applies the estimates of other entries.
-func (e *engineSpeed) learn(target *speedEstimate, now time.Duration, others Speed) {
-	since := min(now-e.sharedAt, time.Second)
-	e.sharedAt = now
+// learnSpeed learns from the speeds that the other entries report, which are added to the own one for the
+// weights of homes.
+func (s *endpointState) learnSpeed(target *speedEstimate, now time.Duration, others Speed) {
+	since := min(max(now-s.speed.sharedAt, 0), time.Second)
+	s.speed.sharedAt = now
+	s.home.learn(others.Add(s.use(now, target).Speed), since)
+	s.speed.learn(target, since, others)
+}
+
+// learn applies the estimates of other entries, which have reported them for a time.
+func (e *engineSpeed) learn(target *speedEstimate, since time.Duration, others Speed) {
 	if others.Calls == 0 || others.Total <= 0 || target.rate == 0 {
 		return
 	}
--- a/bluebell/bluebellplacement/enginespeed_test.go
+++ b/bluebell/bluebellplacement/enginespeed_test.go
@@ -25,9 +25,17 @@
 	silent int
 }
 
-// expected returns for each engine the mean over the entries of the expected time to read 20,000 tokens
-// when idle, divided by the true one.
-func (d engineDay) expected(t *testing.T, seed uint64) [][]float64 {
+// speedOf returns the speed of an engine, in tokens a second.
+func (d engineDay) speedOf(t *testing.T, id string) float64 {
+	t.Helper()
+	var i int
+	_, err := fmt.Sscanf(id, "i-%d", &i)
+	require.NoError(t, err)
+	return d.speeds[i%len(d.speeds)]
+}
+
+// run returns the entries after the given number of minutes.
+func (d engineDay) run(t *testing.T, seed uint64, minutes int) []*bluebellplacement.Placer {
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	f := fleet(d.engines)
@@ -49,13 +57,7 @@
 		silent = append(silent, fmt.Sprint("i-", i))
 	}
 	freeAt := map[string]time.Duration{}
-	speedOf := func(id string) float64 {
-		var i int
-		_, err := fmt.Sscanf(id, "i-%d", &i)
-		require.NoError(t, err)
-		return d.speeds[i%len(d.speeds)]
-	}
-	for now := second; now < 61*second; now += 5 * time.Millisecond {
+	for now := second; now < time.Duration(60*minutes+1)*second; now += 5 * time.Millisecond {
 		replies = slices.DeleteFunc(replies, func(r reply) bool {
 			if r.at <= now {
 				r.entry.FirstEvent(r.choice, r.at)
@@ -87,21 +89,31 @@
 				read += rng.IntN(20_000)
 			}
 		}
-		freeAt[id] = start + time.Duration(float64(read)/speedOf(id)*float64(time.Second))
+		freeAt[id] = start + time.Duration(float64(read)/d.speedOf(t, id)*float64(time.Second))
 		replies = append(replies, reply{freeAt[id] + 8*time.Millisecond, entry, choice})
 	}
 	for _, r := range replies {
 		r.entry.FirstEvent(r.choice, r.at)
 		r.entry.Done(r.choice, r.at, bluebellplacement.Answered)
 	}
+	for _, p := range placers {
+		p.Update(f)
+	}
+	return placers
+}
+
+// expected returns for each engine and entry the expected time to read 20,000 tokens when idle after a
+// minute, divided by the true one.
+func (d engineDay) expected(t *testing.T, seed uint64) [][]float64 {
+	t.Helper()
+	placers := d.run(t, seed, 1)
 	ratios := make([][]float64, d.engines)
 	for i := range ratios {
 		id := fmt.Sprint("i-", i)
 		for _, p := range placers {
-			p.Update(f)
 			choice, result := p.Pick(70*second, bluebellplacement.Request{Target: "llm", Model: "m0", OwnTokens: 20_000, Only: []string{id}})
 			require.Equal(t, bluebellplacement.Picked, result)
-			ratios[i] = append(ratios[i], choice.Expected.Seconds()*speedOf(id)/20_000)
+			ratios[i] = append(ratios[i], choice.Expected.Seconds()*d.speedOf(t, id)/20_000)
 		}
 	}
 	return ratios
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -40,6 +40,9 @@
 	// HealthChanged, if not nil, is called for each change of the health estimate of an
 	// endpoint or failure domain that affects the choice of endpoints.
 	HealthChanged func(HealthChange)
+	// HomeWeightChanged, if not nil, is called when an engine's weight in the order of homes changes, with
+	// its speed in tokens a second by the reports of all entries.
+	HomeWeightChanged func(endpoint string, weight, tokensPerSecond float64)
 }
 
 // HealthChange is a change of the health estimate of an endpoint or failure domain, with
@@ -171,6 +174,7 @@
 	for _, t := range p.targets {
 		t.removeAbsent()
 		t.updateRatios()
+		t.updateHomeWeights(p.cfg.HomeWeightChanged)
 	}
 }
 
@@ -197,7 +201,7 @@
 	}
 	f := &p.fleet
 	s.learnLimits(f.At, e.StartUnixMillis, f.UseByOthers[e.ID])
-	s.speed.learn(&t.speed, f.At, f.UseByOthers[e.ID].Speed)
+	s.learnSpeed(&t.speed, f.At, f.UseByOthers[e.ID].Speed)
 	t.reportsLoad = t.reportsLoad || s.load.made
 	return member{
 		endpoint: e, state: s, hash: s.hash, others: f.UseByOthers[e.ID], near: e.FailureDomain == p.cfg.FailureDomain,
--- a/bluebell/bluebellplacement/home.go
+++ b/bluebell/bluebellplacement/home.go
@@ -12,8 +12,8 @@
 // markHomes marks the candidates that come first in rendezvous order of the last shared
 // block as the home and alternate homes, and returns the home. It skips suspect candidates
 // unless all are suspect, so that all entries send the prompts of unreachable endpoints to
-// the same other ones.
-func markHomes(candidates []candidate, sharedBlock string) *candidate {
+// the same other ones. heaviest is the highest weight of an engine, 0 if all weights are 1.
+func markHomes(candidates []candidate, sharedBlock string, heaviest float64) *candidate {
 	if sharedBlock == "" {
 		return nil
 	}
@@ -21,11 +21,18 @@
 	block := xxhash.Sum64String(sharedBlock)
 	var first [1 + alternateHomes]*candidate
 	var scores [1 + alternateHomes]uint64
+	least := uint64(0) // the least hash that matters
 	for i := range candidates {
 		if candidates[i].suspect && !allSuspect {
 			continue
 		}
 		c, score := &candidates[i], mixHashes(block, candidates[i].hash)
+		if heaviest > 0 {
+			if score < least {
+				continue
+			}
+			score = weightedScore(score, c.weight)
+		}
 		for at := range first {
 			if first[at] == nil || score > scores[at] {
 				first[at], c = c, first[at]
@@ -35,6 +42,9 @@
 				break
 			}
 		}
+		if heaviest > 0 && first[alternateHomes] != nil {
+			least = leastHash(scores[alternateHomes], heaviest)
+		}
 	}
 	for at, c := range first {
 		if c != nil {
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -207,9 +207,11 @@
 	speed    speedEstimate
 	// usualRatio is the speed of engines that are not known, divided by the
 	// reference of speed; 0 if there are too few others. ratios is the
-	// memory for its computation.
+	// memory for this and for the median of the weights.
 	usualRatio float64
-	ratios     []float64
+	// heaviest is the highest weight of a member in the rendezvous order, 0 if all are 1.
+	heaviest float64
+	ratios   []float64
 	// runTime is the moving average of the time that answered calls spend at their endpoint.
 	runTime time.Duration
 	// handOvers counts the results of holders.
@@ -225,8 +227,9 @@
 	endpoint *bluebellfleet.Endpoint
 	state    *endpointState
 	// hash is the hash of the ID, for the rendezvous order.
-	hash   uint64
-	others EndpointUse
+	hash uint64
+	// weight is the weight in that order, if targetState.heaviest is not 0.
+	weight float64
 	// open is set if the endpoint serves, its failure domain is not out, and it is not about
 	// to load weights.
 	open bool
@@ -234,6 +237,8 @@
 	near bool
 	// silentSince is the time of the last registration if these have stopped, 0 otherwise.
 	silentSince time.Duration
+	// others is last, since a choice needs its first fields only, and memory beyond them costs time.
+	others EndpointUse
 }
 
 // promptUse is the endpoint to which a prompt was sent, and the time.
@@ -330,7 +335,7 @@
 		}
 		return Choice{}, AllUnfit
 	}
-	home := homeOf(markHomes(candidates, r.SharedBlock))
+	home := homeOf(markHomes(candidates, r.SharedBlock, t.heaviest))
 	summary := p.rate(now, t, candidates, r)
 	homesOnly := r.HomesOnly && summary.usableHomes > 0
 	fits := candidates
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -143,7 +144,7 @@
 		Self: g.address, FailureDomain: s.FailureDomain, CallerPort: callerPort, StaleAfter: registrationStaleAfter, SilentAfter: bluebellfeed.SilentAfter,
 		OldWeightsGrace: milliseconds(bounds.GetWeightsMillis()) - weightsMargin,
 		ColdFactor:      bounds.GetColdFactor(), ColdSlack: bounds.GetColdSlack(),
-		HealthChanged: g.logSuspicion, Links: g.links.State,
+		HealthChanged: g.logSuspicion, HomeWeightChanged: g.logHomeWeight, Links: g.links.State,
 	})
 	g.cachePlanner = bluebelltier.New(bluebelltier.Config{
 		Stores:    func() []bluebelldeployment.Store { return g.routing.Load().Deployment.Stores() },
@@ -339,6 +340,12 @@
 		"HeardAgo", change.RegistrationAge.Round(time.Millisecond), "AnsweredAgo", change.LastAnswerAge.Round(time.Millisecond))
 }
 
+// logHomeWeight logs that an engine is to be the home of more or fewer prompts than before.
+func (g *Gateway) logHomeWeight(endpoint string, weight, tokensPerSecond float64) {
+	g.metrics.Scope.Counter("home_weight_changes").Inc(1)
+	g.cfg.Logger.Info("home weight changed", "Endpoint", endpoint, "Weight", math.Round(100*weight)/100, "TokensPerSecond", math.Round(tokensPerSecond))
+}
+
 // endpointUses returns what this entry has in flight, for the other entries.
 func (g *Gateway) endpointUses() []bluebellfeed.Use {
 	var list []bluebellfeed.Use
