--- a/bluebell/bluebellplacement/loadreport_test.go
+++ b/bluebell/bluebellplacement/loadreport_test.go
@@ -141,8 +141,8 @@
 	}
 }
 
-// An endpoint that always reports to be idle gets no more calls than an idle one that reports the truth,
-// and one that reports absurd numbers of calls harms nobody.
+// An endpoint that always reports to be idle gets no more calls than one that reports the truth, whether it
+// is idle or not.
 func TestLyingEndpointGainsNothing(t *testing.T) {
 	d := plainDay{work: 60 * time.Millisecond, perSecond: 80, reports: true, idle: true}
 	honest := d.run(t)
@@ -158,6 +158,18 @@
 		t.Logf("%+v: honest %+v, lying %+v", lie, honest, lying)
 		require.Less(t, float64(lying.calls[1]), 1.1*float64(honest.calls[1]))
 	}
+	// The first endpoint has other load.
+	d = plainDay{work: 60 * time.Millisecond, perSecond: 80, reports: true}
+	honest = d.run(t)
+	d.alter = func(endpoint int, r bluebellplacement.LoadReport) bluebellplacement.LoadReport {
+		if endpoint == 0 {
+			r.Running, r.Waiting = 0, 0
+		}
+		return r
+	}
+	lying := d.run(t)
+	t.Logf("with other load: honest %+v, lying %+v", honest, lying)
+	require.Less(t, lying.calls[0], honest.calls[0])
 }
 
 // reportingPlacer returns a placer of a plain endpoint with 6 slots that has made a report, and of a choice there.
