--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -49,6 +49,9 @@
 	s.use.AnsweredAt = max(s.use.AnsweredAt, u.AnsweredAt)
 	s.use.Limit = s.use.Limit.Later(u.Limit)
 	s.use.Brittle = s.use.Brittle.Later(u.Brittle)
+	s.use.Report = s.use.Report.Later(u.Report)
+	s.use.Speed.Total += int64(sign) * u.Speed.Total
+	s.use.Speed.Calls += sign * u.Speed.Calls
 }
 
 // at returns the sum at the time now.
@@ -63,6 +66,9 @@
 	if now-u.Brittle.At > limitRetention {
 		u.Brittle = bluebellplacement.RateLimit{}
 	}
+	if !u.Report.IsFresh(now) {
+		u.Report = bluebellplacement.LoadReport{}
+	}
 	return u
 }
 
@@ -252,6 +258,8 @@
 			sum.AnsweredAt = max(sum.AnsweredAt, u.AnsweredAt)
 			sum.Limit = sum.Limit.Later(u.Limit)
 			sum.Brittle = sum.Brittle.Later(u.Brittle)
+			sum.Report = sum.Report.Later(u.Report)
+			sum.Speed = sum.Speed.Add(u.Speed)
 		}
 	}
 	l.total = l.encode(uses, now)
@@ -282,6 +290,8 @@
 		priorities = append(priorities, u.UnreadByPriority)
 		limits.add(len(t.Names)-1, u.Limit, now)
 		brittle.add(len(t.Names)-1, u.Brittle, now)
+		addLoadReport(t, len(t.Names)-1, u.Report, now)
+		addSpeed(t, len(t.Names)-1, u.Speed)
 	}
 	encodePriorityColumns(t, priorities)
 	t.LimitRows, t.LimitThousandths, t.LimitMillis = limits.rows, limits.thousandths, limits.millis
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -40,6 +40,9 @@
 	// HealthChanged, if not nil, is called for each change of the health estimate of an
 	// endpoint or failure domain that affects the choice of endpoints.
 	HealthChanged func(HealthChange)
+	// HomeWeightChanged, if not nil, is called when an engine's weight in the order of homes changes, with
+	// its speed in tokens a second by the reports of all entries.
+	HomeWeightChanged func(endpoint string, weight, tokensPerSecond float64)
 }
 
 // HealthChange is a change of the health estimate of an endpoint or failure domain, with
@@ -128,6 +131,10 @@
 	// Limit is the latest that the endpoint has said about its limit, Brittle about the number of
 	// calls that it can turn away in a second.
 	Limit, Brittle RateLimit
+	// Report is the latest load report of the endpoint.
+	Report LoadReport
+	// Speed is the estimated speed of an engine.
+	Speed Speed
 }
 
 // Add returns the sum of the uses by two sets of entries.
@@ -137,6 +144,7 @@
 		Failing: u.Failing + other.Failing, AnsweredAt: max(u.AnsweredAt, other.AnsweredAt),
 		UnreadByPriority: u.UnreadByPriority.Add(other.UnreadByPriority),
 		Limit:            u.Limit.Later(other.Limit), Brittle: u.Brittle.Later(other.Brittle),
+		Report: u.Report.Later(other.Report), Speed: u.Speed.Add(other.Speed),
 	}
 }
 
@@ -172,6 +180,8 @@
 	}
 	for _, t := range p.targets {
 		t.removeAbsent()
+		t.updateRatios()
+		t.updateHomeWeights(p.cfg.HomeWeightChanged)
 	}
 }
 
@@ -198,6 +208,8 @@
 	}
 	f := &p.fleet
 	s.learnLimits(f.At, e.StartUnixMillis, f.UseByOthers[e.ID])
+	s.learnSpeed(&t.speed, f.At, f.UseByOthers[e.ID].Speed)
+	t.reportsLoad = t.reportsLoad || s.load.made
 	return member{
 		endpoint: e, state: s, hash: s.hash, others: f.UseByOthers[e.ID], near: e.FailureDomain == p.cfg.FailureDomain,
 		open:        e.State == bluebellfleet.Serving && !p.callerAddresses[e.Address] && !slices.Contains(f.DomainsOut, e.FailureDomain) && !slices.Contains(f.Loading, e.ID),
--- a/bluebell/bluebellplacement/urgency.go
+++ b/bluebell/bluebellplacement/urgency.go
@@ -101,6 +101,6 @@
 			shortest = rank.Objective
 		}
 	}
-	backlog := t.speed.prefillTime(c.unread + c.prefillTokens)
-	return shortest > 0 && backlog > time.Duration(maxBacklogShare*float64(shortest))
+	backlog := float64(c.unread+c.prefillTokens) / t.engineRate(&c.state.speed) * float64(time.Second)
+	return shortest > 0 && backlog > maxBacklogShare*float64(shortest)
 }
--- a/bluebellsim/bluebelloverload/entry.go
+++ b/bluebellsim/bluebelloverload/entry.go
@@ -88,6 +88,7 @@
 		others[id] = bluebellplacement.EndpointUse{
 			Calls: sum.Calls - own.Calls, Tokens: sum.Tokens - own.Tokens, PrefillTokens: sum.PrefillTokens - own.PrefillTokens,
 			Failing: sum.Failing - own.Failing, AnsweredAt: sum.AnsweredAt, UnreadByPriority: sum.UnreadByPriority.Sub(own.UnreadByPriority),
+			Speed: sum.Speed.Minus(own.Speed),
 		}
 	}
 	e.placer.Update(bluebellplacement.Fleet{
