--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -52,6 +52,9 @@
 	s.use.AnsweredAt = max(s.use.AnsweredAt, u.AnsweredAt)
 	s.use.Limit = s.use.Limit.Later(u.Limit)
 	s.use.Brittle = s.use.Brittle.Later(u.Brittle)
+	s.use.Report = s.use.Report.Later(u.Report)
+	s.use.Speed.Total += int64(sign) * u.Speed.Total
+	s.use.Speed.Calls += sign * u.Speed.Calls
 }
 
 // at returns the sum at the time now.
@@ -66,6 +69,9 @@
 	if now-u.Brittle.At > limitRetention {
 		u.Brittle = bluebellplacement.RateLimit{}
 	}
+	if !u.Report.IsFresh(now) {
+		u.Report = bluebellplacement.LoadReport{}
+	}
 	return u
 }
 
@@ -258,6 +264,8 @@
 			sum.AnsweredAt = max(sum.AnsweredAt, u.AnsweredAt)
 			sum.Limit = sum.Limit.Later(u.Limit)
 			sum.Brittle = sum.Brittle.Later(u.Brittle)
+			sum.Report = sum.Report.Later(u.Report)
+			sum.Speed = sum.Speed.Add(u.Speed)
 		}
 	}
 	l.total = l.encode(uses, now)
@@ -289,6 +297,8 @@
 		priorities = append(priorities, u.UnreadByPriority)
 		limits.add(len(t.Names)-1, u.Limit, now)
 		brittle.add(len(t.Names)-1, u.Brittle, now)
+		addLoadReport(t, len(t.Names)-1, u.Report, now)
+		addSpeed(t, len(t.Names)-1, u.Speed)
 	}
 	encodePriorityColumns(t, priorities)
 	t.LimitRows, t.LimitThousandths, t.LimitMillis = limits.rows, limits.thousandths, limits.millis
