--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -112,6 +112,7 @@
 	// own holds the sums of this process, total those of all processes.
 	own, total         []byte
 	builtAt            time.Duration
+	builds             int
 	ownList, totalList entryList
 	listedAt           time.Duration
 }
@@ -235,7 +236,7 @@
 	for i := range l.sums {
 		uses[i] = l.sums[i].at(now)
 	}
-	l.own = l.encode(uses, now)
+	l.own = l.encode(uses, now, true)
 	peers := l.peers()
 	for _, p := range peers {
 		for _, u := range p.Uses {
@@ -259,7 +260,8 @@
 			sum.Speed = sum.Speed.Add(u.Speed)
 		}
 	}
-	l.total = l.encode(uses, now)
+	l.builds++
+	l.total = l.encode(uses, now, l.builds%speedTables == 0)
 	l.builtAt = now
 	if now-l.listedAt >= listInterval {
 		l.listedAt = now
@@ -268,8 +270,8 @@
 	l.markLost(peers)
 }
 
-// encode encodes the sums that are not 0. l.mu must be held.
-func (l *loads) encode(uses []Use, now time.Duration) []byte {
+// encode encodes the sums that are not 0, with or without the speeds. l.mu must be held.
+func (l *loads) encode(uses []Use, now time.Duration, speeds bool) []byte {
 	t := &pb.UseTable{}
 	var limits, brittle limitColumns
 	for i, u := range uses {
@@ -286,7 +288,9 @@
 		limits.add(len(t.Names)-1, u.Limit, now)
 		brittle.add(len(t.Names)-1, u.Brittle, now)
 		addLoadReport(t, len(t.Names)-1, u.Report, now)
-		addSpeed(t, len(t.Names)-1, u.Speed)
+		if speeds {
+			addSpeed(t, len(t.Names)-1, u.Speed)
+		}
 	}
 	t.LimitRows, t.LimitThousandths, t.LimitMillis = limits.rows, limits.thousandths, limits.millis
 	t.BrittleRows, t.BrittleThousandths, t.BrittleMillis = brittle.rows, brittle.thousandths, brittle.millis
--- a/bluebell/bluebellfeed/speed.go
+++ b/bluebell/bluebellfeed/speed.go
@@ -14,6 +14,10 @@
 // entries do not overflow.
 const maxSpeedCalls = 1 << 16
 
+// speedTables is the number of tables for entries of which one contains the speeds. These change slowly,
+// and would be a quarter of what an entry receives.
+const speedTables = 5
+
 // encodeSpeed returns the mean rate in tokens a second, and the number of calls.
 func encodeSpeed(s bluebellplacement.Speed) (rate, calls uint32) {
 	if s.Calls <= 0 {
--- a/bluebell/bluebellplacement/enginespeed.go
+++ b/bluebell/bluebellplacement/enginespeed.go
@@ -22,7 +22,7 @@
 	engineSampleRetention = 2 * time.Minute
 	// maxFaster and maxSlower bound the deviation of one call from the estimate, as a logarithm.
 	maxFaster = 0.35
-	maxSlower = 0.09
+	maxSlower = 0.07
 	// minLogRatio and maxLogRatio bound the logarithm of an engine's speed divided by the
 	// reference.
 	minLogRatio = -1.6
@@ -33,6 +33,9 @@
 	// the estimate has followed these by two thirds. It is about 5 s for an engine with two suitable
 	// calls a second over all entries, each of which is reported for a second.
 	othersCorrection = 10 * time.Second
+	// aloneAfter is the time without estimates of others after which the own one is taken for that of all
+	// entries.
+	aloneAfter = 3 * time.Second
 	// Answers of all engines are late while stores or links are slow, which says nothing about engines: a
 	// deviation of more than commonSlower in three quarters of the latest commonSamples calls of a target.
 	// A call then corrects its engine by lateCorrection at most; without any correction, engines would keep
@@ -92,8 +95,6 @@
 	ratio, logRatio float64
 	samples         []engineSample // a ring
 	next            int
-	// sharedAt is when the estimates of others were last applied.
-	sharedAt time.Duration
 }
 
 // engineRate returns the number of prompt tokens that an engine processes per second. One that is not
@@ -209,11 +210,27 @@
 	return NewSpeed(target.referenceRate()*math.Exp(e.logRatio+deviation), calls)
 }
 
-// learnSpeed learns from the speeds that the other entries report, which are added to the own one for the
-// weights of homes.
-func (s *endpointState) learnSpeed(target *speedEstimate, now time.Duration, others Speed) {
-	since := min(max(now-s.speed.sharedAt, 0), time.Second)
-	s.speed.sharedAt = now
+// speedsFor returns for how long the speeds in the fleet's sums of other entries count, 0 if these contain
+// none: most are without. p.mu must be held for writing.
+func (p *Placer) speedsFor(f *Fleet) time.Duration {
+	since := max(f.At-p.speedsAt, 0)
+	shared := since >= aloneAfter
+	for _, u := range f.UseByOthers {
+		shared = shared || u.Speed.Calls > 0
+	}
+	if !shared {
+		return 0
+	}
+	p.speedsAt = f.At
+	return min(since, time.Second)
+}
+
+// learnSpeed learns from the speeds that the other entries have reported for a time, which are added to
+// the own one for the weights of homes.
+func (s *endpointState) learnSpeed(target *speedEstimate, now, since time.Duration, others Speed) {
+	if since == 0 {
+		return
+	}
 	s.home.learn(others.Add(s.use(now, target).Speed), since)
 	s.speed.learn(target, since, others)
 }
--- a/bluebell/bluebellplacement/enginespeed_test.go
+++ b/bluebell/bluebellplacement/enginespeed_test.go
@@ -127,7 +127,7 @@
 	return ratios
 }
 
-// exchange gives each entry the sums of the others.
+// exchange gives each entry the sums of the others, once a second with their speeds.
 func (d engineDay) exchange(placers []*bluebellplacement.Placer, f bluebellplacement.Fleet, now time.Duration) {
 	uses, sums := make([]map[string]bluebellplacement.EndpointUse, len(placers)), map[string]bluebellplacement.EndpointUse{}
 	for i, p := range placers {
@@ -144,6 +144,12 @@
 			u.Calls, u.Tokens, u.PrefillTokens, u.Speed = u.Calls-own.Calls, u.Tokens-own.Tokens, u.PrefillTokens-own.PrefillTokens, u.Speed.Minus(own.Speed)
 			next.UseByOthers[id] = u
 		}
+		if now%second != 0 {
+			for id, u := range next.UseByOthers {
+				u.Speed = bluebellplacement.Speed{}
+				next.UseByOthers[id] = u
+			}
+		}
 		p.Update(next)
 	}
 }
--- a/bluebell/bluebellplacement/fleet.go
+++ b/bluebell/bluebellplacement/fleet.go
@@ -151,6 +151,7 @@
 		p.callerAddresses = p.cfg.callerAddresses(f.Entries)
 	}
 	p.fleet = f
+	speedsFor := p.speedsFor(&f)
 	p.updateStatements()
 	for _, t := range p.targets {
 		t.members = t.members[:0]
@@ -166,7 +167,7 @@
 			t = &targetState{states: map[string]*endpointState{}, lastUses: map[string]promptUse{}}
 			p.targets[e.Target] = t
 		}
-		t.members = append(t.members, p.newMember(t, e))
+		t.members = append(t.members, p.newMember(t, e, speedsFor))
 		for model, version := range e.Weights {
 			p.newestVersions[model] = max(p.newestVersions[model], version)
 		}
@@ -190,8 +191,9 @@
 	return addresses
 }
 
-// newMember returns an endpoint of a target with its state, which it creates if there is none.
-func (p *Placer) newMember(t *targetState, e *bluebellfleet.Endpoint) member {
+// newMember returns an endpoint of a target with its state, which it creates if there is none. speedsFor
+// is the time for which the speeds of other entries count.
+func (p *Placer) newMember(t *targetState, e *bluebellfleet.Endpoint, speedsFor time.Duration) member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.states[e.ID]
@@ -201,7 +203,7 @@
 	}
 	f := &p.fleet
 	s.learnLimits(f.At, e.StartUnixMillis, f.UseByOthers[e.ID])
-	s.learnSpeed(&t.speed, f.At, f.UseByOthers[e.ID].Speed)
+	s.learnSpeed(&t.speed, f.At, speedsFor, f.UseByOthers[e.ID].Speed)
 	t.reportsLoad = t.reportsLoad || s.load.made
 	return member{
 		endpoint: e, state: s, hash: s.hash, others: f.UseByOthers[e.ID], near: e.FailureDomain == p.cfg.FailureDomain,
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -264,6 +264,8 @@
 	entriesVersion  uint64
 	callerAddresses map[string]bool
 	statements      map[incarnation]*statement
+	// speedsAt is when the speeds that other entries report were last applied.
+	speedsAt time.Duration
 
 	// domainMu is acquired after the mutex of a targetState.
 	domainMu sync.Mutex
