Queue: small calls first within a rank, without starving large ones

Cause: within a rank, calls waited in order of arrival. A call that could no longer be read within its objective, or that needs ten times the work, took the place of several that could be in time.

Change, for ranked calls only: the turn of a call is its arrival plus twice the time that its prompt takes to read, at most a quarter of its objective; calls that can no longer be read in time come after those that can. A share of 0.6, chosen at random, keeps its turn. Without that share the largest tenth of a kind was served 0.016 of the time and the kind 0.47, at three times the load. Waiters are compared by reference.

--- a/bluebell/bluebellplacement/load.go
+++ b/bluebell/bluebellplacement/load.go
@@ -48,3 +48,16 @@
 	}
 	return r.OwnTokens + int(math.Round(homeMissingShare*float64(r.SharedTokens)))
 }
+
+// PrefillTime returns the time in which an engine is expected to read the call's prompt at its home.
+func (p *Placer) PrefillTime(r Request) time.Duration {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	t := p.targets[r.Target]
+	if t == nil {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.speed.prefillTime(r.PrefillTokens())
+}
--- a/bluebell/bluebellqueue/queue.go
+++ b/bluebell/bluebellqueue/queue.go
@@ -42,6 +42,14 @@
 	// only, the endpoints that should have its blocks cached. On another endpoint its
 	// blocks are fetched or recomputed, and evict others.
 	homesOnlyShare = 0.5
+	// workDelayFactor multiplies the work of a call to get the time by which smaller ones that arrive
+	// later may go before it, maxWorkDelayShare is the largest share of its objective that this may be.
+	workDelayFactor   = 2
+	maxWorkDelayShare = 0.25
+	// ProtectedShare is the share of calls, chosen at random, that keep their turn whatever their work. No
+	// call has a better turn than a protected one, so large calls are served at least that share as often
+	// as small ones.
+	ProtectedShare = 0.6
 )
 
 // Waiter is a call that waits for an endpoint.
@@ -57,6 +65,10 @@
 	// caller cannot be told to retry them, so refusing them has no benefit while there is
 	// time.
 	MayHaveRun bool
+	// Work is the time in which an engine reads the call's prompt. Protected is set for the ProtectedShare
+	// of calls that keep their turn whatever their work. Both affect ranked calls only.
+	Work      time.Duration
+	Protected bool
 	// Urgency is the place of the call among those of a target whose calls are ranked by urgency.
 	Urgency Urgency
 	// Tokens is the memory that the call takes on an engine; 0 for plain services.
@@ -108,7 +120,7 @@
 }
 
 // late reports whether a call can no longer meet its objective.
-func (w Waiter) late(now time.Duration) bool { return now >= w.ObjectiveEnd }
+func (w *Waiter) late(now time.Duration) bool { return now >= w.ObjectiveEnd }
 
 // Order returns the indexes of the waiters in the order in which to try them.
 func Order(waiters []Waiter, now time.Duration) []int {
@@ -116,23 +128,42 @@
 	for i := range order {
 		order[i] = i
 	}
-	slices.SortStableFunc(order, func(i, j int) int { return compare(waiters[i], waiters[j], now) })
+	slices.SortStableFunc(order, func(i, j int) int { return compare(&waiters[i], &waiters[j], now) })
 	return order
 }
 
 // Before reports whether a call is tried before another one.
-func Before(a, b Waiter, now time.Duration) bool { return compare(a, b, now) < 0 }
+func Before(a, b Waiter, now time.Duration) bool { return compare(&a, &b, now) < 0 }
+
+// tooLate reports whether a call can no longer meet its objective, given the work that it needs.
+func (w *Waiter) tooLate(now time.Duration) bool {
+	if w.Urgency != Unranked {
+		now += w.Work
+	}
+	return w.late(now)
+}
+
+// turn returns the time by which calls of a priority are ordered: their arrival, and for ranked ones a
+// delay by the work that they need, since more calls are served if small ones go first. Without the
+// protected calls, the largest tenth of a kind was served a thirtieth as often as the kind at three times
+// the load that could be served.
+func (w *Waiter) turn() time.Duration {
+	if w.Urgency == Unranked || w.Protected {
+		return w.Arrived
+	}
+	return w.Arrived + min(workDelayFactor*w.Work, time.Duration(maxWorkDelayShare*float64(w.Objective)))
+}
 
 // compare orders calls that can meet their objective before late ones, then by priority
-// and arrival.
-func compare(a, b Waiter, now time.Duration) int {
-	if lateA, lateB := a.late(now), b.late(now); lateA != lateB {
+// and turn.
+func compare(a, b *Waiter, now time.Duration) int {
+	if lateA, lateB := a.tooLate(now), b.tooLate(now); lateA != lateB {
 		if lateA {
 			return 1
 		}
 		return -1
 	}
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Arrived, b.Arrived))
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.turn(), b.turn()))
 }
 
 // WaitUntil returns the time until which a call that has just arrived may wait.
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -296,6 +296,9 @@
 		Objective: c.request.Route.Objective, MayHaveRun: c.runs > 0, Tokens: r.Tokens(),
 		Urgency: urgencyOf(cfg.Placer.Ranks(r.Target), c.request.priority()),
 	}
+	if w.Urgency != bluebellqueue.Unranked {
+		w.Work, w.Protected = cfg.Placer.PrefillTime(r), cfg.Random() < bluebellqueue.ProtectedShare
+	}
 	until := bluebellqueue.WaitUntil(w)
 	call := &waitingCall{waiter: w, request: r, unfitUntil: until}
 	if len(r.Tried) > 0 && !w.MayHaveRun {
--- a/bluebellsim/bluebelloverload/entry.go
+++ b/bluebellsim/bluebelloverload/entry.go
@@ -116,6 +116,9 @@
 		Objective: k.Objective.Duration(), MayHaveRun: c.mayHaveRun, Tokens: r.Tokens(),
 		Urgency: e.sim.load.urgency(k.Priority),
 	}}
+	if q.waiter.Urgency != bluebellqueue.Unranked {
+		q.waiter.Work, q.waiter.Protected = e.placer.PrefillTime(r), e.sim.rand.Float64() < bluebellqueue.ProtectedShare
+	}
 	q.waitUntil = bluebellqueue.WaitUntil(q.waiter)
 	if k.SharedTokens >= minHomeWaitTokens && len(c.tried) == 0 {
 		q.homesOnlyUntil = bluebellqueue.HomesOnlyUntil(q.waiter)
