Pressure counts the engines that calls are sent to, with their speeds

Found by review: engines that only other entries have seen fail, and those of an unreachable failure domain, counted as usable, so that with a quarter of them dark the rate was a third too high.

--- a/bluebell/bluebellplacement/load.go
+++ b/bluebell/bluebellplacement/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
@@ -28,15 +29,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var l Load
+	unreachable := p.unreachableDomains(now)
 	for i := range t.members {
 		m := &t.members[i]
-		if said := p.statementOf(m.endpoint); !m.open || m.endpoint.State == bluebellfleet.Draining || said != nil && said.leaving || m.state.suspect(now) {
+		if said := p.statementOf(m.endpoint); !m.open || m.endpoint.State == bluebellfleet.Draining || said != nil && said.leaving || m.state.suspect(now) ||
+			p.suspectedByEntries(now, m) || slices.Contains(unreachable, m.endpoint.FailureDomain) {
 			continue
 		}
 		l.Engines++
+		l.Rate += t.engineRate(&m.state.speed)
 		l.Unread += max(m.state.prefillTokens+m.others.PrefillTokens, 0)
 	}
-	l.Rate = float64(l.Engines) * t.speed.tokensPerSecond()
 	return l
 }
 
