--- a/bluebell/bluebellfeed/loads.go
+++ b/bluebell/bluebellfeed/loads.go
@@ -52,6 +52,9 @@
 	s.use.AnsweredAt = max(s.use.AnsweredAt, u.AnsweredAt)
 	s.use.Limit = s.use.Limit.Later(u.Limit)
 	s.use.Brittle = s.use.Brittle.Later(u.Brittle)
+	s.use.Report = s.use.Report.Later(u.Report)
+	s.use.Speed.Total += int64(sign) * u.Speed.Total
+	s.use.Speed.Calls += sign * u.Speed.Calls
 }
 
 // at returns the sum at the time now.
@@ -66,6 +69,9 @@
 	if now-u.Brittle.At > limitRetention {
 		u.Brittle = bluebellplacement.RateLimit{}
 	}
+	if !u.Report.IsFresh(now) {
+		u.Report = bluebellplacement.LoadReport{}
+	}
 	return u
 }
 
@@ -114,6 +120,7 @@
 	// ownDemands and totalDemands are the same for the demands.
 	ownDemands, totalDemands []*pb.TargetDemand
 	builtAt                  time.Duration
+	builds                   int
 	ownList, totalList       entryList
 	listedAt                 time.Duration
 }
@@ -237,7 +244,7 @@
 	for i := range l.sums {
 		uses[i] = l.sums[i].at(now)
 	}
-	l.own = l.encode(uses, now)
+	l.own = l.encode(uses, now, true)
 	peers := l.peers()
 	for _, p := range peers {
 		for _, u := range p.Uses {
@@ -258,9 +265,12 @@
 			sum.AnsweredAt = max(sum.AnsweredAt, u.AnsweredAt)
 			sum.Limit = sum.Limit.Later(u.Limit)
 			sum.Brittle = sum.Brittle.Later(u.Brittle)
+			sum.Report = sum.Report.Later(u.Report)
+			sum.Speed = sum.Speed.Add(u.Speed)
 		}
 	}
-	l.total = l.encode(uses, now)
+	l.builds++
+	l.total = l.encode(uses, now, l.builds%speedTables == 0)
 	l.buildDemands(peers, now)
 	l.builtAt = now
 	if now-l.listedAt >= listInterval {
@@ -270,8 +280,8 @@
 	l.markLost(peers)
 }
 
-// encode encodes the sums that are not 0. l.mu must be held.
-func (l *loads) encode(uses []Use, now time.Duration) []byte {
+// encode encodes the sums that are not 0, with or without the speeds. l.mu must be held.
+func (l *loads) encode(uses []Use, now time.Duration, speeds bool) []byte {
 	t := &pb.UseTable{}
 	var limits, brittle limitColumns
 	var priorities []bluebellplacement.TokensByPriority
@@ -289,6 +299,10 @@
 		priorities = append(priorities, u.UnreadByPriority)
 		limits.add(len(t.Names)-1, u.Limit, now)
 		brittle.add(len(t.Names)-1, u.Brittle, now)
+		addLoadReport(t, len(t.Names)-1, u.Report, now)
+		if speeds {
+			addSpeed(t, len(t.Names)-1, u.Speed)
+		}
 	}
 	encodePriorityColumns(t, priorities)
 	t.LimitRows, t.LimitThousandths, t.LimitMillis = limits.rows, limits.thousandths, limits.millis
--- a/bluebell/bluebellfeed/use.go
+++ b/bluebell/bluebellfeed/use.go
@@ -37,6 +37,10 @@
 	// Limit is the latest that the endpoint has said about the number of calls a second that it takes,
 	// Brittle about the number that it can turn away.
 	Limit, Brittle bluebellplacement.RateLimit
+	// Report is the latest load report of the endpoint.
+	Report bluebellplacement.LoadReport
+	// Speed is the estimated speed of an engine.
+	Speed bluebellplacement.Speed
 }
 
 // minus returns the use without a part of it. The last answer and limits stay: they are the latest.
@@ -47,6 +51,7 @@
 	u.UnreadByPriority = u.UnreadByPriority.Sub(part.UnreadByPriority)
 	u.Failing = max(u.Failing-part.Failing, 0)
 	u.Waited = max(u.Waited-part.Waited, 0)
+	u.Speed = u.Speed.Minus(part.Speed)
 	return u
 }
 
@@ -67,6 +72,8 @@
 		}
 		m.LimitThousandths, m.LimitMillis = encodeLimit(u.Limit, now)
 		m.BrittleThousandths, m.BrittleMillis = encodeLimit(u.Brittle, now)
+		m.Report = encodeLoadReport(u.Report, now)
+		m.PrefillRate, m.PrefillCalls = encodeSpeed(u.Speed)
 		list = append(list, m)
 	}
 	return list
@@ -83,6 +90,8 @@
 	}
 	u.Limit = decodeLimit(m.LimitThousandths, m.LimitMillis, now)
 	u.Brittle = decodeLimit(m.BrittleThousandths, m.BrittleMillis, now)
+	u.Report = decodeLoadReport(m.Report, now)
+	u.Speed = decodeSpeed(m.PrefillRate, m.PrefillCalls)
 	return u
 }
 
@@ -157,6 +166,12 @@
 	if err := brittle.decode(now, n, func(row int, l bluebellplacement.RateLimit) { uses[row].Brittle = l }); err != nil {
 		return nil, err
 	}
+	if err := decodeLoadReports(&t, uses, now); err != nil {
+		return nil, err
+	}
+	if err := decodeSpeeds(&t, uses); err != nil {
+		return nil, err
+	}
 	return uses, nil
 }
 
--- a/bluebell/bluebellplacement/placer.go
+++ b/bluebell/bluebellplacement/placer.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	"bluebellhaven.org/bluebell/bluebelllink"
 )
@@ -133,7 +135,9 @@
 	ranked   bool
 	// ownTokens is the number of tokens that the engine certainly processes before it
 	// answers, 0 if it processes others first.
-	ownTokens   int
+	ownTokens int
+	// mostTokens is ownTokens with all shared ones that are not fetched.
+	mostTokens  int
 	target      *targetState
 	state       *endpointState
 	sharedBlock string
@@ -207,12 +211,23 @@
 	lastUses map[string]promptUse
 	slowdown slowdown
 	speed    speedEstimate
+	// usualRatio is the speed of engines that are not known, divided by the
+	// reference of speed; 0 if there are too few others. ratios is the
+	// memory for this and for the median of the weights.
+	usualRatio float64
+	// heaviest is the highest weight of a member in the rendezvous order, 0 if all are 1.
+	heaviest float64
+	ratios   []float64
 	// runTime is the moving average of the time that answered calls spend at their endpoint.
 	runTime time.Duration
 	// ranks are those of the target in Fleet.Ranks.
 	ranks []Rank
 	// handOvers counts the results of holders.
 	handOvers int
+	// reportsLoad is set once any of the endpoints has reported its load. spreads counts the variates of
+	// addReportedCalls.
+	reportsLoad bool
+	spreads     uint64
 }
 
 // member is an endpoint of a target with what the choice needs of the fleet.
@@ -220,8 +235,9 @@
 	endpoint *bluebellfleet.Endpoint
 	state    *endpointState
 	// hash is the hash of the ID, for the rendezvous order.
-	hash   uint64
-	others EndpointUse
+	hash uint64
+	// weight is the weight in that order, if targetState.heaviest is not 0.
+	weight float64
 	// open is set if the endpoint serves, its failure domain is not out, and it is not about
 	// to load weights.
 	open bool
@@ -229,6 +245,8 @@
 	near bool
 	// silentSince is the time of the last registration if these have stopped, 0 otherwise.
 	silentSince time.Duration
+	// others is last, since a choice needs its first fields only, and memory beyond them costs time.
+	others EndpointUse
 }
 
 // promptUse is the endpoint to which a prompt was sent, and the time.
@@ -240,6 +258,8 @@
 // Placer picks endpoints for calls. It is safe for concurrent use.
 type Placer struct {
 	cfg Config
+	// selfHash is the hash of Config.Self.
+	selfHash uint64
 
 	mu      sync.RWMutex
 	fleet   Fleet
@@ -252,6 +272,8 @@
 	entriesVersion  uint64
 	callerAddresses map[string]bool
 	statements      map[incarnation]*statement
+	// speedsAt is when the speeds that other entries report were last applied.
+	speedsAt time.Duration
 
 	// domainMu is acquired after the mutex of a targetState.
 	domainMu sync.Mutex
@@ -262,7 +284,7 @@
 func New(cfg Config) *Placer {
 	return &Placer{
 		cfg: cfg, targets: map[string]*targetState{}, domains: map[string]*domainState{}, entriesVersion: 1, statements: map[incarnation]*statement{},
-		callerAddresses: cfg.callerAddresses(nil),
+		callerAddresses: cfg.callerAddresses(nil), selfHash: xxhash.Sum64String(cfg.Self),
 	}
 }
 
@@ -325,7 +347,7 @@
 		}
 		return Choice{}, AllUnfit
 	}
-	home := homeOf(markHomes(candidates, r.SharedBlock))
+	home := homeOf(markHomes(candidates, r.SharedBlock, t.heaviest))
 	summary := p.rate(now, t, candidates, r)
 	homesOnly := r.HomesOnly && summary.usableHomes > 0
 	fits := candidates
@@ -336,7 +358,10 @@
 	}
 	count := summary.count
 	if c := p.firstAllowed(now, fits, summary.allSuspect, r); c != nil {
-		ownTokens := r.OwnTokens
+		ownTokens, mostTokens := r.OwnTokens, r.OwnTokens
+		if r.FetchTime == 0 {
+			mostTokens += r.SharedTokens
+		}
 		if c.readsOthers {
 			ownTokens = 0
 		}
@@ -345,7 +370,7 @@
 			Expected: c.expected, Predicted: t.slowdown.predict(now, c.expected), Typical: t.meanFirstEvent(), RegistrationAge: p.registrationAge(now, c.member), Candidates: count,
 			prefillTokens: c.prefillTokens, tokens: r.Tokens(), sharedBlock: r.SharedBlock, prefilled: new(bool),
 			priority: boundedPriority(r.Priority), ranked: t.ranked(),
-			target: t, state: c.state, ownTokens: ownTokens, returning: c.startReturn(now),
+			target: t, state: c.state, ownTokens: ownTokens, mostTokens: mostTokens, returning: c.startReturn(now),
 		}, Picked
 	}
 	switch {
--- a/bluebell/bluebellplacement/use.go
+++ b/bluebell/bluebellplacement/use.go
@@ -33,7 +33,7 @@
 		linked := p.links(name) == bluebelllink.Linked
 		t.mu.Lock()
 		for id, s := range t.states {
-			u := s.use(now)
+			u := s.use(now, &t.speed)
 			if !linked {
 				// The failures say nothing about the endpoint.
 				u.Failing = 0
@@ -52,6 +52,7 @@
 	c.sentAt = now
 	c.withState(func(t *targetState, s *endpointState) {
 		s.running++
+		s.load.sent(now)
 		s.addUnread(*c, 1)
 		s.tokens += c.tokens
 		if c.sharedBlock == "" {
@@ -77,8 +78,10 @@
 		*c.prefilled = true
 		t.slowdown.record(now, c.Expected, now-c.sentAt)
 		t.speed.record(c.ownTokens, now-c.sentAt)
+		s.speed.record(&t.speed, engineSample{at: now, took: now - c.sentAt, own: c.ownTokens, most: c.mostTokens})
 		s.addUnread(c, -1)
 		s.recordFirstEvent(now, now-c.sentAt)
+		s.load.answered()
 		if c.returning != nil {
 			c.returning.answered(now, c.Endpoint.Slots)
 		}
@@ -91,6 +94,7 @@
 func (p *Placer) Done(c Choice, now time.Duration, o Outcome) {
 	c.withState(func(t *targetState, s *endpointState) {
 		s.running--
+		s.load.ended(c.sentAt)
 		if c.returning != nil {
 			c.returning.ended()
 		}
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -101,8 +102,9 @@
 	routing atomic.Pointer[bluebellfrontend.Routing]
 	// otherFetches holds the fetches of other entries in flight, by cache store.
 	otherFetches atomic.Pointer[map[string]bluebelltier.Load]
-	changed      chan struct{}
-	relay        *bluebellrelay.Relay
+	// loadsReceived gets an element when the loads of other entries have arrived.
+	loadsReceived chan struct{}
+	relay         *bluebellrelay.Relay
 	// usesKnown is set once the uses of the other entries have been known.
 	usesKnown atomic.Bool
 
@@ -119,7 +121,7 @@
 	s := cfg.Settings()
 	g := &Gateway{
 		cfg: cfg, address: bluebellprocess.HostPort(s.Address, s.PeerPort), started: time.Now(),
-		guard: bluebellquarantine.NewGuard(), changed: make(chan struct{}, 1), namedVersions: map[string][]bluebellplacement.NamedVersion{},
+		guard: bluebellquarantine.NewGuard(), loadsReceived: make(chan struct{}, 1), namedVersions: map[string][]bluebellplacement.NamedVersion{},
 		metrics: bluebellmetrics.New(bluebellmetrics.Config{Prefix: "bluebell_gate", Logger: cfg.Logger}),
 	}
 	g.routing.Store(&bluebellfrontend.Routing{})
@@ -138,6 +140,7 @@
 		Demands:      g.demands,
 		LostTargets:  g.links.Lost,
 		Objective:    g.shortestObjective,
+		OnLoads:      g.noteLoads,
 		Suspicions:   func() []bluebellquarantine.Suspect { return g.guard.Report(g.now()) },
 		OnSuspected:  g.guard.SetListed,
 		Poll: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
@@ -154,7 +157,7 @@
 		Self: g.address, FailureDomain: s.FailureDomain, CallerPort: callerPort, StaleAfter: registrationStaleAfter, SilentAfter: bluebellfeed.SilentAfter,
 		OldWeightsGrace: milliseconds(bounds.GetWeightsMillis()) - weightsMargin,
 		ColdFactor:      bounds.GetColdFactor(), ColdSlack: bounds.GetColdSlack(),
-		HealthChanged: g.logSuspicion, Links: g.links.State,
+		HealthChanged: g.logSuspicion, HomeWeightChanged: g.logHomeWeight, Links: g.links.State,
 	})
 	g.cachePlanner = bluebelltier.New(bluebelltier.Config{
 		Stores:    func() []bluebelldeployment.Store { return g.routing.Load().Deployment.Stores() },
@@ -237,7 +240,9 @@
 	})
 	components.Go(func(context.Context) error {
 		defer stopComponents()
-		return g.frontend.Serve(ctx, callers, health)
+		err := g.frontend.Serve(ctx, callers, health)
+		g.flushUsage()
+		return err
 	})
 	err = components.Wait()
 	g.pool.Close()
@@ -306,17 +311,27 @@
 		_, changed := g.registry.LastRoutingChange()
 		g.updatePlacer()
 		g.links.Advance(g.now())
-		// What entries report to each other is used no later than it is received.
-		wait := min(refreshInterval, bluebellfeed.IntervalsFor(g.shortestObjective(), len(g.follower.Entries())).EntryWait)
 		select {
 		case <-changed:
-		case <-time.After(wait):
+		case <-g.loadsReceived:
+		case <-time.After(refreshInterval):
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// noteLoads makes refreshPlacer use loads that have arrived, where they are exchanged more often than it does so anyway.
+func (g *Gateway) noteLoads() {
+	if bluebellfeed.IntervalsFor(g.shortestObjective(), len(g.follower.Entries())).EntryWait >= refreshInterval {
+		return
+	}
+	select {
+	case g.loadsReceived <- struct{}{}:
+	default:
+	}
+}
+
 // updatePlacer passes the current state of the fleet to the placer, and closes idle
 // connections to endpoints that are gone or leave.
 func (g *Gateway) updatePlacer() {
@@ -357,6 +372,12 @@
 		"HeardAgo", change.RegistrationAge.Round(time.Millisecond), "AnsweredAgo", change.LastAnswerAge.Round(time.Millisecond))
 }
 
+// logHomeWeight logs that an engine is to be the home of more or fewer prompts than before.
+func (g *Gateway) logHomeWeight(endpoint string, weight, tokensPerSecond float64) {
+	g.metrics.Scope.Counter("home_weight_changes").Inc(1)
+	g.cfg.Logger.Info("home weight changed", "Endpoint", endpoint, "Weight", math.Round(100*weight)/100, "TokensPerSecond", math.Round(tokensPerSecond))
+}
+
 // endpointUses returns what this entry has in flight, for the other entries.
 func (g *Gateway) endpointUses() []bluebellfeed.Use {
 	var list []bluebellfeed.Use
@@ -364,6 +385,7 @@
 		list = append(list, bluebellfeed.Use{
 			Endpoint: id, Calls: u.Calls, Tokens: u.Tokens, Unread: u.PrefillTokens, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit, Brittle: u.Brittle,
 			UnreadByPriority: u.UnreadByPriority,
+			Report:           u.Report, Speed: u.Speed,
 		})
 	}
 	// Fetches from cache stores are reported in the same way, with the address of the store
@@ -391,6 +413,7 @@
 		uses[u.Endpoint] = bluebellplacement.EndpointUse{
 			Calls: u.Calls, Tokens: u.Tokens, PrefillTokens: u.Unread, Failing: u.Failing, AnsweredAt: u.AnsweredAt, Limit: u.Limit, Brittle: u.Brittle,
 			UnreadByPriority: u.UnreadByPriority,
+			Report:           u.Report, Speed: u.Speed,
 		}
 	}
 	g.otherFetches.Store(&fetches)
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -89,6 +89,10 @@
 	mu         sync.Mutex
 	budgets    map[string]*bluebelllimit.WindowBudget
 	waitQueues map[string]*waitQueue
+	// malformedLoggedAt is when a malformed load report was last logged, malformedUnlogged the number
+	// of those since.
+	malformedLoggedAt time.Duration
+	malformedUnlogged int
 }
 
 // New returns a Relay.
@@ -301,6 +305,9 @@
 		Objective: c.request.Route.Objective, MayHaveRun: c.runs > 0, Tokens: r.Tokens(),
 		Urgency: urgencyOf(cfg.Placer.Ranks(r.Target), c.request.priority()),
 	}
+	if w.Urgency != bluebellqueue.Unranked {
+		w.Work, w.Protected = cfg.Placer.PrefillTime(r), cfg.Random() < bluebellqueue.ProtectedShare
+	}
 	until := bluebellqueue.WaitUntil(w)
 	call := &waitingCall{waiter: w, request: r, unfitUntil: until}
 	if len(r.Tried) > 0 && !w.MayHaveRun {
--- a/bluebellsim/bluebelloverload/entry.go
+++ b/bluebellsim/bluebelloverload/entry.go
@@ -95,6 +95,7 @@
 		others[id] = bluebellplacement.EndpointUse{
 			Calls: sum.Calls - own.Calls, Tokens: sum.Tokens - own.Tokens, PrefillTokens: sum.PrefillTokens - own.PrefillTokens,
 			Failing: sum.Failing - own.Failing, AnsweredAt: sum.AnsweredAt, UnreadByPriority: sum.UnreadByPriority.Sub(own.UnreadByPriority),
+			Speed: sum.Speed.Minus(own.Speed),
 		}
 	}
 	e.placer.Update(bluebellplacement.Fleet{
@@ -116,6 +117,9 @@
 		Objective: k.Objective.Duration(), MayHaveRun: c.mayHaveRun, Tokens: r.Tokens(),
 		Urgency: e.sim.load.urgency(k.Priority),
 	}}
+	if q.waiter.Urgency != bluebellqueue.Unranked {
+		q.waiter.Work, q.waiter.Protected = e.placer.PrefillTime(r), e.sim.rand.Float64() < bluebellqueue.ProtectedShare
+	}
 	q.waitUntil = bluebellqueue.WaitUntil(q.waiter)
 	if k.SharedTokens >= minHomeWaitTokens && len(c.tried) == 0 {
 		q.homesOnlyUntil = bluebellqueue.HomesOnlyUntil(q.waiter)
