--- a/bluebell/bluebellpressure/pressure.go
+++ b/bluebell/bluebellpressure/pressure.go
@@ -134,12 +134,12 @@
 	}
 	draw := random * sum
 	for step := from; step <= to; step++ {
-		if w := weight(step); draw < w {
+		w := weight(step)
+		if draw < w {
 			begin, end := max(time.Duration(step)*ReturnStep, first), min(time.Duration(step+1)*ReturnStep, latest)
 			return begin + time.Duration(draw/w*float64(end-begin))
-		} else {
-			draw -= w
 		}
+		draw -= w
 	}
 	return latest
 }
