--- a/bluebell/bluebellfeed/interval.go
+++ b/bluebell/bluebellfeed/interval.go
@@ -15,8 +15,8 @@
 	fastTableInterval = 8 * time.Millisecond
 	// fastEntries is the number of entries up to which the fast intervals are used as they
 	// are. With more, they grow in proportion, so that the polls of all entries together stay
-	// below 5,000 a second, which is a tenth of the
-	// processors of six core processes.
+	// below 5,000 a second: with six core processes, each needs a twentieth of its processor for
+	// them.
 	fastEntries = 100
 )
 
--- a/bluebell/bluebellplacement/loadreport.go
+++ b/bluebell/bluebellplacement/loadreport.go
@@ -30,8 +30,8 @@
 	// usualWork is the work percentage of an endpoint whose work takes its usual time.
 	usualWork = 100.0
 	// reportSharpness is the power of the share of free slots to which the calls of all entries are
-	// spread over the plain endpoints of a target that reports loads. Of 1, 2 and 3, it gave the shortest
-	// waits in TestLoadReportsKeepCallsFromBusyEndpoints.
+	// spread over the plain endpoints of a target that reports loads. With 1, busy endpoints get too many
+	// calls; with 3, entries with old reports choose the same endpoint.
 	reportSharpness = 2.0
 	// minFreeShare is the share of free slots that a full endpoint counts as.
 	minFreeShare = 0.02
@@ -81,7 +81,8 @@
 	external float64
 }
 
-// record records a report that this entry has got while all entries had a number of calls at the endpoint. It reports whether it is the first one.
+// record records a report that this entry has got while all entries had a number of calls at the endpoint.
+// It reports whether it is the first one.
 func (l *reportedLoad) record(r LoadReport, entries int) (first bool) {
 	first = !l.made
 	if r.At >= l.latest.At {
--- a/bluebell/bluebellplacement/urgency.go
+++ b/bluebell/bluebellplacement/urgency.go
@@ -14,16 +14,16 @@
 	// leastUrgentFill is the share of an engine's memory that running calls may fill for a call of the
 	// lowest rank to be accepted at its home or an alternate home, where the most urgent ones may fill
 	// homeFillShare. The rest of 118,000 tokens holds a large call of 12,000 that other entries have
-	// just sent, and several urgent ones. In the simulated dossiers load, 0.75 gave the urgent calls
-	// nothing more, and a twentieth fewer of the large ones were in time.
+	// just sent, and several urgent ones. A smaller share delays large calls without a benefit for
+	// urgent ones (docs/design/admission.md).
 	leastUrgentFill = 0.85
 	// mostUrgentAwayFill is the same share for the most urgent calls away from their homes, where the
 	// lowest rank may fill awayFillShare. They are small, and reading their blocks again takes little.
 	mostUrgentAwayFill = 0.75
 	// maxBacklogShare is the share of the shortest objective of the more urgent ranks in which an
-	// engine must be able to read a less urgent prompt and those before it. In simulated waves, 0.75 moved
-	// large prompts away from their homes to be read again: with 1, each rank has 1 to 6 % more calls in
-	// their objective. Without a limit, up to a tenth of the urgent ones were late in a constant overload.
+	// engine must be able to read a less urgent prompt and those before it. A smaller share moves large
+	// prompts away from their homes, where they are read again; without a limit, up to a tenth of the
+	// urgent calls were late in a constant overload.
 	maxBacklogShare = 1.0
 )
 
@@ -91,7 +91,8 @@
 
 // delaysUrgent reports whether more urgent calls that arrive at the engine after this one would begin
 // late. An engine starts waiting calls in order of priority, but reads the prompts of those that it has
-// started in the order in which it has, so that all unread tokens are ahead of a later call. An engine without unread tokens takes any call, since a large one would have no place otherwise.
+// started in the order in which it has, so that all unread tokens are ahead of a later call. An engine
+// without unread tokens takes any call, since a large one would have no place otherwise.
 func (c *candidate) delaysUrgent(t *targetState, r Request) bool {
 	// A call without a limit may have run, so refusing it has no benefit.
 	if !c.readsOthers || r.FirstEventBy <= 0 {
