bluebellctl review: findings and differences of a declaration before it is sent

A declaration was checked only when it was sent, all errors stopped it at once, and entries that the system accepts but that cannot work as meant were not reported at all.

bluebellreview reviews a declaration (errors of bluebelldeployment.New, and warnings) and compares it with the one in force; it prints no keys.

Nested prefixes hide no route, since calls use the longest one; only the same host and prefix do, which is an error already. A weight of 0 counts as a use of the target.

--- a/bluebellctl/main.go
+++ b/bluebellctl/main.go
@@ -40,6 +40,7 @@
 	Why        *whyCommand        `arg:"subcommand:why" help:"show why a request went where it did"`
 	Members    *membersCommand    `arg:"subcommand:members" help:"replace the members of the agreed log, one voter at a time"`
 	Quarantine *quarantineCommand `arg:"subcommand:quarantine" help:"list or lift quarantines of a discovered deployment"`
+	Review     *reviewCommand     `arg:"subcommand:review" help:"check the declaration of a discovered deployment, and show what differs from the one in force"`
 	KeyHash    *keyHashCommand    `arg:"subcommand:keyhash" help:"print the hash under which a key is declared"`
 }
 
@@ -125,6 +126,8 @@
 		return args.Members.run()
 	case args.Quarantine != nil:
 		return args.Quarantine.run()
+	case args.Review != nil:
+		return args.Review.run()
 	case args.KeyHash != nil:
 		return args.KeyHash.run()
 	}
