Log the use of the connection and what a refusal names, by attempt

The logs of a call that ran although it was refused did not tell a true refusal from the copy of an earlier one: neither whether the connection had carried the call before, nor whether the answer named the call. Failed attempts now log both, with the status and a number of the connection; answers that were skipped and connections with unread bytes are counted. No decision changes.

--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -171,6 +171,7 @@
 			g.metrics.Scope.Counter("connections_opened").Inc(1)
 			g.links.RecordOpened(g.now(), address)
 		},
+		OnUnread: func(string) { g.metrics.Scope.Counter("connections_unread").Inc(1) },
 	})
 	g.relay = g.newRelay(bounds)
 	g.frontend = bluebellfrontend.New(bluebellfrontend.Config{
--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -59,7 +59,7 @@
 // is complete.
 func (c *activeCall) handleAnswer(ctx context.Context, choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, retryable bool) attemptResult {
 	a := bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header())
-	c.unframed = exchange.Unframed()
+	c.unframed, c.status, c.identified = exchange.Unframed(), exchange.Status(), a.CallID != ""
 	c.recordStatements(choice, exchange, a)
 	refused := a.NotRun && c.helper == "" && refusalApplies(a, exchange)
 	c.endUsage(!refused)
--- a/bluebellgate/internal/bluebellrelay/handover.go
+++ b/bluebellgate/internal/bluebellrelay/handover.go
@@ -212,8 +212,7 @@
 // not run there.
 func (c *activeCall) offerTo(ctx context.Context, helper string) (result attemptResult, taken bool) {
 	cfg := &c.relay.cfg
-	c.begun.Store(false)
-	c.unframed, c.runCounted = false, false
+	c.resetAttempt()
 	start := cfg.Now()
 	timeLeft := c.timeLeft() - handoverMargin
 	retryable := c.request.Route.Repeatable() && c.runs+1 < c.request.Route.Attempts
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -150,6 +150,11 @@
 	unframed bool
 	// allowedAt is when the limits of the endpoints allow the next call, 0 if not known.
 	allowedAt time.Duration
+	// connection is what the connection of the current attempt had carried, and status that of its
+	// answer, 0 without one. identified is set if the answer names the call.
+	connection bluebelltransport.ConnectionUse
+	status     int
+	identified bool
 	// usageRun is the run of the current attempt that is counted once the endpoint has answered, or nil.
 	usageRun *bluebellusage.Run
 	// saturated is set if the latest search found no endpoint for lack of room, and refusal if the call
@@ -387,8 +392,7 @@
 		return resultFinal
 	}
 	c.sends++
-	c.begun.Store(false)
-	c.unframed, c.runCounted = false, false
+	c.resetAttempt()
 	c.tried = append(c.tried, choice.Endpoint.ID)
 	cfg := &c.relay.cfg
 	cfg.Logger.Info("endpoint selected", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Address", choice.Endpoint.Address,
@@ -402,6 +406,7 @@
 	exchange, err := cfg.Client.Do(attemptCtx, bluebelltransport.Request{
 		Address: choice.Endpoint.Address, Method: c.request.Method, URI: c.request.URI, Host: c.request.Host, Body: c.request.Body,
 		Header:         c.requestHeader(choice, timeLeft),
+		CallID:         c.request.Call.ID,
 		MatchResponse:  c.matchResponse,
 		ConnectTimeout: min(connectTimeout(c.request.Route), timeLeft),
 		HeaderDeadline: time.Now().Add(timeout),
@@ -415,6 +420,10 @@
 	}
 	defer exchange.Close()
 	c.received++
+	c.connection = exchange.Connection()
+	if exchange.Skipped() > 0 {
+		cfg.CountEvent("answers_skipped", c.request.Target.Name)
+	}
 	if cfg.Links != nil {
 		cfg.Links.RecordAnswer(cfg.Now(), c.request.Target.Name)
 	}
@@ -424,6 +433,13 @@
 	return c.handleAnswer(ctx, choice, exchange, retryable)
 }
 
+// resetAttempt forgets what is known of the previous attempt.
+func (c *activeCall) resetAttempt() {
+	c.begun.Store(false)
+	c.unframed, c.runCounted = false, false
+	c.connection, c.status, c.identified = bluebelltransport.ConnectionUse{}, 0, false
+}
+
 // maxStreamBytes returns the limit of a stream, 0 if the number of its tokens has no limit.
 func (c *activeCall) maxStreamBytes() int64 {
 	if c.request.Call.MaxOutputTokens <= 0 {
@@ -514,5 +530,6 @@
 	c.cause = err
 	cfg.CountEvent("attempt_"+outcome.String(), c.request.Target.Name)
 	cfg.Logger.Warn("attempt failed", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Helper", c.helper, "Outcome", outcome, "Error", err,
-		"Attempt", c.sends, "Took", (cfg.Now() - c.start).Round(time.Millisecond), "Begun", c.begun.Load(), "Blocks", c.loggedBlocks())
+		"Attempt", c.sends, "Took", (cfg.Now() - c.start).Round(time.Millisecond), "Begun", c.begun.Load(), "Blocks", c.loggedBlocks(),
+		"Status", c.status, "Identified", c.identified, "Connection", c.connection.Number, "EarlierCalls", c.connection.Calls, "Repeated", c.connection.Repeated)
 }
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -34,6 +34,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// CallID is the ID that the response should name, "" if there is none.
+	CallID string
 	// MatchResponse reports whether a response with this status and header belongs to the call.
 	MatchResponse func(status int, h http.Header) bool
 	// ConnectTimeout limits the time to open a new connection.
@@ -71,6 +73,10 @@
 	// complete is set when the response has been read to its end.
 	complete bool
 	closed   bool
+	// usage is the use of the connection before the call, and skipped the number of responses to
+	// other calls before that of the call.
+	usage   ConnectionUse
+	skipped int
 }
 
 // Do sends a call and reads the header of its response. When ctx is done, the connection is
@@ -83,6 +89,7 @@
 	opened.extendDeadline = r.ExtendDeadline
 	x := &Exchange{client: c, conn: opened, written: make(chan struct{}), buffer: c.buffers.open(r.Address, ctx.Done())}
 	x.maxStreamBytes = cmp.Or(r.MaxStreamBytes, defaultMaxStreamBytes)
+	x.usage = opened.use(r.CallID)
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = opened.Close() })
 	if err := x.send(r); err != nil {
 		return nil, err
@@ -96,6 +103,12 @@
 // Reused reports whether the connection carried an earlier call.
 func (x *Exchange) Reused() bool { return x.conn.reused }
 
+// Connection returns the use of the connection before the call.
+func (x *Exchange) Connection() ConnectionUse { return x.usage }
+
+// Skipped returns the number of responses to other calls that came before the response.
+func (x *Exchange) Skipped() int { return x.skipped }
+
 // send writes the call. A body above maxInlineBodyBytes is written while the response is read,
 // since the endpoint may respond before it has read the body.
 func (x *Exchange) send(r Request) error {
@@ -159,7 +172,7 @@
 // of the call's own response.
 func (x *Exchange) readHeader(r Request) error {
 	x.conn.limitHead()
-	for skipped := 0; skipped <= maxSkippedResponses; {
+	for x.skipped <= maxSkippedResponses {
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return framingError(err)
@@ -183,7 +196,7 @@
 			return err
 		}
 		x.conn.limitHead()
-		skipped++
+		x.skipped++
 	}
 	return errors.New("too many responses to other calls on the connection")
 }
@@ -353,6 +366,9 @@
 	x.conn.extendDeadline = nil
 	x.conn.unlimitHead()
 	cancelled := !x.stopCancel()
+	if x.complete && x.conn.reader.Buffered() > 0 {
+		x.client.cfg.OnUnread(x.conn.address)
+	}
 	reusable := !cancelled && x.complete && !x.response.Close && x.conn.reader.Buffered() == 0 &&
 		!x.Unframed() && x.waitWritten()
 	if !reusable || errors.Join(x.conn.SetDeadline(time.Time{}), x.conn.setAckTimeout(defaultAckTimeout)) != nil {
--- a/bluebellgate/internal/bluebelltransport/pool.go
+++ b/bluebellgate/internal/bluebelltransport/pool.go
@@ -8,12 +8,15 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -45,6 +48,9 @@
 	Authenticate func(ctx context.Context, conn net.Conn, address string) error
 	// OnConnect is called after each new connection. It may be nil.
 	OnConnect func(address string)
+	// OnUnread is called when a connection is not reused because bytes have arrived on it that
+	// belong to no call. It may be nil.
+	OnUnread func(address string)
 	// MaxBuffered limits the bytes of all responses that are buffered at once. If 0, it is
 	// 24 MiB.
 	MaxBuffered int64
@@ -56,17 +62,32 @@
 	cfg     Config
 	buffers *buffers
 
+	// opened is the number of connections that were opened.
+	opened atomic.Uint64
+
 	mu sync.Mutex
 	// idle holds the idle connections by address, the last used one last.
 	idle map[string][]*conn
 }
 
+// ConnectionUse is the use of a connection before a call.
+type ConnectionUse struct {
+	// Number identifies the connection within its Client.
+	Number uint64
+	// Calls is the number of earlier calls. Repeated is set if one of them had the ID of the call.
+	Calls    int
+	Repeated bool
+}
+
 // conn is one connection to an endpoint.
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
 	address string
+	number  uint64
 	reused  bool
+	// calls are the hashes of the IDs of all calls.
+	calls []uint64
 	// ackTimeout is how long sent data may now stay unacknowledged.
 	ackTimeout time.Duration
 	// extendDeadline is ExtendDeadline of the current call's Request, or nil.
@@ -90,6 +111,9 @@
 	if cfg.MaxBuffered <= 0 {
 		cfg.MaxBuffered = defaultMaxBuffered
 	}
+	if cfg.OnUnread == nil {
+		cfg.OnUnread = func(string) {}
+	}
 	return &Client{cfg: cfg, buffers: newBuffers(cfg.MaxBuffered), idle: map[string][]*conn{}}
 }
 
@@ -146,6 +170,9 @@
 			idle.reused = true
 			return idle, nil
 		}
+		if idle.hasUnread() {
+			c.cfg.OnUnread(r.Address)
+		}
 		_ = idle.Close()
 	}
 	return c.open(ctx, r.Address, r.ConnectTimeout)
@@ -178,7 +205,7 @@
 	if c.cfg.OnConnect != nil {
 		c.cfg.OnConnect(address)
 	}
-	opened := &conn{Conn: raw, address: address, ackTimeout: defaultAckTimeout, aliveAt: time.Now()}
+	opened := &conn{Conn: raw, address: address, number: c.opened.Add(1), ackTimeout: defaultAckTimeout, aliveAt: time.Now()}
 	opened.reader = bufio.NewReaderSize(opened, readBufferSize)
 	return opened, nil
 }
@@ -274,28 +301,51 @@
 	_ = c.setAckTimeout(ackTimeout)
 }
 
+// use records a call and returns the use of the connection before it.
+func (c *conn) use(callID string) ConnectionUse {
+	hash := xxhash.Sum64String(callID)
+	before := ConnectionUse{Number: c.number, Calls: len(c.calls), Repeated: callID != "" && slices.Contains(c.calls, hash)}
+	c.calls = append(c.calls, hash)
+	return before
+}
+
 // isReusable reports whether an idle connection has neither unread bytes nor been closed by the
 // endpoint.
 func (c *conn) isReusable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
+	n, err := c.peek()
+	return n == 0 && errors.Is(err, syscall.EAGAIN)
+}
+
+// hasUnread reports whether bytes have arrived on an idle connection.
+func (c *conn) hasUnread() bool {
+	n, err := c.peek()
+	return n > 0 && err == nil
+}
+
+// peek returns the number of bytes that can be read from an idle connection, at most 1 of those
+// that are not buffered. The error is EAGAIN if there are none on an open connection.
+func (c *conn) peek() (int, error) {
+	if n := c.reader.Buffered(); n > 0 {
+		return n, nil
 	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, syscall.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	reusable := false
+	n, peekErr := 0, error(nil)
 	err = raw.Read(func(fd uintptr) bool {
 		var peeked [1]byte
-		_, _, recvErr := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		reusable = errors.Is(recvErr, syscall.EAGAIN)
+		n, _, peekErr = syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && reusable
+	if err != nil {
+		return 0, err
+	}
+	return max(n, 0), peekErr
 }
 
 var _ io.Closer = (*conn)(nil)
