--- /dev/null
+++ b/bluebellgate/internal/bluebellfrontend/repeated_test.go
@@ -0,0 +1,105 @@
+package bluebellfrontend_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bluebellhaven.org/bluebell/bluebellfleet"
+	"bluebellhaven.org/bluebell/bluebellplacement"
+	"bluebellhaven.org/bluebellfake/bluebellstub"
+	"bluebellhaven.org/bluebellgate/internal/bluebellhandover"
+	"bluebellhaven.org/platform/bluebellplatform"
+)
+
+// registerOnly makes the given registrations the only ones of an entry.
+func (e *entry) registerOnly(endpoints ...bluebellfleet.Endpoint) {
+	e.placer.Update(bluebellplacement.Fleet{Entries: []string{"e1"}, Endpoints: endpoints})
+}
+
+// restarted returns the registration of the next start of an endpoint, which has another ID and the
+// same address.
+func restarted(e bluebellfleet.Endpoint) bluebellfleet.Endpoint {
+	e.ID, e.StartUnixMillis = e.ID+"-restarted", e.StartUnixMillis+1
+	return e
+}
+
+// An endpoint that restarts under another ID refuses a call for the old one, and the call is sent to it
+// again under the new ID. A copy of the refusal, which names the call, must not be taken for the answer
+// while the endpoint runs it.
+func TestCopyOfRefusalIsNotTakenForAnswerToRepeatedCall(t *testing.T) {
+	for name, refusal := range map[string]func(id string) string{
+		"Misdirected": func(id string) string {
+			return rawText(http.StatusMisdirectedRequest, bluebellplatform.AnswerHeader(id, ""), "")
+		},
+		"Full": func(id string) string {
+			return rawText(http.StatusServiceUnavailable, bluebellplatform.NotRunHeader(id), "full\n")
+		},
+		"TooMany": func(id string) string {
+			return rawText(http.StatusTooManyRequests, bluebellplatform.NotRunHeader(id), "")
+		},
+	} {
+		for _, path := range []string{"/once/x", "/read/x", "/stream/x", "/stream/again/x"} {
+			for _, elsewhere := range []bool{false, true} {
+				t.Run(name+strings.ReplaceAll(path, "/", "_")+map[bool]string{false: "_Alone", true: "_Elsewhere"}[elsewhere], func(t *testing.T) {
+					t.Parallel()
+					e := startEntry(t, 0)
+					other := startRaw(t, "i-other", func(c rawCall) rawAnswer { return rawAnswer{ran: true, parts: []string{rawSuccess(c)}} })
+					var old bluebellfleet.Endpoint
+					endpoint := startRaw(t, "i-0", func(c rawCall) rawAnswer {
+						switch {
+						case c.Endpoint == old.ID:
+							e.registerOnly(restarted(old))
+							return rawAnswer{parts: []string{refusal(c.CallID)}}
+						case elsewhere:
+							e.registerOnly(restarted(old), other.Endpoint)
+						}
+						if c.earlier == c.CallID {
+							return rawAnswer{ran: true, parts: []string{refusal(c.CallID), rawSuccess(c)}}
+						}
+						return rawAnswer{ran: true, parts: []string{rawSuccess(c)}}
+					})
+					old = endpoint.Endpoint
+					e.registerOnly(old)
+					got := e.do(http.MethodPost, path, "order")
+					requireTrueStatus(t, path, got, []*rawEndpoint{endpoint, other})
+					require.Equal(t, http.StatusOK, got.status, "the endpoint has answered the call")
+					require.Equal(t, 1, ran(got.id, endpoint, other))
+				})
+			}
+		}
+	}
+}
+
+// A call that is handed over may be sent to an endpoint that its origin could not hear. If that one
+// refuses it, the call may be sent there again, and a copy of the refusal must not be taken for the
+// answer.
+func TestCopyOfRefusalIsNotTakenForAnswerToCallHandedOver(t *testing.T) {
+	for _, path := range []string{"/once/x", "/read/x"} {
+		t.Run(strings.ReplaceAll(path, "/", "_"), func(t *testing.T) {
+			t.Parallel()
+			e := startEntry(t, 0)
+			received := 0
+			endpoint := startRaw(t, "i-0", func(c rawCall) rawAnswer {
+				refusal := rawText(http.StatusServiceUnavailable, bluebellplatform.NotRunHeader(c.CallID), "full\n")
+				received++
+				switch {
+				case received == 1:
+					return rawAnswer{parts: []string{refusal}}
+				case c.earlier == c.CallID:
+					return rawAnswer{ran: true, parts: []string{refusal, rawSuccess(c)}}
+				}
+				return rawAnswer{ran: true, parts: []string{rawSuccess(c)}}
+			})
+			e.useRaw(endpoint)
+			result, body := e.offer(t, path, "order", bluebellhandover.Offer{
+				Revision: 1, Target: "app", TimeLeft: callTimeLimit, Tried: []string{"i-0"}, Silent: []string{"i-0"},
+			})
+			require.Equal(t, bluebellhandover.Answered, result.Outcome)
+			require.Equal(t, bluebellstub.AnswerBody("offered"), body)
+			require.Equal(t, 1, ran("offered", endpoint))
+		})
+	}
+}
