Send a repeated call to an endpoint on another connection

Callers saw a call refused as not run that an endpoint ran, or a call run twice.

Cause: the ID of a call was taken to identify an attempt. An endpoint that has restarted under another ID at its address refuses the call for the old one (421), the entry learns the new ID within 100 ms, and the call returns to the address over the connection that has just become idle. The same happens after a 503 of an endpoint that had been left as silent. A copy of the first refusal then names the call that is in flight, and was believed.

Now a connection carries each call ID at most once, so that a response with the ID of the call in flight is that of its only attempt there. Copies of responses to other calls are skipped by their IDs as before. The IDs are kept as hashes for the life of the connection, which ends after 256 calls, so none is forgotten; a false match costs a connection. Closing each connection after a refusal would have worked too, at a connection for each refusal while endpoints are full.

--- a/bluebellgate/internal/bluebelltransport/doc.go
+++ b/bluebellgate/internal/bluebelltransport/doc.go
@@ -6,6 +6,10 @@
 // call. A response that belongs to another call is skipped. A connection is reused only if the
 // call was written in full, its response was read in full and no bytes follow it.
 //
+// An endpoint may write the response to an earlier call once more. Its ID tells it from that of the
+// current call, since a connection never carries two calls with the same ID: a call that is sent to
+// an endpoint again uses another connection.
+//
 // The HTTP client of the standard library is not used because it may resend a call by itself;
 // its response parser is used.
 //
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -34,7 +34,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// CallID is the ID that the response should name, "" if there is none.
+	// CallID is the ID that the response should name, "" if there is none. No connection carries two
+	// calls with the same ID.
 	CallID string
 	// MatchResponse reports whether a response with this status and header belongs to the call.
 	MatchResponse func(status int, h http.Header) bool
@@ -369,7 +370,7 @@
 	if x.complete && x.conn.reader.Buffered() > 0 {
 		x.client.cfg.OnUnread(x.conn.address)
 	}
-	reusable := !cancelled && x.complete && !x.response.Close && x.conn.reader.Buffered() == 0 &&
+	reusable := !cancelled && x.complete && len(x.conn.calls) < maxCallsPerConnection && !x.response.Close && x.conn.reader.Buffered() == 0 &&
 		!x.Unframed() && x.waitWritten()
 	if !reusable || errors.Join(x.conn.SetDeadline(time.Time{}), x.conn.setAckTimeout(defaultAckTimeout)) != nil {
 		_ = x.conn.Close()
--- a/bluebellgate/internal/bluebelltransport/pool.go
+++ b/bluebellgate/internal/bluebelltransport/pool.go
@@ -26,6 +26,8 @@
 	keepAliveInterval = time.Second
 	// maxIdlePerAddress limits the idle connections to one endpoint.
 	maxIdlePerAddress = 32
+	// maxCallsPerConnection bounds the memory for the IDs of the calls of a connection to 2 KiB.
+	maxCallsPerConnection = 256
 	// defaultIdleTimeout is how long a connection is kept idle if the endpoint's response has no
 	// Keep-Alive timeout.
 	defaultIdleTimeout = 8 * time.Second
@@ -74,9 +76,11 @@
 type ConnectionUse struct {
 	// Number identifies the connection within its Client.
 	Number uint64
-	// Calls is the number of earlier calls. Repeated is set if one of them had the ID of the call.
-	Calls    int
-	Repeated bool
+	// Calls is the number of earlier calls.
+	Calls int
+	// PassedOver is the number of idle connections that were not used because they had carried a
+	// call with the same ID.
+	PassedOver int
 }
 
 // conn is one connection to an endpoint.
@@ -86,8 +90,11 @@
 	address string
 	number  uint64
 	reused  bool
-	// calls are the hashes of the IDs of all calls.
+	// calls are the hashes of the IDs of all calls. An endpoint may write a response once more,
+	// which the ID does not tell from the response to a second call with the same ID.
 	calls []uint64
+	// passedOver is ConnectionUse.PassedOver of the current call.
+	passedOver int
 	// ackTimeout is how long sent data may now stay unacknowledged.
 	ackTimeout time.Duration
 	// extendDeadline is ExtendDeadline of the current call's Request, or nil.
@@ -159,15 +166,16 @@
 	return nil
 }
 
-// connect returns an idle connection that can be reused, or a new one.
+// connect returns an idle connection that can be reused and has not carried the call, or a new one.
 func (c *Client) connect(ctx context.Context, r Request) (*conn, error) {
+	passedOver := 0
 	for !r.NewConnection {
-		idle := c.popIdle(r.Address)
-		if idle == nil {
+		var idle *conn
+		if idle, passedOver = c.popIdle(r.Address, r.CallID); idle == nil {
 			break
 		}
 		if time.Now().Before(idle.usableUntil) && idle.isReusable() {
-			idle.reused = true
+			idle.reused, idle.passedOver = true, passedOver
 			return idle, nil
 		}
 		if idle.hasUnread() {
@@ -175,7 +183,12 @@
 		}
 		_ = idle.Close()
 	}
-	return c.open(ctx, r.Address, r.ConnectTimeout)
+	opened, err := c.open(ctx, r.Address, r.ConnectTimeout)
+	if err != nil {
+		return nil, err
+	}
+	opened.passedOver = passedOver
+	return opened, nil
 }
 
 // Open opens a connection without a call and keeps it idle.
@@ -233,18 +246,21 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil. The others stay idle
-// and expire when fewer are needed.
-func (c *Client) popIdle(address string) *conn {
+// popIdle removes and returns the most recently used idle connection that has not carried a call, or
+// nil, and the number of those that have and were used more recently. The others stay idle and expire
+// when fewer are needed.
+func (c *Client) popIdle(address, callID string) (found *conn, passedOver int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, candidate := range slices.Backward(list) {
+		if !candidate.hasCarried(callID) {
+			c.idle[address] = slices.Delete(list, i, i+1)
+			return candidate, passedOver
+		}
+		passedOver++
 	}
-	last := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
-	return last
+	return nil, passedOver
 }
 
 // pushIdle adds a connection to the idle ones, or closes it if there are maxIdlePerAddress already.
@@ -303,12 +319,17 @@
 
 // use records a call and returns the use of the connection before it.
 func (c *conn) use(callID string) ConnectionUse {
-	hash := xxhash.Sum64String(callID)
-	before := ConnectionUse{Number: c.number, Calls: len(c.calls), Repeated: callID != "" && slices.Contains(c.calls, hash)}
-	c.calls = append(c.calls, hash)
+	before := ConnectionUse{Number: c.number, Calls: len(c.calls), PassedOver: c.passedOver}
+	c.calls = append(c.calls, xxhash.Sum64String(callID))
 	return before
 }
 
+// hasCarried reports whether the connection has carried a call with the ID. It may be wrong in rare
+// cases if it has not.
+func (c *conn) hasCarried(callID string) bool {
+	return callID != "" && slices.Contains(c.calls, xxhash.Sum64String(callID))
+}
+
 // isReusable reports whether an idle connection has neither unread bytes nor been closed by the
 // endpoint.
 func (c *conn) isReusable() bool {
--- a/bluebellgate/internal/bluebelltransport/transport_test.go
+++ b/bluebellgate/internal/bluebelltransport/transport_test.go
@@ -126,6 +126,66 @@
 	require.Equal(t, "yours", body)
 }
 
+// A call that is sent again must not use a connection that has carried it, where a copy of the first
+// response has the same ID. Other calls go on using that connection.
+func TestCallIsNotRepeatedOnItsConnection(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		carried := map[string]bool{}
+		for {
+			id, ok := readCall(r)
+			if !ok {
+				return
+			}
+			if carried[id] {
+				writeResponse(conn, id, "copy")
+			}
+			carried[id] = true
+			writeResponse(conn, id, "answer "+id)
+		}
+	})
+	c := bluebelltransport.NewClient(bluebelltransport.Config{})
+	for i, want := range []struct {
+		id                 string
+		opened             int64
+		passedOver, before int
+	}{{"a", 1, 0, 0}, {"a", 2, 1, 0}, {"b", 2, 0, 1}, {"a", 3, 2, 0}, {"b", 3, 0, 1}, {"c", 3, 0, 2}} {
+		r := request(s, want.id, "")
+		r.CallID = want.id
+		x, err := c.Do(context.Background(), r)
+		require.NoError(t, err)
+		body, err := x.ReadAll(1<<20, time.Now().Add(testTimeout))
+		require.NoError(t, err)
+		x.Close()
+		require.Equal(t, "answer "+want.id, string(body), "call %d", i)
+		require.Equal(t, want.opened, s.opened.Load(), "call %d", i)
+		require.Equal(t, want.passedOver, x.Connection().PassedOver, "call %d", i)
+		require.Equal(t, want.before, x.Connection().Calls, "call %d", i)
+	}
+}
+
+// The memory for the IDs of a connection's calls is bounded, and none of them is forgotten while the
+// connection is used.
+func TestConnectionEndsAfterManyCalls(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for id, ok := readCall(r); ok; id, ok = readCall(r) {
+			writeResponse(conn, id, "")
+		}
+	})
+	c := bluebelltransport.NewClient(bluebelltransport.Config{})
+	for i := range 600 {
+		r := request(s, fmt.Sprint(i), "")
+		r.CallID = fmt.Sprint(i)
+		_, err := do(t, c, r)
+		require.NoError(t, err)
+	}
+	require.Equal(t, int64(3), s.opened.Load())
+	r := request(s, "512", "")
+	r.CallID = "512"
+	_, err := do(t, c, r)
+	require.NoError(t, err)
+	require.Equal(t, int64(4), s.opened.Load(), "the first call of the connection must not be forgotten")
+}
+
 // Bytes that arrive on an idle connection belong to no later call, so the connection is not reused.
 func TestConnectionWithStrayBytesIsNotReused(t *testing.T) {
 	stray := make(chan struct{}, 8)
