Take no statements from an answer that may be a copy

Callers could see calls held back by a limit that an endpoint no longer has, or an endpoint that has just started get no calls for as long as it runs.

Cause: an endpoint may write an answer once more on a connection that has carried its call. Where the copy has no ID, the answer was not believed, but the rate limit, the brittleness and the leaving in it were recorded. A copy of an older answer thus set or ended a limit. The leaving ends only with the incarnation, but connections are kept by address: a copy that an endpoint made before it got another ID at its address was recorded for the new one.

Now only an answer that certainly is that to the call states anything: it names the call, or its connection has carried no other one. Pauses and load reports had that condition already.

--- a/bluebellgate/internal/bluebellrelay/answer.go
+++ b/bluebellgate/internal/bluebellrelay/answer.go
@@ -48,9 +48,10 @@
 	return c.request.Route.Work == bluebelldeployment.Stream && (mediaType == eventStreamType || mediaType == "")
 }
 
-// refusalApplies reports whether a refusal can be taken as the answer to this call. A refusal
-// without a call ID on a reused connection may be a copy of the answer to an earlier call.
-func refusalApplies(a bluebellplatform.Answer, exchange *bluebelltransport.Exchange) bool {
+// isIdentified reports whether an answer is certainly that to this call. One without a call ID on a reused
+// connection may be a copy of the answer to an earlier call, perhaps to one for another endpoint that had the
+// address before.
+func isIdentified(a bluebellplatform.Answer, exchange *bluebelltransport.Exchange) bool {
 	return a.CallID != "" || !exchange.Reused()
 }
 
@@ -61,7 +62,7 @@
 	a := bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header())
 	c.unframed, c.status, c.identified = exchange.Unframed(), exchange.Status(), a.CallID != ""
 	c.recordStatements(choice, exchange, a)
-	refused := a.NotRun && c.helper == "" && refusalApplies(a, exchange)
+	refused := a.NotRun && c.helper == "" && isIdentified(a, exchange)
 	c.endUsage(!refused)
 	if refused {
 		return c.handleNotRun(choice, exchange, a)
@@ -71,7 +72,7 @@
 		c.endAttempt(choice, bluebellplacement.InvalidAnswer, errUnidentifiedRefusal)
 		return resultRetry
 	}
-	if a.CallID == "" && exchange.Reused() && c.helper == "" {
+	if c.helper == "" && !isIdentified(a, exchange) {
 		c.endAttempt(choice, bluebellplacement.InvalidAnswer, errUnidentifiedAnswer)
 		return resultRetry
 	}
--- a/bluebellgate/internal/bluebellrelay/statement.go
+++ b/bluebellgate/internal/bluebellrelay/statement.go
@@ -14,14 +14,14 @@
 		c.recordLeavingAtHelper(a.Leaving)
 		return
 	}
+	if !isIdentified(a, exchange) {
+		return
+	}
 	c.recordRateLimit(choice, a.RateLimit)
 	c.recordBrittle(choice, a)
 	c.recordLeaving(choice, a.Leaving)
-	// On a reused connection, a refusal without a call ID may be the one of an earlier call.
-	if a.CallID != "" || !exchange.Reused() {
-		c.recordPause(choice, a.Pause)
-		c.recordLoadReport(choice, a.Load)
-	}
+	c.recordPause(choice, a.Pause)
+	c.recordLoadReport(choice, a.Load)
 }
 
 // recordPause records that an endpoint that turned the call away wants none for a time.
