Take no statements of an endpoint from a misdirected answer

Callers could see the calls of an endpoint held back by a limit or a leaving that another endpoint had stated.

Cause: an answer with status 421 says that its address belongs to another endpoint than the chosen one, or that the chosen one has other weights. What it states was recorded for the chosen endpoint. The answer does not tell the two cases apart, so that nothing in it can be recorded: what an endpoint with other weights states comes with its answers to other calls too.

TestStatementsOfMisdirectedAnswerAreIgnored failed in 5 of 5 cases and passes.

--- a/bluebellgate/internal/bluebellfrontend/statement_test.go
+++ b/bluebellgate/internal/bluebellfrontend/statement_test.go
@@ -81,3 +81,43 @@
 		}
 	}
 }
+
+// An answer by which an endpoint says that the call was meant for another one states nothing about that.
+func TestStatementsOfMisdirectedAnswerAreIgnored(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, said http.Header
+		check        func(t *testing.T, e *entry, endpoint *rawEndpoint)
+	}{
+		"Limit": {said: bluebellplatform.LimitHeader("2"), check: func(t *testing.T, e *entry, endpoint *rawEndpoint) {
+			require.False(t, e.use(endpoint).Limit.Named)
+		}},
+		"NoLimit": {before: bluebellplatform.LimitHeader("1000"), check: func(t *testing.T, e *entry, endpoint *rawEndpoint) {
+			require.True(t, e.use(endpoint).Limit.Named)
+		}},
+		"Brittleness": {said: bluebellplatform.BrittleHeader("5"), check: func(t *testing.T, e *entry, endpoint *rawEndpoint) {
+			require.False(t, e.use(endpoint).Brittle.Named)
+		}},
+		"LoadReport": {said: bluebellplatform.LoadReportHeader("6,20,6"), check: func(t *testing.T, e *entry, endpoint *rawEndpoint) {
+			require.Zero(t, e.use(endpoint).Report.Waiting)
+		}},
+		"Leaving": {said: bluebellplatform.LeavingHeader("1"), check: func(t *testing.T, e *entry, endpoint *rawEndpoint) {
+			require.False(t, e.placer.IsLeaving(endpoint.Endpoint))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEntry(t, 0)
+			var received atomic.Int64
+			endpoint := startRaw(t, "i-0", func(call rawCall) rawAnswer {
+				if received.Add(1) == 1 {
+					return rawAnswer{ran: true, parts: []string{rawText(http.StatusOK, with(sealed(call, ""), c.before), "")}}
+				}
+				return rawAnswer{parts: []string{rawText(http.StatusMisdirectedRequest, with(bluebellplatform.AnswerHeader(call.CallID, "seal"), c.said), "")}}
+			})
+			e.useRaw(endpoint)
+			require.Equal(t, http.StatusOK, e.do(http.MethodPost, "/once/x", "").status)
+			require.Equal(t, http.StatusServiceUnavailable, e.do(http.MethodPost, "/once/x", "").status)
+			require.Equal(t, 2, int(received.Load()))
+			c.check(t, e, endpoint)
+		})
+	}
+}
--- a/bluebellgate/internal/bluebellrelay/statement.go
+++ b/bluebellgate/internal/bluebellrelay/statement.go
@@ -8,13 +8,14 @@
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
-// recordStatements records what an endpoint states of itself in an answer of any kind.
+// recordStatements records what an endpoint states of itself in an answer.
 func (c *activeCall) recordStatements(choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, a bluebellplatform.Answer) {
 	if c.helper != "" {
 		c.recordLeavingAtHelper(a.Leaving)
 		return
 	}
-	if !isIdentified(a, exchange) {
+	// A misdirected answer may come from another endpoint than the chosen one.
+	if a.WrongEndpoint || !isIdentified(a, exchange) {
 		return
 	}
 	c.recordRateLimit(choice, a.RateLimit)
