Do not let the copy of an older answer refute a crash

An endpoint could go on getting calls that crash it: the evidence of a crash was dropped.

Cause: an answer within a second of a lost connection shows that its endpoint goes on, and clears the call that was in flight. An answer without an ID on a connection that had carried a call counted as well, although it may be a copy that the endpoint wrote before the crash. Now only an answer that certainly is that to a call sent after the crash does.

TestCopyWithoutIDDoesNotRefuteCrash failed in 2 of 3 cases, a copied answer and a copied refusal, and passes; the third one is the answer itself, which goes on clearing the call.

--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -427,7 +427,7 @@
 	if cfg.Links != nil {
 		cfg.Links.RecordAnswer(cfg.Now(), c.request.Target.Name)
 	}
-	if !bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header()).WrongEndpoint {
+	if a := bluebellplatform.DecodeAnswer(exchange.Status(), exchange.Header()); !a.WrongEndpoint && isIdentified(a, exchange) {
 		cfg.Guard.RecordAnswer(cfg.Now(), waitStart, incarnation(choice))
 	}
 	return c.handleAnswer(ctx, choice, exchange, retryable)
