Send a call without an ID over a connection of its own

A caller whose call has no ID was told that it may have run (502) although an endpoint had refused it, and callers with an ID got 502 for calls that an endpoint ran and answered.

Cause: an endpoint refuses a call without an ID, and its refusal has none either. On a connection that had carried a call, that refusal was not believed. On a new one it was, and the connection was kept: where the endpoint wrote the refusal once more, it came in the place of the answer to the next call, which failed.

Now the connection of a call without an ID carries no other call, before or after it, so that what arrives on it can only answer that call, and no copy of it reaches another one. This costs a connection for each such call.

--- a/bluebellgate/internal/bluebellfrontend/frontend_test.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend_test.go
@@ -187,14 +187,19 @@
 
 // send sends a call with a new ID and reads its response.
 func (e *entry) send(method, path, body string, header bluebellplatform.Call) call {
-	c := call{id: fmt.Sprintf("call-%d", e.calls.Add(1))}
+	header.ID = fmt.Sprintf("call-%d", e.calls.Add(1))
+	return e.sendWithID(method, path, body, header)
+}
+
+// sendWithID sends a call with the ID in the header, "" for none, and reads its response.
+func (e *entry) sendWithID(method, path, body string, header bluebellplatform.Call) call {
+	c := call{id: header.ID}
 	r, err := http.NewRequest(method, "http://"+e.address+path, strings.NewReader(body))
 	if err != nil {
 		c.err = err
 		return c
 	}
 	r.Host = "h.example"
-	header.ID = c.id
 	if header.TimeLeft == 0 {
 		header.TimeLeft = callTimeLimit
 	}
--- a/bluebellgate/internal/bluebellfrontend/raw_test.go
+++ b/bluebellgate/internal/bluebellfrontend/raw_test.go
@@ -25,6 +25,8 @@
 	path string
 	// earlier is the ID of the first call on the connection, "" if this is the first one.
 	earlier string
+	// unnamed is set if an earlier call on the connection had no ID.
+	unnamed bool
 }
 
 // rawAnswer is what a raw endpoint writes. The parts are written with a pause between them.
@@ -71,7 +73,7 @@
 func (e *rawEndpoint) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	earlier := ""
+	earlier, unnamed := "", false
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -84,10 +86,11 @@
 		if err != nil {
 			return
 		}
-		a := e.answer(rawCall{IncomingCall: in, path: r.URL.Path, earlier: earlier})
+		a := e.answer(rawCall{IncomingCall: in, path: r.URL.Path, earlier: earlier, unnamed: unnamed})
 		if earlier == "" {
 			earlier = in.CallID
 		}
+		unnamed = unnamed || in.CallID == ""
 		if a.ran {
 			e.mu.Lock()
 			e.runs[in.CallID]++
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -413,6 +413,7 @@
 		ExtendDeadline: c.extendDeadline(choice, timeout),
 		AckTimeout:     ackTimeout(timeLeft, retryable),
 		NewConnection:  c.crashed,
+		SingleUse:      c.request.Call.ID == "",
 		MaxStreamBytes: c.maxStreamBytes(),
 	})
 	if err != nil {
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -55,6 +55,9 @@
 	// NewConnection demands a connection that no earlier call has used, which opens only if the
 	// endpoint is alive.
 	NewConnection bool
+	// SingleUse demands a connection that carries no other call, before or after this one. The response
+	// to a call without an ID cannot be told from those to others.
+	SingleUse bool
 }
 
 // Exchange is a call whose response header has been read.
@@ -73,7 +76,9 @@
 	maxStreamBytes int64
 	// complete is set when the response has been read to its end.
 	complete bool
-	closed   bool
+	// singleUse is Request.SingleUse.
+	singleUse bool
+	closed    bool
 	// usage is the use of the connection before the call, and skipped the number of responses to
 	// other calls before that of the call.
 	usage   ConnectionUse
@@ -89,6 +94,7 @@
 	}
 	opened.extendDeadline = r.ExtendDeadline
 	x := &Exchange{client: c, conn: opened, written: make(chan struct{}), buffer: c.buffers.open(r.Address, ctx.Done())}
+	x.singleUse = r.SingleUse
 	x.maxStreamBytes = cmp.Or(r.MaxStreamBytes, defaultMaxStreamBytes)
 	x.usage = opened.use(r.CallID)
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = opened.Close() })
@@ -370,7 +376,7 @@
 	if x.complete && x.conn.reader.Buffered() > 0 {
 		x.client.cfg.OnUnread(x.conn.address)
 	}
-	reusable := !cancelled && x.complete && len(x.conn.calls) < maxCallsPerConnection && !x.response.Close && x.conn.reader.Buffered() == 0 &&
+	reusable := !cancelled && !x.singleUse && x.complete && len(x.conn.calls) < maxCallsPerConnection && !x.response.Close && x.conn.reader.Buffered() == 0 &&
 		!x.Unframed() && x.waitWritten()
 	if !reusable || errors.Join(x.conn.SetDeadline(time.Time{}), x.conn.setAckTimeout(defaultAckTimeout)) != nil {
 		_ = x.conn.Close()
--- a/bluebellgate/internal/bluebelltransport/transport_test.go
+++ b/bluebellgate/internal/bluebelltransport/transport_test.go
@@ -163,6 +163,27 @@
 	}
 }
 
+// The connection of a call with SingleUse has carried no other call and carries none afterwards, and leaves
+// the idle ones to others.
+func TestSingleUseConnectionCarriesOneCall(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		for id, ok := readCall(r); ok; id, ok = readCall(r) {
+			writeResponse(conn, id, "")
+		}
+	})
+	c := bluebelltransport.NewClient(bluebelltransport.Config{})
+	for i, want := range []struct {
+		single bool
+		opened int64
+	}{{false, 1}, {true, 2}, {true, 3}, {false, 3}} {
+		r := request(s, fmt.Sprint(i), "")
+		r.SingleUse = want.single
+		_, err := do(t, c, r)
+		require.NoError(t, err)
+		require.Equal(t, want.opened, s.opened.Load(), "call %d", i)
+	}
+}
+
 // The memory for the IDs of a connection's calls is bounded, and none of them is forgotten while the
 // connection is used.
 func TestConnectionEndsAfterManyCalls(t *testing.T) {
