Test copies of refusals for resumed streams and calls that wait

A stream may be resumed at an endpoint that had refused it, and a call that all endpoints have refused may return to one of them, if that one registers under another ID at its address.

The refusals of TestCopyOfRefusalIsNotTakenForAnswerToRepeatedCall move to a variable, unchanged.

--- a/bluebellgate/internal/bluebellfrontend/repeated_test.go
+++ b/bluebellgate/internal/bluebellfrontend/repeated_test.go
@@ -1,9 +1,12 @@
 package bluebellfrontend_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -26,21 +29,24 @@
 	return e
 }
 
+// refusals are the ways in which an endpoint refuses the call with an ID.
+var refusals = map[string]func(id string) string{
+	"Misdirected": func(id string) string {
+		return rawText(http.StatusMisdirectedRequest, bluebellplatform.AnswerHeader(id, ""), "")
+	},
+	"Full": func(id string) string {
+		return rawText(http.StatusServiceUnavailable, bluebellplatform.NotRunHeader(id), "full\n")
+	},
+	"TooMany": func(id string) string {
+		return rawText(http.StatusTooManyRequests, bluebellplatform.NotRunHeader(id), "")
+	},
+}
+
 // An endpoint that restarts under another ID refuses a call for the old one, and the call is sent to it
 // again under the new ID. A copy of the refusal, which names the call, must not be taken for the answer
 // while the endpoint runs it.
 func TestCopyOfRefusalIsNotTakenForAnswerToRepeatedCall(t *testing.T) {
-	for name, refusal := range map[string]func(id string) string{
-		"Misdirected": func(id string) string {
-			return rawText(http.StatusMisdirectedRequest, bluebellplatform.AnswerHeader(id, ""), "")
-		},
-		"Full": func(id string) string {
-			return rawText(http.StatusServiceUnavailable, bluebellplatform.NotRunHeader(id), "full\n")
-		},
-		"TooMany": func(id string) string {
-			return rawText(http.StatusTooManyRequests, bluebellplatform.NotRunHeader(id), "")
-		},
-	} {
+	for name, refusal := range refusals {
 		for _, path := range []string{"/once/x", "/read/x", "/stream/x", "/stream/again/x"} {
 			for _, elsewhere := range []bool{false, true} {
 				t.Run(name+strings.ReplaceAll(path, "/", "_")+map[bool]string{false: "_Alone", true: "_Elsewhere"}[elsewhere], func(t *testing.T) {
@@ -103,3 +109,76 @@
 		})
 	}
 }
+
+// A stream that breaks off may be resumed at an endpoint that had refused it and has restarted since. A copy of
+// the refusal must not end the stream.
+func TestCopyOfRefusalDoesNotEndResumedStream(t *testing.T) {
+	for name, refusal := range refusals {
+		for broken, end := range map[string]string{"Truncated": "", "NoEvent": "internal error\n"} {
+			t.Run(name+broken, func(t *testing.T) {
+				t.Parallel()
+				e := startEntry(t, 0)
+				var old bluebellfleet.Endpoint
+				var breaking *rawEndpoint
+				endpoint := startRaw(t, "i-0", func(c rawCall) rawAnswer {
+					if c.Endpoint == old.ID {
+						e.registerOnly(old, breaking.Endpoint)
+						return rawAnswer{parts: []string{refusal(c.CallID)}}
+					}
+					resumed := rawText(http.StatusOK, sealed(c, eventStream), numbered(c.CallID, 3, 4, 5))
+					if c.earlier == c.CallID {
+						return rawAnswer{ran: true, parts: []string{refusal(c.CallID), resumed}}
+					}
+					return rawAnswer{ran: true, parts: []string{resumed}}
+				})
+				breaking = startRaw(t, "i-breaking", func(c rawCall) rawAnswer {
+					e.registerOnly(restarted(old), breaking.Endpoint)
+					return rawAnswer{ran: true, parts: []string{chunked(http.StatusOK, sealed(c, eventStream), numbered(c.CallID, 1, 2)+end, false)}, closes: true}
+				})
+				old = endpoint.Endpoint
+				e.registerOnly(old)
+				got := e.do(http.MethodPost, "/stream/again/x", "prompt")
+				require.NoError(t, got.err)
+				require.Equal(t, eventsText(got.id, bluebellstub.StreamEvents), got.body)
+				require.Equal(t, 1, ran(got.id, endpoint))
+				require.Equal(t, 1, ran(got.id, breaking))
+			})
+		}
+	}
+}
+
+// A call that all endpoints have refused waits for a moment, and returns to one that has restarted meanwhile.
+// A copy of its refusal must not be taken for the answer.
+func TestCopyOfRefusalIsNotTakenForAnswerToCallThatWaited(t *testing.T) {
+	for name, refusal := range refusals {
+		for _, path := range []string{"/once/x", "/read/x", "/stream/x", "/stream/again/x"} {
+			t.Run(name+strings.ReplaceAll(path, "/", "_"), func(t *testing.T) {
+				t.Parallel()
+				e := startEntry(t, 0)
+				var endpoints []*rawEndpoint
+				var refused atomic.Int64
+				for i := range 2 {
+					id := fmt.Sprint("i-", i)
+					endpoints = append(endpoints, startRaw(t, id, func(c rawCall) rawAnswer {
+						switch {
+						case c.Endpoint != id && c.earlier == c.CallID:
+							return rawAnswer{ran: true, parts: []string{refusal(c.CallID), rawSuccess(c)}}
+						case c.Endpoint != id:
+							return rawAnswer{ran: true, parts: []string{rawSuccess(c)}}
+						case refused.Add(1) == 2:
+							// Less than the call waits.
+							time.AfterFunc(40*time.Millisecond, func() { e.registerOnly(restarted(endpoints[0].Endpoint), endpoints[1].Endpoint) })
+						}
+						return rawAnswer{parts: []string{refusal(c.CallID)}}
+					}))
+				}
+				e.useRaw(endpoints...)
+				got := e.do(http.MethodPost, path, "order")
+				requireTrueStatus(t, path, got, endpoints)
+				require.Equal(t, int64(2), refused.Load())
+				require.Equal(t, http.StatusOK, got.status, "the endpoint has answered the call")
+				require.Equal(t, 1, ran(got.id, endpoints...))
+			})
+		}
+	}
+}
