Skip as many responses to other calls as a connection may have

Callers got 502 for calls that an endpoint ran and answered, and calls that may run again ran at a second endpoint, if more than three answers to earlier calls came once more before the call's own one.

Cause: an attempt skipped three responses to other calls at most. Such a limit serves callers only against responses without end. But a connection may have carried 255 calls, each of which may have a second answer, and the answer that the caller waits for is behind them.

Now the limit is the number of calls of a connection, and 4 MiB for all skipped responses together, which is what four of the largest ones took before. Beyond that the response is malformed, like others without end: its endpoint is set aside at once, which it was not.

TestResponsesToManyOtherCallsAreSkipped failed in 5 of 5 cases (the last one for the kind of the error) and TestCallBehindManyCopiesIsAnswered in 4 of 4, with 502. Both pass, as do TestEndlessResponseFailsWithinBounds and TestEndlessEventFailsWithinBounds as they were.

--- a/bluebellgate/internal/bluebellfrontend/refusal_test.go
+++ b/bluebellgate/internal/bluebellfrontend/refusal_test.go
@@ -72,6 +72,31 @@
 	}
 }
 
+// A call that an endpoint runs is answered, however many answers to earlier calls are written once more before
+// its own.
+func TestCallBehindManyCopiesIsAnswered(t *testing.T) {
+	for _, path := range []string{"/once/x", "/read/x", "/stream/x", "/stream/again/x"} {
+		t.Run(strings.ReplaceAll(path[1:], "/", "_"), func(t *testing.T) {
+			t.Parallel()
+			e := startEntry(t, 0)
+			endpoint := startRaw(t, "i-0", func(c rawCall) rawAnswer {
+				if c.earlier == "" {
+					return rawAnswer{ran: true, parts: []string{rawSuccess(c)}}
+				}
+				earlier := rawCall{IncomingCall: bluebellplatform.IncomingCall{CallID: c.earlier}, path: c.path}
+				return rawAnswer{ran: true, parts: []string{strings.Repeat(rawSuccess(earlier), 9), rawSuccess(c)}}
+			})
+			e.useRaw(endpoint)
+			for range 3 {
+				got := e.do(http.MethodPost, path, "order")
+				requireTrueStatus(t, path, got, []*rawEndpoint{endpoint})
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, 1, ran(got.id, endpoint))
+			}
+		})
+	}
+}
+
 // requireTrueStatus checks that a call that has run was not refused as not run, that it has run no more
 // often than its route allows, and that a success has the whole answer.
 func requireTrueStatus(t *testing.T, path string, c call, endpoints []*rawEndpoint) {
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// maxSkippedResponses limits the responses to other calls that one call skips.
-	maxSkippedResponses = 3
+	// maxSkippedResponses limits the responses to other calls that one call skips: each call that the
+	// connection has carried may have one.
+	maxSkippedResponses = maxCallsPerConnection
 	// maxInlineBodyBytes is the size up to which a body is written before the response is read.
 	// Together with the header it fits the smallest TCP window.
 	maxInlineBodyBytes = 4 << 10
@@ -179,7 +180,8 @@
 // of the call's own response.
 func (x *Exchange) readHeader(r Request) error {
 	x.conn.limitHead()
-	for x.skipped <= maxSkippedResponses {
+	start := x.conn.consumed()
+	for x.skipped <= maxSkippedResponses && x.conn.consumed()-start <= maxAllSkippedBytes {
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return framingError(err)
@@ -205,7 +207,7 @@
 		x.conn.limitHead()
 		x.skipped++
 	}
-	return errors.New("too many responses to other calls on the connection")
+	return errTooManySkipped
 }
 
 // failUnsent closes the exchange and returns an Error for a call of which the endpoint has
--- a/bluebellgate/internal/bluebelltransport/limit.go
+++ b/bluebellgate/internal/bluebelltransport/limit.go
@@ -23,6 +23,8 @@
 	maxEventBytes = 256 << 10
 	// maxSkippedBytes limits the bytes read and dropped of one response to another call.
 	maxSkippedBytes = 1 << 20
+	// maxAllSkippedBytes limits those of all responses to other calls that one call skips.
+	maxAllSkippedBytes = 4 << 20
 	// defaultMaxStreamBytes limits one stream if Request sets no limit.
 	defaultMaxStreamBytes = 8 << 20
 	// bufferStep is the number of bytes by which a buffered response grows, firstBufferStep
@@ -45,6 +47,7 @@
 	errEventTooLarge    = fmt.Errorf("%w: an event is larger than 256 KiB", ErrMalformed)
 	errStreamTooLarge   = fmt.Errorf("%w: the stream is larger than the limit", ErrMalformed)
 	errSkippedTooLarge  = fmt.Errorf("%w: it answers another call", ErrMalformed)
+	errTooManySkipped   = fmt.Errorf("%w: too many responses to other calls", ErrMalformed)
 	errSiblingMalformed = fmt.Errorf("%w: another one of the endpoint was", ErrMalformed)
 	errNotEvent         = errors.New("stream has a line that belongs to no event")
 	ErrBufferFull       = errors.New("buffered responses exceed the limit of this process")
--- a/bluebellgate/internal/bluebelltransport/transport_test.go
+++ b/bluebellgate/internal/bluebelltransport/transport_test.go
@@ -126,6 +126,35 @@
 	require.Equal(t, "yours", body)
 }
 
+// An endpoint may write the responses to all earlier calls on the connection once more before the one that is
+// due. The call has run and has a response, so it must not fail, unless the others are so large that they may have
+// no end.
+func TestResponsesToManyOtherCallsAreSkipped(t *testing.T) {
+	for _, c := range []struct {
+		copies, bytes int
+		fails         bool
+	}{{copies: 4}, {copies: 9}, {copies: 255, bytes: 4 << 10}, {copies: 6, bytes: 600 << 10}, {copies: 20, bytes: 600 << 10, fails: true}} {
+		t.Run(fmt.Sprint(c.copies, "x", c.bytes), func(t *testing.T) {
+			s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+				id, _ := readCall(r)
+				body := strings.Repeat("x", c.bytes)
+				for range c.copies {
+					writeResponse(conn, "an earlier call", body)
+				}
+				writeResponse(conn, id, "yours")
+				readCall(r)
+			})
+			body, err := do(t, bluebelltransport.NewClient(bluebelltransport.Config{}), request(s, "1", ""))
+			if c.fails {
+				require.ErrorIs(t, err, bluebelltransport.ErrMalformed)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, "yours", body)
+		})
+	}
+}
+
 // A call that is sent again must not use a connection that has carried it, where a copy of the first
 // response has the same ID. Other calls go on using that connection.
 func TestCallIsNotRepeatedOnItsConnection(t *testing.T) {
