Send a HEAD call over a connection of its own

Callers got 502 for a call that an endpoint ran and answered, if a HEAD call shared its connection.

Cause: whether a response has a body depends on the method of its request. A copy of the response to an earlier call was read by the method of the call in flight. The copy of a response to a HEAD, which has a length and no body, took up the beginning of the call's own response, and the body of the copy of another response was read as the header of the response to a HEAD. Now the connection of a HEAD carries no other call.

--- a/bluebellgate/internal/bluebelltransport/doc.go
+++ b/bluebellgate/internal/bluebelltransport/doc.go
@@ -8,7 +8,8 @@
 //
 // An endpoint may write the response to an earlier call once more. Its ID tells it from that of the
 // current call, since a connection never carries two calls with the same ID: a call that is sent to
-// an endpoint again uses another connection. A call without an ID uses one that carries no other call.
+// an endpoint again uses another connection. A call without an ID, and a HEAD, use one that carries
+// no other call.
 //
 // The HTTP client of the standard library is not used because it may resend a call by itself;
 // its response parser is used.
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -61,6 +61,10 @@
 	SingleUse bool
 }
 
+// singleUse reports whether the connection may carry no other call. The end of a response depends on whether
+// its request was a HEAD, which is not known of the response to an earlier call.
+func (r *Request) singleUse() bool { return r.SingleUse || r.Method == http.MethodHead }
+
 // Exchange is a call whose response header has been read.
 type Exchange struct {
 	client     *Client
@@ -77,7 +81,7 @@
 	maxStreamBytes int64
 	// complete is set when the response has been read to its end.
 	complete bool
-	// singleUse is Request.SingleUse.
+	// singleUse is set if the connection may carry no other call.
 	singleUse bool
 	closed    bool
 	// usage is the use of the connection before the call, and skipped the number of responses to
@@ -95,7 +99,7 @@
 	}
 	opened.extendDeadline = r.ExtendDeadline
 	x := &Exchange{client: c, conn: opened, written: make(chan struct{}), buffer: c.buffers.open(r.Address, ctx.Done())}
-	x.singleUse = r.SingleUse
+	x.singleUse = r.singleUse()
 	x.maxStreamBytes = cmp.Or(r.MaxStreamBytes, defaultMaxStreamBytes)
 	x.usage = opened.use(r.CallID)
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = opened.Close() })
--- a/bluebellgate/internal/bluebelltransport/pool.go
+++ b/bluebellgate/internal/bluebelltransport/pool.go
@@ -169,7 +169,7 @@
 // connect returns an idle connection that can be reused and has not carried the call, or a new one.
 func (c *Client) connect(ctx context.Context, r Request) (*conn, error) {
 	passedOver := 0
-	for !r.NewConnection && !r.SingleUse {
+	for !r.NewConnection && !r.singleUse() {
 		var idle *conn
 		if idle, passedOver = c.popIdle(r.Address, r.CallID); idle == nil {
 			break
