--- a/bluebellgate/internal/bluebellrelay/statement.go
+++ b/bluebellgate/internal/bluebellrelay/statement.go
@@ -8,20 +8,21 @@
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
-// recordStatements records what an endpoint states of itself in an answer of any kind.
+// recordStatements records what an endpoint states of itself in an answer.
 func (c *activeCall) recordStatements(choice bluebellplacement.Choice, exchange *bluebelltransport.Exchange, a bluebellplatform.Answer) {
 	if c.helper != "" {
 		c.recordLeavingAtHelper(a.Leaving)
 		return
 	}
+	// A misdirected answer may come from another endpoint than the chosen one.
+	if a.WrongEndpoint || !isIdentified(a, exchange) {
+		return
+	}
 	c.recordRateLimit(choice, a.RateLimit)
 	c.recordBrittle(choice, a)
 	c.recordLeaving(choice, a.Leaving)
-	// On a reused connection, a refusal without a call ID may be the one of an earlier call.
-	if a.CallID != "" || !exchange.Reused() {
-		c.recordPause(choice, a.Pause)
-		c.recordLoadReport(choice, a.Load)
-	}
+	c.recordPause(choice, a.Pause)
+	c.recordLoadReport(choice, a.Load)
 }
 
 // recordPause records that an endpoint that turned the call away wants none for a time.
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// maxSkippedResponses limits the responses to other calls that one call skips.
-	maxSkippedResponses = 3
+	// maxSkippedResponses limits the responses to other calls that one call skips: each call that the
+	// connection has carried may have one.
+	maxSkippedResponses = maxCallsPerConnection
 	// maxInlineBodyBytes is the size up to which a body is written before the response is read.
 	// Together with the header it fits the smallest TCP window.
 	maxInlineBodyBytes = 4 << 10
@@ -55,8 +56,15 @@
 	// NewConnection demands a connection that no earlier call has used, which opens only if the
 	// endpoint is alive.
 	NewConnection bool
+	// SingleUse demands a connection that carries no other call, before or after this one. The response
+	// to a call without an ID cannot be told from those to others.
+	SingleUse bool
 }
 
+// singleUse reports whether the connection may carry no other call. The end of a response depends on whether
+// its request was a HEAD, which is not known of the response to an earlier call.
+func (r *Request) singleUse() bool { return r.SingleUse || r.Method == http.MethodHead }
+
 // Exchange is a call whose response header has been read.
 type Exchange struct {
 	client     *Client
@@ -73,7 +81,9 @@
 	maxStreamBytes int64
 	// complete is set when the response has been read to its end.
 	complete bool
-	closed   bool
+	// singleUse is set if the connection may carry no other call.
+	singleUse bool
+	closed    bool
 	// usage is the use of the connection before the call, and skipped the number of responses to
 	// other calls before that of the call.
 	usage   ConnectionUse
@@ -89,6 +99,7 @@
 	}
 	opened.extendDeadline = r.ExtendDeadline
 	x := &Exchange{client: c, conn: opened, written: make(chan struct{}), buffer: c.buffers.open(r.Address, ctx.Done())}
+	x.singleUse = r.singleUse()
 	x.maxStreamBytes = cmp.Or(r.MaxStreamBytes, defaultMaxStreamBytes)
 	x.usage = opened.use(r.CallID)
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = opened.Close() })
@@ -173,7 +184,8 @@
 // of the call's own response.
 func (x *Exchange) readHeader(r Request) error {
 	x.conn.limitHead()
-	for x.skipped <= maxSkippedResponses {
+	start := x.conn.consumed()
+	for x.skipped <= maxSkippedResponses && x.conn.consumed()-start <= maxAllSkippedBytes {
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return framingError(err)
@@ -199,7 +211,7 @@
 		x.conn.limitHead()
 		x.skipped++
 	}
-	return errors.New("too many responses to other calls on the connection")
+	return errTooManySkipped
 }
 
 // failUnsent closes the exchange and returns an Error for a call of which the endpoint has
@@ -370,7 +382,7 @@
 	if x.complete && x.conn.reader.Buffered() > 0 {
 		x.client.cfg.OnUnread(x.conn.address)
 	}
-	reusable := !cancelled && x.complete && len(x.conn.calls) < maxCallsPerConnection && !x.response.Close && x.conn.reader.Buffered() == 0 &&
+	reusable := !cancelled && !x.singleUse && x.complete && len(x.conn.calls) < maxCallsPerConnection && !x.response.Close && x.conn.reader.Buffered() == 0 &&
 		!x.Unframed() && x.waitWritten()
 	if !reusable || errors.Join(x.conn.SetDeadline(time.Time{}), x.conn.setAckTimeout(defaultAckTimeout)) != nil {
 		_ = x.conn.Close()
