Close the connection that has carried a repeated call

Callers got 502 for a call that never ran, if it returned to an endpoint that accepts no further connection: the entry kept the connection that it passed over and opened one beside it. A caller that used one ID for all its calls held 33 to 35 of the connections that an endpoint accepts from everyone.

Cause: passing a connection over leaves it open. Now it is closed, so that a call that returns replaces a connection and holds no more than before. A connection that was opened without a call counts as new, since no answer can have been written on it.

--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -532,5 +532,5 @@
 	cfg.CountEvent("attempt_"+outcome.String(), c.request.Target.Name)
 	cfg.Logger.Warn("attempt failed", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Helper", c.helper, "Outcome", outcome, "Error", err,
 		"Attempt", c.sends, "Took", (cfg.Now() - c.start).Round(time.Millisecond), "Begun", c.begun.Load(), "Blocks", c.loggedBlocks(),
-		"Status", c.status, "Identified", c.identified, "Connection", c.connection.Number, "EarlierCalls", c.connection.Calls, "PassedOver", c.connection.PassedOver)
+		"Status", c.status, "Identified", c.identified, "Connection", c.connection.Number, "EarlierCalls", c.connection.Calls, "Dropped", c.connection.Dropped)
 }
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -113,7 +113,7 @@
 }
 
 // Reused reports whether the connection carried an earlier call.
-func (x *Exchange) Reused() bool { return x.conn.reused }
+func (x *Exchange) Reused() bool { return x.usage.Calls > 0 }
 
 // Connection returns the use of the connection before the call.
 func (x *Exchange) Connection() ConnectionUse { return x.usage }
--- a/bluebellgate/internal/bluebelltransport/pool.go
+++ b/bluebellgate/internal/bluebelltransport/pool.go
@@ -78,9 +78,9 @@
 	Number uint64
 	// Calls is the number of earlier calls.
 	Calls int
-	// PassedOver is the number of idle connections that were not used because they had carried a
-	// call with the same ID.
-	PassedOver int
+	// Dropped is the number of idle connections that were closed for the call because they had
+	// carried one with the same ID.
+	Dropped int
 }
 
 // conn is one connection to an endpoint.
@@ -93,8 +93,8 @@
 	// calls are the hashes of the IDs of all calls. An endpoint may write a response once more,
 	// which the ID does not tell from the response to a second call with the same ID.
 	calls []uint64
-	// passedOver is ConnectionUse.PassedOver of the current call.
-	passedOver int
+	// dropped is ConnectionUse.Dropped of the current call.
+	dropped int
 	// ackTimeout is how long sent data may now stay unacknowledged.
 	ackTimeout time.Duration
 	// extendDeadline is ExtendDeadline of the current call's Request, or nil.
@@ -166,20 +166,24 @@
 	return nil
 }
 
-// connect returns an idle connection that can be reused and has not carried the call, or a new one.
+// connect returns an idle connection that can be reused and has not carried the call, or a new one. A
+// connection that has carried the call is closed, since the endpoint may accept no further one beside it.
 func (c *Client) connect(ctx context.Context, r Request) (*conn, error) {
-	passedOver := 0
+	dropped := 0
 	for !r.NewConnection && !r.singleUse() {
-		var idle *conn
-		if idle, passedOver = c.popIdle(r.Address, r.CallID); idle == nil {
+		idle := c.popIdle(r.Address)
+		if idle == nil {
 			break
 		}
-		if time.Now().Before(idle.usableUntil) && idle.isReusable() {
-			idle.reused, idle.passedOver = true, passedOver
-			return idle, nil
-		}
-		if idle.hasUnread() {
+		switch {
+		case idle.hasUnread():
 			c.cfg.OnUnread(r.Address)
+		case !time.Now().Before(idle.usableUntil) || !idle.isReusable():
+		case idle.hasCarried(r.CallID):
+			dropped++
+		default:
+			idle.reused, idle.dropped = true, dropped
+			return idle, nil
 		}
 		_ = idle.Close()
 	}
@@ -187,7 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
-	opened.passedOver = passedOver
+	opened.dropped = dropped
 	return opened, nil
 }
 
@@ -246,21 +250,18 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection that has not carried a call, or
-// nil, and the number of those that have and were used more recently. The others stay idle and expire
-// when fewer are needed.
-func (c *Client) popIdle(address, callID string) (found *conn, passedOver int) {
+// popIdle removes and returns the most recently used idle connection, or nil. The others stay idle
+// and expire when fewer are needed.
+func (c *Client) popIdle(address string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
-	for i, candidate := range slices.Backward(list) {
-		if !candidate.hasCarried(callID) {
-			c.idle[address] = slices.Delete(list, i, i+1)
-			return candidate, passedOver
-		}
-		passedOver++
+	if len(list) == 0 {
+		return nil
 	}
-	return nil, passedOver
+	last := list[len(list)-1]
+	c.idle[address] = list[:len(list)-1]
+	return last
 }
 
 // pushIdle adds a connection to the idle ones, or closes it if there are maxIdlePerAddress already.
@@ -319,7 +320,7 @@
 
 // use records a call and returns the use of the connection before it.
 func (c *conn) use(callID string) ConnectionUse {
-	before := ConnectionUse{Number: c.number, Calls: len(c.calls), PassedOver: c.passedOver}
+	before := ConnectionUse{Number: c.number, Calls: len(c.calls), Dropped: c.dropped}
 	c.calls = append(c.calls, xxhash.Sum64String(callID))
 	return before
 }
