Count only calls with an ID towards the end of a connection

Connections between entries were opened and authenticated anew after 256 calls, although calls between entries have no ID and nothing is remembered of them.

--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -382,7 +382,7 @@
 	if x.complete && x.conn.reader.Buffered() > 0 {
 		x.client.cfg.OnUnread(x.conn.address)
 	}
-	reusable := !cancelled && !x.singleUse && x.complete && len(x.conn.calls) < maxCallsPerConnection && !x.response.Close && x.conn.reader.Buffered() == 0 &&
+	reusable := !cancelled && !x.singleUse && x.complete && len(x.conn.callIDs) < maxCallsPerConnection && !x.response.Close && x.conn.reader.Buffered() == 0 &&
 		!x.Unframed() && x.waitWritten()
 	if !reusable || errors.Join(x.conn.SetDeadline(time.Time{}), x.conn.setAckTimeout(defaultAckTimeout)) != nil {
 		_ = x.conn.Close()
--- a/bluebellgate/internal/bluebelltransport/pool.go
+++ b/bluebellgate/internal/bluebelltransport/pool.go
@@ -26,7 +26,8 @@
 	keepAliveInterval = time.Second
 	// maxIdlePerAddress limits the idle connections to one endpoint.
 	maxIdlePerAddress = 32
-	// maxCallsPerConnection bounds the memory for the IDs of the calls of a connection to 2 KiB.
+	// maxCallsPerConnection limits the calls with an ID that a connection carries, and so the memory
+	// for their IDs to 2 KiB.
 	maxCallsPerConnection = 256
 	// defaultIdleTimeout is how long a connection is kept idle if the endpoint's response has no
 	// Keep-Alive timeout.
@@ -90,9 +91,10 @@
 	address string
 	number  uint64
 	reused  bool
-	// calls are the hashes of the IDs of all calls. An endpoint may write a response once more,
-	// which the ID does not tell from the response to a second call with the same ID.
-	calls []uint64
+	// calls is the number of calls, and callIDs the hashes of their IDs. An endpoint may write a
+	// response once more, which the ID does not tell from the response to a second call with it.
+	calls   int
+	callIDs []uint64
 	// dropped is ConnectionUse.Dropped of the current call.
 	dropped int
 	// ackTimeout is how long sent data may now stay unacknowledged.
@@ -320,15 +322,18 @@
 
 // use records a call and returns the use of the connection before it.
 func (c *conn) use(callID string) ConnectionUse {
-	before := ConnectionUse{Number: c.number, Calls: len(c.calls), Dropped: c.dropped}
-	c.calls = append(c.calls, xxhash.Sum64String(callID))
+	before := ConnectionUse{Number: c.number, Calls: c.calls, Dropped: c.dropped}
+	c.calls++
+	if callID != "" {
+		c.callIDs = append(c.callIDs, xxhash.Sum64String(callID))
+	}
 	return before
 }
 
 // hasCarried reports whether the connection has carried a call with the ID. It may be wrong in rare
 // cases if it has not.
 func (c *conn) hasCarried(callID string) bool {
-	return callID != "" && slices.Contains(c.calls, xxhash.Sum64String(callID))
+	return callID != "" && slices.Contains(c.callIDs, xxhash.Sum64String(callID))
 }
 
 // isReusable reports whether an idle connection has neither unread bytes nor been closed by the
