--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -421,10 +421,7 @@
 	}
 	defer exchange.Close()
 	c.received++
-	c.connection = exchange.Connection()
-	if exchange.Skipped() > 0 {
-		cfg.CountEvent("answers_skipped", c.request.Target.Name)
-	}
+	c.recordConnection(choice, exchange.Connection(), exchange.Skipped())
 	if cfg.Links != nil {
 		cfg.Links.RecordAnswer(cfg.Now(), c.request.Target.Name)
 	}
@@ -441,6 +438,20 @@
 	c.connection, c.status, c.identified = bluebelltransport.ConnectionUse{}, 0, false
 }
 
+// recordConnection records the use of the attempt's connection, and the number of answers to other calls
+// that arrived on it. Only unusual use is logged here; a failed attempt logs all of it.
+func (c *activeCall) recordConnection(choice bluebellplacement.Choice, use bluebelltransport.ConnectionUse, skipped int) {
+	cfg := &c.relay.cfg
+	c.connection = use
+	if skipped > 0 {
+		cfg.CountEvent("answers_skipped", c.request.Target.Name)
+	}
+	if skipped > 0 || use.Dropped > 0 {
+		cfg.Logger.Info("unusual connection", "Call", c.request.Call.ID, "Endpoint", choice.Endpoint.ID, "Attempt", c.sends,
+			"Skipped", skipped, "Connection", use.Number, "EarlierCalls", use.Calls, "Dropped", use.Dropped)
+	}
+}
+
 // maxStreamBytes returns the limit of a stream, 0 if the number of its tokens has no limit.
 func (c *activeCall) maxStreamBytes() int64 {
 	if c.request.Call.MaxOutputTokens <= 0 {
@@ -498,6 +509,9 @@
 	case (failure.Timeout || ctx.Err() != nil) && failure.MaybeSent:
 		outcome = bluebellplacement.TimedOut
 	}
+	if c.helper == "" {
+		c.recordConnection(choice, failure.Connection, failure.Skipped)
+	}
 	c.endUsage(failure.MaybeSent)
 	c.endAttempt(choice, outcome, err)
 	if failure.MaybeSent {
--- a/bluebellgate/internal/bluebelltransport/error.go
+++ b/bluebellgate/internal/bluebelltransport/error.go
@@ -37,7 +37,11 @@
 	// AliveAt is when the endpoint was last known to be alive: the connection was opened, or bytes
 	// arrived on it. It is zero if unknown.
 	AliveAt time.Time
-	Err     error
+	// Connection is the use of the connection before the call, and Skipped the number of responses to
+	// other calls that arrived on it. They are zero if none was opened.
+	Connection ConnectionUse
+	Skipped    int
+	Err        error
 }
 
 func (e *Error) Error() string { return fmt.Sprintf("%v: %v", e.Stage, e.Err) }
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -218,7 +218,7 @@
 // certainly received nothing.
 func (x *Exchange) failUnsent(err error) error {
 	x.Close()
-	return &Error{Stage: Sending, Timeout: isTimeout(err), Err: err}
+	return &Error{Stage: Sending, Timeout: isTimeout(err), Connection: x.usage, Err: err}
 }
 
 // fail closes the exchange and returns an Error for a call that the endpoint may have received.
@@ -227,7 +227,7 @@
 		x.buffer.fail()
 	}
 	x.Close()
-	return &Error{Stage: stage, MaybeSent: true, Timeout: isTimeout(err), AliveAt: x.conn.aliveAt, Err: err}
+	return &Error{Stage: stage, MaybeSent: true, Timeout: isTimeout(err), AliveAt: x.conn.aliveAt, Connection: x.usage, Skipped: x.skipped, Err: err}
 }
 
 // Status returns the status code of the response.
