Let refused clients of the control interface read the refusal

Endpoints and operators that sent a bad request saw "connection reset by peer" now and then instead of the refusal, and could not tell a request that is refused for good from a core process that is out of reach.

Cause: a header longer than 4 KiB, a malformed one and a body that is too large are refused before all of the request is read, and the connection was closed at once. Closing with unread bytes, or getting more of them later, resets a connection: a client that is still sending fails to write, and net/http then does not return the response.

Now such a connection is closed as the entry does it: the sending side first, then what arrives is dropped until the client closes, for at most 2 s and 8 MiB. Both use bluebelllistener.Linger. Nothing of it is kept, and a connection that has not sent its header yet may stay for 10 s already. Connections that are closed between requests, or whose request was read to its end, do not linger, so that shutdown does not wait for them.

--- a/bluebell/bluebelllistener/listener.go
+++ b/bluebell/bluebelllistener/listener.go
@@ -1,6 +1,7 @@
 // Package bluebelllistener keeps servers accepting connections. Servers end at errors of accept(2)
 // that concern one connection or a moment, such as a lack of descriptors or buffers, and a process
-// whose server has ended serves nobody until it is restarted.
+// whose server has ended serves nobody until it is restarted. It also closes connections so that an answer sent on them
+// arrives.
 //
 // # Usage
 //
--- a/bluebellcore/internal/bluebellcontrol/control.go
+++ b/bluebellcore/internal/bluebellcontrol/control.go
@@ -49,6 +49,9 @@
 	idleTimeout        = 60 * time.Second
 )
 
+// linger bounds what is read of a request after it was refused.
+var linger = bluebelllistener.Linger{Timeout: 2 * time.Second, MaxBytes: maxDeclarationBytes}
+
 var errBodyTooLarge = errors.New("the body is too large")
 
 // MaxEndpoints limits the endpoints that register. With all of them a reply to a follower takes less
@@ -95,7 +98,7 @@
 	s := &Server{cfg: cfg, stall: stallWatch{now: cfg.Uptime}, bodies: bluebellbody.NewPool(maxHeldBytes)}
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, StreamRequestBody: true, DisablePreParseMultipartForm: true,
-		NoDefaultServerHeader: true, Logger: httpLogger{cfg.Logger}, CloseOnShutdown: true,
+		NoDefaultServerHeader: true, Logger: httpLogger{cfg.Logger}, CloseOnShutdown: true, ErrorHandler: refuseHeader,
 	}
 	return s
 }
@@ -130,6 +133,21 @@
 	return failure(fasthttp.StatusRequestTimeout, err)
 }
 
+// refuseHeader answers a call whose header could not be read.
+func refuseHeader(c *fasthttp.RequestCtx, err error) {
+	c.Conn().(*timedConn).unread.Store(true)
+	var tooLarge *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.As(err, &tooLarge):
+		c.Error("the header is too large\n", fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errors.As(err, &network) && network.Timeout():
+		c.Error("the header did not arrive in time\n", fasthttp.StatusRequestTimeout)
+	default:
+		c.Error("the header is malformed\n", fasthttp.StatusBadRequest)
+	}
+}
+
 // httpLogger writes the messages of the HTTP server to the log.
 type httpLogger struct{ logger *log.Logger }
 
@@ -184,6 +202,7 @@
 	switch {
 	case err != nil:
 		r = refuseBody(err)
+		from.conn.unread.Store(true)
 		c.SetConnectionClose()
 	case isQuarantineCall(string(c.Path())):
 		verb = "Quarantine"
--- a/bluebellcore/internal/bluebellcontrol/waited.go
+++ b/bluebellcore/internal/bluebellcontrol/waited.go
@@ -91,6 +91,16 @@
 type timedConn struct {
 	net.Conn
 	usedAt atomic.Int64
+	// unread is set if the connection is closed before a request on it is read to its end.
+	unread atomic.Bool
+}
+
+// Close closes the connection. If unread is set, it lingers until the sender closes.
+func (c *timedConn) Close() error {
+	if c.unread.Load() {
+		return linger.Close(c.Conn)
+	}
+	return c.Conn.Close()
 }
 
 // sender is who sent a call.
--- a/bluebellentry/internal/bluebellfrontend/linger.go
+++ b/bluebellentry/internal/bluebellfrontend/linger.go
@@ -1,18 +1,16 @@
 package bluebellfrontend
 
 import (
-	"io"
 	"net"
 	"sync/atomic"
 	"time"
-)
 
-const (
-	// lingerTimeout and maxLingerBytes bound what is read of a request after it was refused.
-	lingerTimeout  = 2 * time.Second
-	maxLingerBytes = 64 << 20
+	"bluebellhaven.org/bluebell/bluebelllistener"
 )
 
+// linger bounds what is read of a request after it was refused.
+var linger = bluebelllistener.Linger{Timeout: 2 * time.Second, MaxBytes: 64 << 20}
+
 // lingerListener accepts connections that can read on for a while before they close. A
 // caller that is still sending its request can then read the refusal. Closing a connection
 // with unread data would reset it, and the answer would be lost.
@@ -41,12 +39,10 @@
 	}
 }
 
-// Close closes the connection. If lingerOnClose is set, it first closes the sending side and
-// reads until the caller closes, lingerTimeout passes or maxLingerBytes are read.
+// Close closes the connection. If lingerOnClose is set, it lingers until the caller closes.
 func (c *lingerConn) Close() error {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if c.lingerOnClose.Load() && ok && tcp.CloseWrite() == nil && tcp.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
-		_, _ = io.CopyN(io.Discard, tcp, maxLingerBytes)
+	if c.lingerOnClose.Load() {
+		return linger.Close(c.Conn)
 	}
 	return c.Conn.Close()
 }
