Give each order and each report of an endpoint its own connection

An endpoint could get its new weights 6 s late and more, and a leader could use a fencing number again that an endpoint had refused.

Cause: orders and requests for reports shared a kept connection and have no IDs, so an answer was matched to what was due next. A copy of an earlier report (200) or of an earlier acceptance (202) was taken for the answer to an order that the endpoint refused: its load was awaited until the timeout, and a refusal of the fencing number (412) was not noticed. A copy of an earlier report names the sequence of earlier orders, so that the next order was refused with 409 and awaited as well. A copy of a 412 could not be taken for the answer to an order: after a 412 no order is sent for a second or more, and idle connections were closed after one second.

Now a connection carries one request, so that no earlier answer can follow on it. That of an order is opened before the barrier, as for calls to the provider; otherwise opening it would delay the order after its proof. Redirects of endpoints are no longer followed.

--- a/bluebellcore/internal/bluebellorder/order.go
+++ b/bluebellcore/internal/bluebellorder/order.go
@@ -6,6 +6,9 @@
 // refusal the number is not used again, and the endpoint gets its next order after a longer delay,
 // so that one endpoint that refuses all numbers does not keep the others from their orders.
 //
+// Each request has a connection of its own. Requests and answers have no IDs, and an endpoint may write
+// an answer once more, late, where that to a later request on the same connection is due.
+//
 // # Usage
 //
 //	orderer := bluebellorder.New(bluebellorder.Config{...})
@@ -87,9 +90,10 @@
 	Registry   *bluebellfleet.Registry
 	Deployment func() (*pb.Deployment, uint64)
 	// SetLoading publishes the endpoints that entries must send no new calls to.
-	SetLoading       func(ids []string)
-	IsLeader         func() bool
-	Propose          func(ctx context.Context, c *pb.Command) (*pb.Result, error)
+	SetLoading func(ids []string)
+	IsLeader   func() bool
+	Propose    func(ctx context.Context, c *pb.Command) (*pb.Result, error)
+	// Dial opens connections. If it is nil, the system's dialer is used.
 	Dial             func(ctx context.Context, network, address string) (net.Conn, error)
 	Now              func() time.Duration
 	IncrementCounter func(name string)
@@ -98,8 +102,7 @@
 
 // Orderer sends the orders of one process.
 type Orderer struct {
-	cfg  Config
-	http *http.Client
+	cfg Config
 
 	mu      sync.Mutex
 	loading map[string]bool
@@ -116,13 +119,10 @@
 			Propose: cfg.Propose, Uptime: cfg.Now, Count: cfg.IncrementCounter, Logger: cfg.Logger,
 		})
 	}
-	return &Orderer{
-		cfg: cfg,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext: cfg.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Second, MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		}},
-		loading: map[string]bool{}, retryAt: map[string]time.Duration{}, refusals: map[string]int{},
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{}).DialContext
 	}
+	return &Orderer{cfg: cfg, loading: map[string]bool{}, retryAt: map[string]time.Duration{}, refusals: map[string]int{}}
 }
 
 // Run sends orders while this process leads, until ctx ends.
@@ -293,7 +293,14 @@
 
 // report requests the state of an endpoint.
 func (o *Orderer) report(ctx context.Context, order loadOrder) (bluebellplatform.EndpointReport, error) {
-	status, text, err := o.call(ctx, order, http.MethodGet, bluebellplatform.ReportPath, nil)
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	conn, err := o.cfg.Dial(ctx, "tcp", order.endpoint.Address)
+	if err != nil {
+		return bluebellplatform.EndpointReport{}, err
+	}
+	defer func() { _ = conn.Close() }()
+	status, text, err := exchange(ctx, conn, order.endpoint, http.MethodGet, bluebellplatform.ReportPath, nil)
 	if err != nil {
 		return bluebellplatform.EndpointReport{}, err
 	}
@@ -313,6 +320,14 @@
 	if err != nil {
 		return 0, err
 	}
+	// The connection is opened first, so that the order follows its barrier at once.
+	dialCtx, cancelDial := context.WithTimeout(ctx, CallTimeout)
+	defer cancelDial()
+	conn, err := o.cfg.Dial(dialCtx, "tcp", order.endpoint.Address)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = conn.Close() }()
 	proof, err := o.cfg.Duty.Prove(ctx, order.fencing)
 	if err != nil {
 		return 0, err
@@ -320,7 +335,9 @@
 	if err := proof.Check(); err != nil {
 		return 0, err
 	}
-	status, _, err := o.call(ctx, order, http.MethodPost, bluebellplatform.OrderPath, body)
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	status, _, err := exchange(ctx, conn, order.endpoint, http.MethodPost, bluebellplatform.OrderPath, body)
 	return status, err
 }
 
@@ -340,25 +357,28 @@
 	return ctx.Err()
 }
 
-func (o *Orderer) call(ctx context.Context, order loadOrder, method, path string, body []byte) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+order.endpoint.Address+path, bytes.NewReader(body))
+// exchange sends the only request of a connection and returns the status and body of the answer.
+func exchange(ctx context.Context, conn net.Conn, endpoint bluebellfleet.Endpoint, method, path string, body []byte) (int, []byte, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+endpoint.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
-	r.Header.Set(bluebellplatform.ExpectEndpointHeader(order.endpoint.ID))
+	r.Header.Set(bluebellplatform.ExpectEndpointHeader(endpoint.ID))
 	if body != nil {
 		r.Header.Set("Content-Type", "application/json")
 	}
-	response, err := o.http.Do(r)
+	transport := &http.Transport{
+		DialContext:       func(context.Context, string, string) (net.Conn, error) { return conn, nil },
+		DisableKeepAlives: true, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+	}
+	response, err := transport.RoundTrip(r)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
-		return response.StatusCode, nil, fmt.Errorf("read answer of endpoint %s: %w", order.endpoint.ID, err)
+		return response.StatusCode, nil, fmt.Errorf("read answer of endpoint %s: %w", endpoint.ID, err)
 	}
 	return response.StatusCode, text, nil
 }
--- a/bluebellcore/internal/bluebellorder/order_test.go
+++ b/bluebellcore/internal/bluebellorder/order_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -52,6 +53,10 @@
 	maxLoading atomic.Int64
 	fencing    atomic.Uint64
 	requested  atomic.Uint64
+	// dialDelay is how long a connection takes to open, a time.Duration.
+	dialDelay atomic.Int64
+	// barrierAt is the time of the latest barrier by now, a time.Duration.
+	barrierAt atomic.Int64
 }
 
 func (c *cluster) now() time.Duration { return time.Since(c.started) + time.Second }
@@ -90,8 +95,13 @@
 			if command.GetTakeOrders() != nil {
 				return &pb.Result{Fencing: c.fencing.Add(1)}, nil
 			}
+			c.barrierAt.Store(int64(c.now()))
 			return &pb.Result{}, nil
 		},
+		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			time.Sleep(time.Duration(c.dialDelay.Load()))
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		},
 		Now: c.now, IncrementCounter: func(string) {}, Logger: log.New(io.Discard),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -232,3 +242,27 @@
 		return e.version < 3
 	}, 300*time.Millisecond, 10*time.Millisecond)
 }
+
+// A connection that takes long to open must not delay an order after the barrier that proves the leadership.
+func TestConnectionIsOpenedBeforeBarrier(t *testing.T) {
+	const dialDelay = 300 * time.Millisecond
+	c := newCluster(t, 0)
+	c.dialDelay.Store(int64(dialDelay))
+	e := &endpoint{id: "i-0", version: 1}
+	delays := make(chan time.Duration, 10)
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == bluebellplatform.OrderPath {
+			delays <- c.now() - time.Duration(c.barrierAt.Load())
+		}
+		c.serve(e, w, r)
+	}))
+	t.Cleanup(e.server.Close)
+	c.register(t, e, strings.TrimPrefix(e.server.URL, "http://"))
+	c.requested.Store(2)
+	select {
+	case delay := <-delays:
+		require.Less(t, delay, dialDelay)
+	case <-time.After(eventTimeout):
+		require.Fail(t, "no order")
+	}
+}
