Skip pages of store events that belong to an earlier read

A prompt could name a block for a fetch that its store had removed, or not fetch one that the store had, and blocks of retired weights could stay in a store.

Cause: requests to a store shared a kept connection and have no IDs, so an answer was matched to what was due next. A copy of an earlier page of events set the cursor back and applied old changes again. The true answer behind it set the cursor forward without the changes between, so that a removed block stayed in the directory. A copy of a page was taken for the list, which emptied the directory, or for the answer to a free, whose refusal was not noticed. A list that failed after a gap was not repeated unless the store reported the gap again.

Now lists and frees have a connection each. Reads of events go on sharing one, since a busy store is read as often as it answers. A page on a connection that has carried an earlier read is used only if its cursor and its events are not behind the cursor of the read. Where events are numbered up to the cursor, what passes has the same effect as the true page. A page that fails it is skipped, the connection closed, and the read repeated on a new one, whose first answer must be its own; so a store that numbers its events otherwise is still followed, at a connection for each such page. Both reads share the time limit of one, so that restarts are noticed as soon as before. A page with a gap or another incarnation is used as before, since it only leads to a list. A list is repeated until it is received.

--- a/bluebellcore/internal/bluebellinventory/inventory.go
+++ b/bluebellcore/internal/bluebellinventory/inventory.go
@@ -3,6 +3,10 @@
 // blocks of weights that no run uses any more, since managed stores delete nothing by
 // themselves.
 //
+// Requests to stores have no IDs, and a store may write an answer once more, late, where that to a later
+// request on the same connection is due. Lists and frees are rare and have a connection each. Reads of
+// events share a connection, on which a page is used only if it follows the cursor of the read.
+//
 // # Usage
 //
 //	inventory := bluebellinventory.New(bluebellinventory.Config{...})
@@ -17,6 +21,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -73,18 +78,27 @@
 
 // Inventory follows all declared stores.
 type Inventory struct {
-	cfg  Config
-	http *http.Client
+	cfg Config
+	// single opens a connection for each request.
+	single *http.Client
 	// large holds a value while a response longer than smallResponseBytes is read and decoded.
 	large chan struct{}
 }
 
 // New returns an inventory that follows no store yet.
 func New(cfg Config) *Inventory {
-	return &Inventory{cfg: cfg, large: make(chan struct{}, 1), http: &http.Client{
-		Timeout:   requestTimeout,
-		Transport: &http.Transport{DialContext: cfg.Dial, MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxResponseHeaderBytes},
-	}}
+	return &Inventory{cfg: cfg, large: make(chan struct{}, 1), single: newClient(cfg, false)}
+}
+
+// newClient returns a client that keeps a connection between requests if keep is set, and otherwise opens
+// one for each.
+func newClient(cfg Config, keep bool) *http.Client {
+	return &http.Client{
+		Timeout: requestTimeout,
+		Transport: &http.Transport{
+			DialContext: cfg.Dial, DisableKeepAlives: !keep, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		},
+	}
 }
 
 // Run follows the declared stores until ctx ends.
@@ -120,6 +134,10 @@
 type storeFollower struct {
 	inventory *Inventory
 	address   string
+	// kept keeps a connection for reads of events.
+	kept *http.Client
+	// listed is set if the directory has the blocks of incarnation up to nextEvent.
+	listed bool
 	// incarnation identifies the start of the store that the events belong to.
 	incarnation uint64
 	// nextEvent is the position in the store's events from which the next read continues.
@@ -130,7 +148,8 @@
 }
 
 func (inv *Inventory) follow(ctx context.Context, address string) {
-	f := &storeFollower{inventory: inv, address: address}
+	f := &storeFollower{inventory: inv, address: address, kept: newClient(inv.cfg, true)}
+	defer f.kept.CloseIdleConnections()
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
 		if err := f.readEvents(ctx); err != nil {
@@ -154,13 +173,13 @@
 }
 
 // readEvents waits for changes of the store and applies them to the directory. If events are
-// missing or the store has restarted, it lists all blocks instead.
+// missing, the store has restarted or its last list was not received, it lists all blocks instead.
 func (f *storeFollower) readEvents(ctx context.Context) error {
 	events, err := f.requestEvents(ctx)
 	if err != nil {
 		return err
 	}
-	if events.Incarnation != f.incarnation || events.Gap {
+	if !f.listed || events.Incarnation != f.incarnation || events.Gap {
 		return f.listBlocks(ctx, events.Incarnation)
 	}
 	f.nextEvent = events.Cursor
@@ -175,19 +194,41 @@
 	return nil
 }
 
+// requestEvents reads the events after nextEvent, or those that report a gap or another incarnation. A page
+// that belongs to an earlier read is skipped and the read repeated on a new connection, whose first answer
+// belongs to it whatever it contains. Both reads together are bounded by requestTimeout.
 func (f *storeFollower) requestEvents(ctx context.Context) (bluebellplatform.StoreEvents, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	for {
+		events, reused, err := f.requestPage(ctx)
+		belongs := !reused || events.Gap || events.Incarnation != f.incarnation || events.Follow(f.nextEvent)
+		if err != nil || !belongs {
+			// The answer to this read may still follow on the connection.
+			f.kept.CloseIdleConnections()
+		}
+		if err != nil || belongs {
+			f.logOdd(events)
+			return events, err
+		}
+		f.inventory.cfg.Logger.Warn("answer of a store to an earlier read skipped", "Store", f.address,
+			"Cursor", f.nextEvent, "First", events.First, "Next", events.Cursor)
+	}
+}
+
+// requestPage sends one read of events. It reports whether the connection has carried an earlier one.
+func (f *storeFollower) requestPage(ctx context.Context) (events bluebellplatform.StoreEvents, reused bool, err error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }})
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+bluebellplatform.EventsPath(f.nextEvent), nil)
 	if err != nil {
-		return bluebellplatform.StoreEvents{}, err
+		return bluebellplatform.StoreEvents{}, false, err
 	}
 	r.Header.Set(bluebellplatform.EventsWaitHeader(eventsMaxWait))
-	var events bluebellplatform.StoreEvents
-	err = f.inventory.do(r, func(body []byte) (err error) {
+	err = f.inventory.do(f.kept, r, func(body []byte) (err error) {
 		events, err = bluebellplatform.DecodeEvents(body)
 		return err
 	})
-	f.logOdd(events)
-	return events, err
+	return events, reused, err
 }
 
 // logOdd logs that some elements of an answer could not be read.
@@ -200,13 +241,14 @@
 // listBlocks requests the full list of a store's blocks, after a new incarnation or a gap in
 // the events. It first removes all blocks of the store from the directory.
 func (f *storeFollower) listBlocks(ctx context.Context, incarnation uint64) error {
+	f.listed = false
 	f.inventory.cfg.Directory.Reset(f.address, nil, f.inventory.cfg.Now())
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+bluebellplatform.ListBlocksPath, nil)
 	if err != nil {
 		return err
 	}
 	var stored bluebellplatform.StoreEvents
-	err = f.inventory.do(r, func(body []byte) (err error) {
+	err = f.inventory.do(f.inventory.single, r, func(body []byte) (err error) {
 		stored, err = bluebellplatform.DecodeBlockList(body)
 		return err
 	})
@@ -218,15 +260,15 @@
 	for _, c := range stored.Changes {
 		blocks = append(blocks, bluebelldirectory.Block{Key: bluebelldirectory.Key{Scope: c.Scope, ID: c.ID}, Tokens: c.Tokens})
 	}
-	f.incarnation, f.nextEvent = stored.Incarnation, stored.Cursor
+	f.listed, f.incarnation, f.nextEvent = true, stored.Incarnation, stored.Cursor
 	f.inventory.cfg.Directory.Reset(f.address, blocks, f.inventory.cfg.Now())
 	f.inventory.cfg.Logger.Info("store listed", "Store", f.address, "Incarnation", incarnation, "Blocks", len(blocks))
 	return nil
 }
 
 // do sends a request and passes the body of the response to use, which must not keep it.
-func (inv *Inventory) do(r *http.Request, use func(body []byte) error) error {
-	response, err := inv.http.Do(r)
+func (inv *Inventory) do(client *http.Client, r *http.Request, use func(body []byte) error) error {
+	response, err := client.Do(r)
 	if err != nil {
 		return err
 	}
@@ -288,7 +330,7 @@
 		return err
 	}
 	r.Header.Set("Content-Type", "application/json")
-	if err := f.inventory.do(r, func([]byte) error { return nil }); err != nil {
+	if err := f.inventory.do(f.inventory.single, r, func([]byte) error { return nil }); err != nil {
 		return err
 	}
 	for _, b := range blocks {
