--- a/bluebellgate/internal/bluebellfrontend/unnamed_test.go
+++ b/bluebellgate/internal/bluebellfrontend/unnamed_test.go
@@ -52,3 +52,24 @@
 		})
 	}
 }
+
+// A caller that lists the header of the ID among those of its connection must not take the ID from its call on the
+// way to the endpoint: the refusal would have none, and a copy of it would reach other callers.
+func TestCallerCannotHideID(t *testing.T) {
+	e := startEntry(t, 0)
+	endpoint := refusingUnnamed(t)
+	e.useRaw(endpoint)
+	require.Equal(t, http.StatusOK, e.do(http.MethodPost, "/once/x", "order").status)
+	r, err := http.NewRequest(http.MethodPost, "http://"+e.address+"/once/x", strings.NewReader("order"))
+	require.NoError(t, err)
+	r.Host = "h.example"
+	r.Header = bluebellplatform.CallerHeader(bluebellplatform.Call{ID: "hidden", Key: "k"})
+	for name := range r.Header.Clone() {
+		r.Header.Add("Connection", name)
+	}
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.Equal(t, 1, ran("hidden", endpoint))
+}
