TestLaterAttemptFollowsIsolation: change the deployment once the first attempt has begun

It changed the deployment 100 ms after the call was sent, and a first attempt that begins later than that has the new scope already. Trace: with 150 ms between the timer and the call, it fails each time (both scopes c/m0/1). Now the change follows the beginning of the first attempt, so the two attempts are always on its two sides.

--- a/bluebellgate/internal/bluebellfrontend/isolation_test.go
+++ b/bluebellgate/internal/bluebellfrontend/isolation_test.go
@@ -45,10 +45,19 @@
 		e.placer.Update(fleet)
 		e.behave(bluebellstub.Truncating)
 		e.d.Store(modelDeployment(t, ""))
-		time.AfterFunc(100*time.Millisecond, func() { e.d.Store(modelDeployment(t, isolated)) })
+		later := modelDeployment(t, isolated)
+		changed := make(chan struct{})
+		go func() {
+			defer close(changed)
+			for len(e.runs()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			e.d.Store(later)
+		}()
 		e.send(http.MethodGet, "/read/x", "", bluebellplatform.Call{
 			Key: "k", Model: "m0", PromptTokens: 20, MaxOutputTokens: 1, Blocks: []bluebellplatform.Block{{ID: "a", Tokens: 10}, {ID: "b", Tokens: 10}},
 		})
+		<-changed
 		runs := e.runs()
 		require.Len(t, runs, 2)
 		if runs[0].At.After(runs[1].At) {
