Repeat crash reports until the voters agree on them

Operators saw a call reach more endpoints than the limit before it was refused: an endpoint that it had crashed was not counted.

Cause: a crash report that was not agreed within its time limit, since the leader had just lost its term, was logged and dropped. It was dropped too when the caller left while its call waited for the report.

Now the report is proposed in the background until it is agreed, for up to 10 minutes, as the ends of claims are. The call waits for it as long as before at most, 5 s, and no longer than its caller. At most 256 reports are pending; a crash of the same endpoint by the same call joins the pending report. A report that was agreed although its answer was lost counts once, since the state machine identifies reports by call and endpoint. A planned stop goes on with pending reports for up to 5 s.

--- a/bluebellentry/internal/bluebelldispatch/claim.go
+++ b/bluebellentry/internal/bluebelldispatch/claim.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// claimProposalTimeout bounds one proposal of a claim's start or end to the voters.
-	claimProposalTimeout = 3 * time.Second
+	// singleProposalTimeout bounds one proposal of a claim's start or end, or of a crash report,
+	// to the voters.
+	singleProposalTimeout = 3 * time.Second
 	// viewTimeout bounds the wait until this VM has the view of the revision at which a
 	// claim was granted.
 	viewTimeout = 2 * time.Second
@@ -23,12 +24,12 @@
 	// maxReplyDelay bounds the time for which an answer to the caller is held back until
 	// the voters have agreed on the end of its claim.
 	maxReplyDelay = 500 * time.Millisecond
-	// claimEndTimeout bounds the time for which the end of a claim is proposed until the
-	// voters agree on it; claimEndRetryInterval is the pause between two proposals.
-	claimEndTimeout       = 10 * time.Minute
-	claimEndRetryInterval = 500 * time.Millisecond
-	// claimEndTimeoutOnStop replaces claimEndTimeout during a planned stop of the process.
-	claimEndTimeoutOnStop = 5 * time.Second
+	// proposalTimeout bounds the time for which the end of a claim or a crash report is proposed
+	// until the voters agree on it; proposalRetryInterval is the pause between two proposals.
+	proposalTimeout       = 10 * time.Minute
+	proposalRetryInterval = 500 * time.Millisecond
+	// proposalTimeoutOnStop replaces proposalTimeout during a planned stop of the process.
+	proposalTimeoutOnStop = 5 * time.Second
 	// maxStoredAnswerBytes is the size of the largest answer that is stored with its claim
 	// and replayed to resent calls.
 	maxStoredAnswerBytes = 64 << 10
@@ -85,7 +86,7 @@
 func (d *Dispatcher) openClaim(ctx context.Context, open *pb.OpenClaim) (*pb.Result, error) {
 	deadline := d.cfg.Now() + heldClaimTimeout
 	for {
-		proposeCtx, cancel := context.WithTimeout(ctx, claimProposalTimeout)
+		proposeCtx, cancel := context.WithTimeout(ctx, singleProposalTimeout)
 		result, err := d.cfg.Propose(proposeCtx, &pb.Command{Body: &pb.Command_OpenClaim{OpenClaim: open}})
 		cancel()
 		if err != nil || result.Verdict != pb.Verdict_Held || d.cfg.Now() > deadline {
@@ -175,29 +176,42 @@
 }
 
 // proposeUntilAgreed proposes the end of a claim until the voters agree on it or
-// claimEndTimeout has passed. The returned channel is closed in both cases.
+// proposalTimeout has passed. The returned channel is closed in both cases.
 func (d *Dispatcher) proposeUntilAgreed(command *pb.Command) <-chan struct{} {
-	agreed := make(chan struct{})
+	return d.goPropose(command, func(err error) {
+		if err != nil {
+			d.cfg.Logger.Error("the end of a claim was not agreed in time; the outcome of the call stays unknown", "Command", command, "Error", err)
+		}
+	})
+}
+
+// goPropose proposes a command in a goroutine until the voters agree on it or proposalTimeout
+// has passed. An earlier proposal may be agreed on too, so the command must have the same
+// effect if it is applied again. At the end, goPropose calls done, with the error of the last
+// proposal if none was agreed on, and then closes the returned channel.
+func (d *Dispatcher) goPropose(command *pb.Command, done func(error)) <-chan struct{} {
+	ended := make(chan struct{})
 	d.pendingProposals.Go(func() {
-		defer close(agreed)
-		ctx, cancel := context.WithTimeout(context.Background(), claimEndTimeout)
+		defer close(ended)
+		ctx, cancel := context.WithTimeout(context.Background(), proposalTimeout)
 		defer cancel()
-		defer context.AfterFunc(d.stopping, func() { time.AfterFunc(claimEndTimeoutOnStop, cancel) })()
+		defer context.AfterFunc(d.stopping, func() { time.AfterFunc(proposalTimeoutOnStop, cancel) })()
+		var err error
 		for ctx.Err() == nil {
-			attemptCtx, cancelAttempt := context.WithTimeout(ctx, claimProposalTimeout)
-			_, err := d.cfg.Propose(attemptCtx, command)
+			attemptCtx, cancelAttempt := context.WithTimeout(ctx, singleProposalTimeout)
+			_, err = d.cfg.Propose(attemptCtx, command)
 			cancelAttempt()
 			if err == nil {
-				return
+				break
 			}
 			select {
-			case <-d.cfg.After(claimEndRetryInterval):
+			case <-d.cfg.After(proposalRetryInterval):
 			case <-ctx.Done():
 			}
 		}
-		d.cfg.Logger.Error("the end of a claim was not agreed in time; the outcome of the call stays unknown", "Command", command)
+		done(err)
 	})
-	return agreed
+	return ended
 }
 
 // waitUntilAgreed waits until the channel is closed, for up to maxReplyDelay.
--- a/bluebellentry/internal/bluebelldispatch/dispatcher.go
+++ b/bluebellentry/internal/bluebelldispatch/dispatcher.go
@@ -31,10 +31,12 @@
 	// hopSlack is added to the first-byte timeout of a forwarded call, so that the owner's
 	// own timeout ends first.
 	hopSlack = time.Second
-	// crashReportTimeout limits the time to agree on a crash report. An election after the loss
-	// of a leader, which takes up to 3.6 s, must not lose the report: the call would crash one
-	// more endpoint.
-	crashReportTimeout = 5 * time.Second
+	// maxReportDelay bounds the time for which a call waits until the voters have agreed on its
+	// crash report. It is longer than an election after the loss of a leader, which takes up to
+	// 3.6 s, so that a call that is sent again meets the report.
+	maxReportDelay = 5 * time.Second
+	// maxPendingReports bounds the crash reports on which the voters have not agreed yet.
+	maxPendingReports = 256
 )
 
 // Names of the HTTP headers used between VMs, towards endpoints and in answers to callers.
@@ -111,7 +113,10 @@
 
 	mu      sync.Mutex
 	budgets map[string]*bluebelllimit.RetryBudget // by target
-	// pendingProposals counts the goroutines that propose the end of a claim.
+	// reports holds the crash reports on which the voters have not agreed yet. A channel is
+	// closed when they have, or when the report is given up.
+	reports map[reportKey]<-chan struct{}
+	// pendingProposals counts the goroutines that propose the end of a claim or a crash report.
 	pendingProposals conc.WaitGroup
 	// stopping is cancelled when Drain starts to wait for pendingProposals.
 	stopping context.Context
@@ -124,7 +129,7 @@
 	return &Dispatcher{
 		stopping: stopping, stop: stop,
 		cfg: cfg, gates: newGateSet(cfg.VM, cfg.Now, cfg.After),
-		budgets: map[string]*bluebelllimit.RetryBudget{},
+		budgets: map[string]*bluebelllimit.RetryBudget{}, reports: map[reportKey]<-chan struct{}{},
 	}
 }
 
@@ -140,8 +145,8 @@
 // how many of its slots this VM may use.
 func (d *Dispatcher) Use(endpoint string) (running, waiting, slots int) { return d.gates.use(endpoint) }
 
-// Drain waits up to claimEndTimeoutOnStop until the voters have agreed on the outcomes of
-// all claims. A claim without an agreed outcome stays unknown.
+// Drain waits up to proposalTimeoutOnStop until the voters have agreed on the outcomes of
+// all claims and on all crash reports. A claim without an agreed outcome stays unknown.
 func (d *Dispatcher) Drain() {
 	d.stop()
 	d.pendingProposals.Wait()
--- a/bluebellentry/internal/bluebelldispatch/owned.go
+++ b/bluebellentry/internal/bluebelldispatch/owned.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"bluebellhaven.org/bluebell/bluebellmove"
-	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellroute"
 )
 
@@ -111,19 +110,3 @@
 	}
 	return path
 }
-
-// reportCrash proposes a crash report to the voters: the endpoint closed the connection while
-// it ran the call. It waits until they agree, so that the caller's next attempt is checked
-// against the report.
-func (d *Dispatcher) reportCrash(ctx context.Context, c *Call, endpoint string) {
-	d.cfg.Metrics.Crash(endpoint)
-	if ctx.Err() != nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, crashReportTimeout)
-	defer cancel()
-	_, err := d.cfg.Propose(ctx, &pb.Command{Body: &pb.Command_CrashReport{
-		CrashReport: &pb.CrashReport{Digest: c.digest(), Endpoint: endpoint},
-	}})
-	d.cfg.Logger.Warn("endpoint closed the connection during a call", "RequestID", c.RequestID, "Endpoint", endpoint, "Customer", c.Customer.Name, "ReportError", err)
-}
