bluebellstub: write responses once more, name the call in a 421, decline when full

So that the soak can play answers too many: Config.Copies makes an endpoint write the response to the previous call on a connection, a refusal or an answer with the ID that it had, when the next call has arrived there and before that call's own response. The connections of the listener keep the bytes of the response to their latest call, up to 64 KiB; responses to orders and requests for reports are not kept.

A 421 named no call, which endpoints do not do, so a copy of it could not be told from a true one by its ID. It names the call now. Config.MaxCalls makes an endpoint that is full decline calls.

--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -114,6 +114,11 @@
 	CrashAfter time.Duration
 	// OnCrash, if not nil, is called after such a crash.
 	OnCrash func()
+	// Copies, if not nil, reports whether the response to the previous call on a connection, a refusal or an
+	// answer, is written once more now that the next call has arrived there.
+	Copies func() bool
+	// MaxCalls is the number of calls that the endpoint runs at a time, 0 for no limit. It declines others.
+	MaxCalls int
 }
 
 // Run is a call that an endpoint has begun to run. Finished is set once an answer has been
@@ -146,6 +151,8 @@
 	state       bluebellfleet.State
 	activeCalls int
 	arrivals    []time.Time
+	// misdirected are the IDs of the calls that were refused since they were for another endpoint.
+	misdirected []string
 	// rateLimit is the limit that answers name, "" for none.
 	rateLimit string
 	// said is added to the header of all answers.
@@ -185,10 +192,10 @@
 	}
 	e := &Endpoint{cfg: cfg, listener: listener, done: make(chan struct{}), state: bluebellfleet.Serving, weights: map[string]uint64{}}
 	maps.Copy(e.weights, cfg.Weights)
-	e.server = &http.Server{Handler: http.HandlerFunc(e.serveCall), ReadHeaderTimeout: time.Minute}
+	e.server = &http.Server{Handler: http.HandlerFunc(e.serveCall), ReadHeaderTimeout: time.Minute, ConnContext: withConn}
 	go func() {
 		defer close(e.done)
-		_ = e.server.Serve(listener)
+		_ = e.server.Serve(copyingListener{listener})
 	}()
 	return e, nil
 }
@@ -254,6 +261,13 @@
 	return slices.Clone(e.arrivals)
 }
 
+// Misdirected returns the IDs of the calls that were refused since they were for another endpoint.
+func (e *Endpoint) Misdirected() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.misdirected)
+}
+
 // SetRateLimit makes answers name a limit of calls a second, or none if it is "".
 func (e *Endpoint) SetRateLimit(perSecond string) {
 	e.mu.Lock()
@@ -345,7 +359,9 @@
 	if err != nil {
 		return
 	}
-	if r.URL.Path == bluebellplatform.OrderPath || r.URL.Path == bluebellplatform.ReportPath {
+	isCall := r.URL.Path != bluebellplatform.OrderPath && r.URL.Path != bluebellplatform.ReportPath
+	e.beginRequest(r, isCall)
+	if !isCall {
 		if part, found := e.endlessPart(); found {
 			e.serveEndless(w, r, "", part)
 			return
@@ -359,7 +375,10 @@
 		return
 	}
 	if incoming.Endpoint != e.cfg.ID {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		e.mu.Lock()
+		e.misdirected = append(e.misdirected, incoming.CallID)
+		e.mu.Unlock()
+		writeHeader(w, bluebellplatform.AnswerHeader(incoming.CallID, ""), http.StatusMisdirectedRequest)
 		return
 	}
 	e.mu.Lock()
@@ -457,7 +476,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.arrivals = append(e.arrivals, time.Now())
-	if e.behaviour == Declining || e.brittle.turnsAway(e.activeCalls) {
+	full := e.cfg.MaxCalls > 0 && e.activeCalls >= e.cfg.MaxCalls
+	if full || e.behaviour == Declining || e.brittle.turnsAway(e.activeCalls) {
 		return nil, Declining
 	}
 	e.activeCalls++
