bluebellsoak: check all statuses that promise that a call has not run

The check took only 503 for such a promise. Callers also take 408, 421 and 429 for one, and gates pass none of them on from endpoints that may have run the call. Stricter than before.

--- a/bluebellsoak/bluebellchaos/check.go
+++ b/bluebellsoak/bluebellchaos/check.go
@@ -52,7 +52,7 @@
 	if !repeatable && len(executions) > 1 {
 		report("ran %d times", len(executions))
 	}
-	if o.status == http.StatusServiceUnavailable && len(executions) > 0 && !repeatable {
+	if saysNotRun(o.status) && len(executions) > 0 && !repeatable {
 		report("refused as not run, but endpoint %s ran it", executions[0].endpoint)
 	}
 	if o.status == http.StatusNotFound && !strings.HasPrefix(o.path, extraPath) || o.status == http.StatusUnauthorized {
@@ -71,6 +71,15 @@
 	}
 }
 
+// saysNotRun reports whether a status promises callers that the call has not run and does not run later.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // checkAnswer checks an answer with status 200 against the body or events that the stub
 // endpoint sends for the call.
 func checkAnswer(o outcome, executions int, report func(format string, args ...any)) {
