bluebellsoak: endpoints write responses once more, and restart in series under new IDs

So that faults of the class of, a response that is matched to its request by something that does not identify the attempt, are looked for at random. Two more kinds of faults: an endpoint, or all of them, write the response to each call on a connection, refusals and complete answers, once more where that to the next call is due, also after restarts; and an endpoint, or all, restart in series, at the same addresses and under new IDs, down for up to 20 ms and without a registration for up to 100 ms. The checks are the same. Report.Returned counts the calls that came back to the address of an endpoint that had refused them with 421.

TestReplacingLastLandingHasNoFindings leaves both kinds out, since the last landing is before, and so draws from the kinds that it had before.

--- a/bluebellsoak/bluebellchaos/doc.go
+++ b/bluebellsoak/bluebellchaos/doc.go
@@ -6,8 +6,9 @@
 // Faults are injected from outside the processes: signals (kill, pause, planned stop, restart
 // with or without the disk, reload), alone and in series, and proxies in front of endpoints and
 // between core processes, which delay data, hold it back, drop it in both directions or one, or reset
-// connections. Endpoints crash, misbehave, pause and leave. Faults may overlap. At the end, all processes
-// are killed right after changes were acknowledged.
+// connections. Endpoints crash, restart in series under new IDs, misbehave, pause and leave, and write refusals and
+// answers once more where the next response on the connection is due. Faults may overlap. At the end, all
+// processes are killed right after changes were acknowledged.
 //
 // Callers open a connection for each call, keep one to each gate, or cling to one until its gate closes
 // it, also while the gate stops. Some calls are chunked, slow or late on their connection.
@@ -16,7 +17,7 @@
 //
 //   - a call that was sent is answered or refused, unless package bluebellanswer knows an excuse,
 //   - a non-idempotent call or a stream that cannot be resumed runs at most once,
-//   - such a call that is refused with status 503 has not run and does not run later,
+//   - such a call that is refused with status 408, 421, 429 or 503 has not run and does not run later,
 //   - a complete answer is the answer to its own call,
 //   - a stream has its events in order, none twice and, if it is complete, all of them,
 //   - an endpoint gets the caller's method, path and body and the customer's name, but not the key,
--- a/bluebellsoak/bluebellchaos/faults.go
+++ b/bluebellsoak/bluebellchaos/faults.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"slices"
 	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
 	"bluebellhaven.org/bluebellfake/bluebellstub"
@@ -45,6 +47,14 @@
 	// staleConnectionTime is how long after an impairment gates may still use connections that have
 	// become silent for good.
 	staleConnectionTime = 3 * time.Second
+	// meanRestartGap is the mean time between two restarts of an endpoint in a series, and maxDownTime bounds
+	// the time for which it is down. maxUnregisteredTime bounds the time from its start until it registers.
+	meanRestartGap      = 300 * time.Millisecond
+	maxDownTime         = 20 * time.Millisecond
+	maxUnregisteredTime = 100 * time.Millisecond
+	// copiesFault and seriesFault are the names of the faults that Config.WithoutCopies leaves out.
+	copiesFault = "endpoints write responses once more"
+	seriesFault = "endpoints restart in series"
 )
 
 // fault is one kind of fault that inject draws.
@@ -75,6 +85,8 @@
 	{"endpoints silent for a second", false, silenceEndpoints},
 	{"endpoints pause in their answers", false, pauseAnswers},
 	{"endpoint leaves", false, removeEndpoint},
+	{copiesFault, false, copyResponses},
+	{seriesFault, false, restartEndpointsRepeatedly},
 	{"core killed", true, func(d *deployment, n int, hold time.Duration) error { return restart(d.core(n), syscall.SIGKILL, hold) }},
 	{"core stopped", true, func(d *deployment, n int, hold time.Duration) error { return restart(d.core(n), syscall.SIGTERM, hold) }},
 	{"core paused", true, func(d *deployment, n int, hold time.Duration) error { return pause(d.core(n), hold) }},
@@ -97,11 +109,14 @@
 
 // kindsOfFaults returns the kinds of faults that a run draws from. Replacements are as frequent as all others.
 func (d *deployment) kindsOfFaults() []fault {
+	kinds := slices.Clone(faultKinds)
+	if d.cfg.WithoutCopies {
+		kinds = slices.DeleteFunc(kinds, func(f fault) bool { return f.name == copiesFault || f.name == seriesFault })
+	}
 	if d.cfg.OtherProgramFolder == "" {
-		return faultKinds
+		return kinds
 	}
-	kinds := slices.Clone(faultKinds)
-	for range len(faultKinds) / len(replacements) {
+	for range len(kinds) / len(replacements) {
 		kinds = append(kinds, replacements...)
 	}
 	return kinds
@@ -345,6 +360,53 @@
 	return b.start()
 }
 
+// copyResponses makes an endpoint, or all of them, write the response to each call on a connection once more
+// when the next call arrives there, for the time hold. It goes on when the endpoint restarts.
+func copyResponses(d *deployment, n int, hold time.Duration) error {
+	for _, b := range d.oneOrAll(n) {
+		b.copying.Add(1)
+		defer b.copying.Add(-1)
+	}
+	time.Sleep(hold)
+	return nil
+}
+
+// copies reports whether a fault makes the endpoint write responses once more.
+func (b *backend) copies() bool { return b.copying.Load() > 0 }
+
+// restartEndpointsRepeatedly restarts an endpoint, or each of them, under new IDs for the time hold.
+func restartEndpointsRepeatedly(d *deployment, n int, hold time.Duration) error {
+	until := time.Now().Add(hold)
+	restarts := pool.New().WithErrors()
+	for _, b := range d.oneOrAll(n) {
+		restarts.Go(func() error {
+			b.crashMu.Lock()
+			defer b.crashMu.Unlock()
+			return d.restartRepeatedly(context.Background(), b, rand.New(rand.NewPCG(d.cfg.Seed, uint64(1000*n+b.index))), until)
+		})
+	}
+	return restarts.Wait()
+}
+
+// restartRepeatedly restarts the endpoint of a backend under new IDs until a time.
+func (d *deployment) restartRepeatedly(ctx context.Context, b *backend, rng *rand.Rand, until time.Time) error {
+	for time.Now().Before(until) {
+		end := d.timeline.begin(bluebellanswer.EndpointInterrupted, b.name())
+		b.endpoint().Stop()
+		time.Sleep(time.Duration(rng.Int64N(int64(maxDownTime))))
+		err := b.start()
+		end(0)
+		if err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(rng.Int64N(int64(maxUnregisteredTime))))
+		// A failed registration needs no retry: keepRegistered repeats it.
+		_ = b.endpoint().Register(ctx, http.DefaultClient, d.controlAddresses)
+		time.Sleep(time.Duration(rng.Int64N(int64(2 * meanRestartGap))))
+	}
+	return nil
+}
+
 // makeEndpointMisbehave gives an endpoint the faulty behaviour that n selects, for the time hold.
 func makeEndpointMisbehave(d *deployment, n int, hold time.Duration) error {
 	b := d.backends[n%len(d.backends)]
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -73,7 +73,10 @@
 	ProgramFolder, DataFolder string
 	// OtherProgramFolder, if not "", holds another build of the programs. Run then replaces processes by
 	// those of the other build, and back, as one more kind of fault.
-	OtherProgramFolder      string
+	OtherProgramFolder string
+	// WithoutCopies leaves out the faults in which endpoints write responses once more and restart in series.
+	// Builds before 24312b5 do not withstand both together.
+	WithoutCopies           bool
 	Seed                    uint64
 	Duration                time.Duration
 	Gates, Cores, Endpoints int
@@ -84,6 +87,9 @@
 	// Calls counts the calls of all callers, Served the complete answers with status 200, and
 	// Runs the calls that endpoints began.
 	Calls, Served, Runs, Faults, DeclarationReads int
+	// Returned counts the calls that endpoints began after an incarnation at the same address had refused them
+	// since they were for another one.
+	Returned int
 	// AcknowledgedVersion is the latest version of the declaration that was acknowledged.
 	AcknowledgedVersion uint64
 	// Findings describes each violation of a guarantee.
@@ -93,8 +99,8 @@
 }
 
 func (r Report) String() string {
-	return fmt.Sprintf("%d calls, %d served, %d runs, %d faults, %d reads, version %d acknowledged, %d findings",
-		r.Calls, r.Served, r.Runs, r.Faults, r.DeclarationReads, r.AcknowledgedVersion, len(r.Findings))
+	return fmt.Sprintf("%d calls, %d served, %d runs, %d returned, %d faults, %d reads, version %d acknowledged, %d findings",
+		r.Calls, r.Served, r.Runs, r.Returned, r.Faults, r.DeclarationReads, r.AcknowledgedVersion, len(r.Findings))
 }
 
 // backend is the address of an endpoint behind a proxy. Each start of the endpoint is a new
@@ -109,6 +115,8 @@
 	crashMu sync.Mutex
 	// cutOff is set while none of its registrations reaches a core process.
 	cutOff atomic.Bool
+	// copying counts the reasons for which the endpoint writes responses once more.
+	copying atomic.Int32
 	// crashes, crashAfter and onCrash are the fields of the same names of the endpoint's configuration.
 	crashes    func(call bluebellplatform.IncomingCall) bool
 	crashAfter time.Duration
@@ -436,7 +444,7 @@
 	e, err := startStub(bluebellstub.Config{
 		ID: fmt.Sprintf("i-%d-%d", b.index, b.starts), Target: b.target, FailureDomain: failureDomain(b.index),
 		Listen: b.listen, Advertise: b.advertisedAddress(), Weights: weights, ProcessingTime: 4 * time.Millisecond, StartUnixMillis: time.Now().UnixMilli(),
-		Crashes: b.crashes, CrashAfter: b.crashAfter, OnCrash: b.onCrash,
+		Crashes: b.crashes, CrashAfter: b.crashAfter, OnCrash: b.onCrash, Copies: b.copies,
 	})
 	if err != nil {
 		return err
@@ -565,9 +573,20 @@
 // report runs the checks and returns the result.
 func (d *deployment) report() Report {
 	var executions []execution
+	returned := 0
 	for _, b := range d.backends {
-		for _, e := range append(b.crashed, b.endpoint()) {
+		incarnations := append(b.crashed, b.endpoint())
+		misdirected := map[string]bool{}
+		for _, e := range incarnations {
+			for _, id := range e.Misdirected() {
+				misdirected[id] = true
+			}
+		}
+		for _, e := range incarnations {
 			for _, r := range e.Runs() {
+				if misdirected[r.Call.CallID] {
+					returned++
+				}
 				executions = append(executions, execution{endpoint: r.Call.Endpoint, backend: b.name(), Run: r})
 			}
 			d.findings = append(d.findings, checkOrders(b.name(), e.Orders())...)
@@ -584,7 +603,7 @@
 	findings := append(d.findings, d.operator.findings...)
 	findings = append(findings, checkAnswered(d.callers.outcomes, executions, d.timeline, d.stopTimeout())...)
 	return Report{
-		Calls: len(d.callers.outcomes), Served: d.callers.served, Runs: len(executions), Faults: d.faultCount, DeclarationReads: d.operator.reads,
+		Calls: len(d.callers.outcomes), Served: d.callers.served, Runs: len(executions), Returned: returned, Faults: d.faultCount, DeclarationReads: d.operator.reads,
 		AcknowledgedVersion: d.operator.acknowledgedVersion, Findings: append(findings, checkCalls(d.callers.outcomes, executions)...), Events: d.timeline.lines(),
 	}
 }
--- a/bluebellsoak/bluebellchaos/run_test.go
+++ b/bluebellsoak/bluebellchaos/run_test.go
@@ -74,6 +74,8 @@
 	report, err := bluebellchaos.Run(context.Background(), bluebellchaos.Config{
 		ProgramFolder: buildIn(t, tree), OtherProgramFolder: build(t), DataFolder: filepath.Join(t.TempDir(), "soak"), Seed: 1, Duration: 12 * time.Second,
 		Gates: 3, Cores: 3, Endpoints: 6,
+		// lastLanding is before 24312b5.
+		WithoutCopies: true,
 	})
 	require.NoError(t, err)
 	require.Empty(t, report.Findings)
