--- a/bluebellsoak/bluebellchaos/caller.go
+++ b/bluebellsoak/bluebellchaos/caller.go
@@ -118,6 +118,7 @@
 	kind  callerKind
 	rng   *rand.Rand
 	gates []string
+	paths []string
 	// kept holds the open connections by gate, and gate is the one of a clinging caller.
 	kept map[int]*connection
 	gate int
@@ -128,8 +129,12 @@
 	if c.kind != clinging || c.gate < 0 {
 		c.gate = c.rng.IntN(len(c.gates))
 	}
-	o := outcome{id: id, gate: c.gate, path: callPaths[c.rng.IntN(len(callPaths))] + id + "?n=1", requestBody: "body of " + id}
-	if c.rng.IntN(extraEach) == 0 {
+	paths := c.paths
+	if paths == nil {
+		paths = callPaths
+	}
+	o := outcome{id: id, gate: c.gate, path: paths[c.rng.IntN(len(paths))] + id + "?n=1", requestBody: "body of " + id}
+	if c.rng.IntN(extraEach) == 0 && c.paths == nil {
 		o.path = fmt.Sprint(extraPath, c.rng.IntN(extraRoutes), "/", id)
 	}
 	if c.rng.IntN(longBodyEach) == 0 {
--- a/bluebellsoak/bluebellchaos/load.go
+++ b/bluebellsoak/bluebellchaos/load.go
@@ -70,6 +70,9 @@
 type callers struct {
 	// gates holds the caller addresses of the gates.
 	gates []string
+	// paths are the prefixes from which callers draw the paths of their calls; nil stands for callPaths and the
+	// routes that only some versions of the declaration have.
+	paths []string
 
 	mu       sync.Mutex
 	outcomes []outcome
@@ -80,7 +83,7 @@
 // run makes calls as one caller until ctx ends, with the pause mean on average between two.
 func (c *callers) run(ctx context.Context, name int, seed uint64, mean time.Duration) {
 	rng := rand.New(rand.NewPCG(seed, uint64(name)))
-	self := &caller{kind: callerKind(name % int(callerKinds)), rng: rng, gates: c.gates, kept: map[int]*connection{}, gate: -1}
+	self := &caller{kind: callerKind(name % int(callerKinds)), rng: rng, gates: c.gates, paths: c.paths, kept: map[int]*connection{}, gate: -1}
 	defer self.close()
 	if self.kind == clinging {
 		mean /= clingingSpeed
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -115,8 +115,10 @@
 	crashMu sync.Mutex
 	// cutOff is set while none of its registrations reaches a core process.
 	cutOff atomic.Bool
-	// copying counts the reasons for which the endpoint writes responses once more.
-	copying atomic.Int32
+	// copying counts the reasons for which the endpoint writes responses once more, and maxCalls is the field
+	// of the same name of its configuration.
+	copying  atomic.Int32
+	maxCalls int
 	// crashes, crashAfter and onCrash are the fields of the same names of the endpoint's configuration.
 	crashes    func(call bluebellplatform.IncomingCall) bool
 	crashAfter time.Duration
@@ -444,7 +446,7 @@
 	e, err := startStub(bluebellstub.Config{
 		ID: fmt.Sprintf("i-%d-%d", b.index, b.starts), Target: b.target, FailureDomain: failureDomain(b.index),
 		Listen: b.listen, Advertise: b.advertisedAddress(), Weights: weights, ProcessingTime: 4 * time.Millisecond, StartUnixMillis: time.Now().UnixMilli(),
-		Crashes: b.crashes, CrashAfter: b.crashAfter, OnCrash: b.onCrash, Copies: b.copies,
+		Crashes: b.crashes, CrashAfter: b.crashAfter, OnCrash: b.onCrash, Copies: b.copies, MaxCalls: b.maxCalls,
 	})
 	if err != nil {
 		return err
--- a/bluebellsoak/main.go
+++ b/bluebellsoak/main.go
@@ -26,6 +26,7 @@
 	Cores     int           `arg:"--cores" default:"3"`
 	Endpoints int           `arg:"--endpoints" default:"6"`
 	Repeated  bool          `arg:"--repeated" help:"repeat one call that crashes endpoints, in a way that the seed selects, instead of random faults"`
+	Copies    bool          `arg:"--copies" help:"restart endpoints that write refusals and answers once more, instead of random faults"`
 	OtherBin  string        `arg:"--other-bin" help:"folder of another build: with --repeated, every second process runs it; otherwise processes are replaced by it, and back"`
 }
 
@@ -68,6 +69,10 @@
 		report, err := bluebellchaos.RunRepeated(ctx, cfg, repeated)
 		return fmt.Sprintf("%v: %v", repeated, report), report.Violations(), err
 	}
-	report, err := bluebellchaos.Run(ctx, cfg)
+	run := bluebellchaos.Run
+	if a.Copies {
+		run = bluebellchaos.RunCopies
+	}
+	report, err := run(ctx, cfg)
 	return report.String(), report.Findings, err
 }
