--- a/bluebell/bluebellraft/node.go
+++ b/bluebell/bluebellraft/node.go
@@ -203,6 +203,10 @@
 // as it is in the log, before it is committed.
 func (n *Node) Members() *pb.Members { return n.members }
 
+// MembersIndex returns the index of the last log entry that changes the members or, if there is none, of the snapshot.
+// It is 0 if the log holds no members, so that the initial ones are in force.
+func (n *Node) MembersIndex() uint64 { return n.log.lastMembersIndex() }
+
 // HasLease reports whether this node is the leader and its lease has not expired, so that
 // no other node can be leader now.
 func (n *Node) HasLease(now time.Duration) bool {
--- a/bluebell/bluebellvoter/voter.go
+++ b/bluebell/bluebellvoter/voter.go
@@ -97,8 +97,9 @@
 	CommitIndex uint64
 	// AppliedIndex is the index of the last entry that this voter has applied.
 	AppliedIndex uint64
-	// Members are the members in force.
-	Members *pb.Members
+	// Members are the members in force. MembersIndex is that of bluebellraft.Node.
+	Members      *pb.Members
+	MembersIndex uint64
 	// LeaseUntil is the end of this voter's leader lease on the clock Now; 0 if it does not
 	// lead. Code that relies on the lease must compare it with the present time, since the
 	// process may have been paused after this status was made.
@@ -476,7 +477,7 @@
 	}
 	v.status.Store(&Status{
 		Leader: v.node.LeaderID(), Term: v.node.Term(), CommitIndex: v.node.CommitIndex(), AppliedIndex: v.appliedIndex,
-		Members: v.node.Members(), LeaseUntil: v.node.LeaseUntil(), LeaderLastKnownAt: v.leaderLastKnownAt,
+		Members: v.node.Members(), MembersIndex: v.node.MembersIndex(), LeaseUntil: v.node.LeaseUntil(), LeaderLastKnownAt: v.leaderLastKnownAt,
 		LogBytes: v.wal.Size(), CaughtUpLearners: v.caughtUpLearners(),
 	})
 }
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -191,29 +191,28 @@
 func (n *Node) now() time.Duration { return time.Since(n.started) }
 
 // openVoter opens the log. A seed that is set up with Bootstrap starts with all seeds as the
-// voters; any other process starts without members and joins as a learner.
+// voters; any other process starts without members and joins as a learner. At later starts the
+// members are those of the data folder.
 func (n *Node) openVoter(s *pb.CoreSettings) error {
-	initialVoters := bluebellprocess.PeerAddresses(s.Seeds, s.PeerPort)
-	slices.Sort(initialVoters)
-	initialVoters = slices.Compact(initialVoters)
-	isInitialVoter := s.Bootstrap && slices.Contains(initialVoters, n.address)
+	seeds := bluebellprocess.PeerAddresses(s.Seeds, s.PeerPort)
+	slices.Sort(seeds)
+	seeds = slices.Compact(seeds)
 	fs := bluebellwal.OS()
-	id, err := bluebellvoter.LoadOrCreateIdentity(fs, s.DataFolder, n.address, isInitialVoter)
+	identity, err := bluebellvoter.LoadOrCreateIdentity(bluebellvoter.IdentityConfig{
+		FS: fs, Folder: s.DataFolder, VM: n.address, Bootstrap: s.Bootstrap && slices.Contains(seeds, n.address), Voters: seeds,
+		Unrecorded: assumedVoters(seeds, n.address, int(s.TolerateLostVMs)+1),
+	})
 	if err != nil {
 		return err
 	}
-	members := &pb.Members{}
-	if id == n.address {
-		members.Voters = initialVoters
-	}
-	n.id = id
+	n.id = identity.ID
 	n.outboxes = bluebellpeer.NewOutboxes(bluebellpeer.OutboxConfig{
 		Client: func(member string) (*bluebellpeer.Client, error) {
 			return n.pool.Client(bluebellvoter.VMOf(member)), nil
 		},
 	})
 	n.voter, err = bluebellvoter.New(bluebellvoter.Config{
-		ID: id, Members: members, FS: fs, Folder: filepath.Join(s.DataFolder, "log"),
+		ID: identity.ID, Members: identity.Members, FS: fs, Folder: filepath.Join(s.DataFolder, "log"),
 		Send:        n.outboxes.Send,
 		Publish:     func(v *pb.View) { n.source.SetDeployment(v.Revision, v.Deployment) },
 		PublishCore: n.applyCoreState,
@@ -223,6 +222,21 @@
 	return err
 }
 
+// assumedVoters returns the first voters of the log as far as present seeds show them, for a voter whose data folder
+// does not record them. Seeds may lack VMs that were down when they were written, also this one. It returns nil if
+// they are fewer than a quorum, since this process could otherwise agree with itself alone.
+func assumedVoters(seeds []string, self string, quorum int) []string {
+	voters := slices.Clone(seeds)
+	if !slices.Contains(voters, self) {
+		voters = append(voters, self)
+	}
+	if len(voters) < quorum {
+		return nil
+	}
+	slices.Sort(voters)
+	return voters
+}
+
 // Run runs the node until ctx ends or one of its tasks fails, such as the log's storage.
 func (n *Node) Run(ctx context.Context) error {
 	s := n.cfg.Settings()
@@ -412,6 +426,7 @@
 		if n.leaderSince == 0 {
 			n.leaderSince = n.now()
 		}
+		n.recordMembers(ctx)
 		n.agreeCommandVersion(ctx)
 		// The steps of one replacement follow each other without a pause: between them there
 		// are too few voters to tolerate the configured number of lost VMs.
@@ -420,6 +435,19 @@
 	}
 }
 
+// recordMembers writes the members to the log if no entry holds them, so that all members restart with the same ones,
+// also those whose data folder does not record them.
+func (n *Node) recordMembers(ctx context.Context) {
+	status := n.voter.Status()
+	if status.MembersIndex > 0 {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, membersTimeout)
+	defer cancel()
+	err := n.voter.ChangeMembers(callCtx, status.Members)
+	n.cfg.Logger.Info("members written to the log", "Voters", status.Members.GetVoters(), "Error", err)
+}
+
 // changeMembers proposes at most one change of members and reports whether it was agreed.
 func (n *Node) changeMembers(ctx context.Context) bool {
 	n.mu.Lock()
--- a/bluebellentry/internal/bluebellnode/node.go
+++ b/bluebellentry/internal/bluebellnode/node.go
@@ -136,14 +136,18 @@
 	if s.VM.DataFolder == "" {
 		return nil
 	}
-	id, err := bluebellvoter.LoadOrCreateIdentity(n.cfg.FS, s.VM.DataFolder, n.vm, n.cfg.Bootstrap)
+	voters := vmNames(s.Voters)
+	unrecorded := voters
+	if !slices.Contains(voters, n.vm) {
+		unrecorded = nil
+	}
+	identity, err := bluebellvoter.LoadOrCreateIdentity(bluebellvoter.IdentityConfig{
+		FS: n.cfg.FS, Folder: s.VM.DataFolder, VM: n.vm, Bootstrap: n.cfg.Bootstrap, Voters: voters, Unrecorded: unrecorded,
+	})
 	if err != nil {
 		return err
 	}
-	initial := &pb.Members{}
-	for _, v := range s.Voters {
-		initial.Voters = append(initial.Voters, v.Name)
-	}
+	id, initial := identity.ID, identity.Members
 	if !slices.Contains(initial.Voters, id) {
 		// The disk was replaced, or the VM is kept in reserve. The voter gets the members
 		// from the leader once operators have added it.
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -200,7 +200,7 @@
 	if !d.waitUntilServing(ctx, startTimeout, true) {
 		return fmt.Errorf("calls are not served within %v of the start; see the logs in %s", startTimeout, d.cfg.DataFolder)
 	}
-	if err := d.disableBootstrap(); err != nil {
+	if err := d.setLaterSettings(); err != nil {
 		return err
 	}
 	f(ctx)
@@ -420,13 +420,21 @@
 	return p.start()
 }
 
-// disableBootstrap rewrites the settings of the core processes so that a process started from now
-// on joins the existing deployment instead of bootstrapping a new one.
-func (d *deployment) disableBootstrap() error {
-	for _, p := range d.cores {
+// setLaterSettings rewrites the settings of the core processes so that a process started from now on joins the
+// existing deployment instead of bootstrapping a new one. Its seeds lack the process itself, as a list that is made
+// while it is down. Programs of earlier releases do not bear that.
+func (d *deployment) setLaterSettings() error {
+	for n, p := range d.cores {
 		if err := p.changeSettings("Bootstrap", false); err != nil {
 			return err
 		}
+		if d.otherPrograms != "" || d.cfg.OtherProgramFolder != "" {
+			continue
+		}
+		others := slices.DeleteFunc(slices.Clone(d.controlAddresses), func(a string) bool { return a == d.controlAddresses[n] })
+		if err := p.changeSettings("Seeds", others); err != nil {
+			return err
+		}
 	}
 	return nil
 }
