--- a/bluebell/bluebelldeployment/deployment.go
+++ b/bluebell/bluebelldeployment/deployment.go
@@ -354,6 +354,15 @@
 	return d.declaration.Targets
 }
 
+// TargetNames returns the names of all targets, or nil if d is nil.
+func (d *Deployment) TargetNames() []string {
+	var names []string
+	for _, t := range d.Targets() {
+		names = append(names, t.Name)
+	}
+	return names
+}
+
 // Stores returns all cache stores, or nil if d is nil.
 func (d *Deployment) Stores() []Store {
 	if d == nil {
--- a/bluebell/bluebellfleet/fleet.go
+++ b/bluebell/bluebellfleet/fleet.go
@@ -11,6 +11,12 @@
 // A stale registration changes nothing. An endpoint that is gone stays gone until it
 // starts again.
 //
+// # Undeclared targets
+//
+// Anybody who reaches a core process can send a registration. One of a target that the operators
+// have not declared says nothing about the endpoints of declared targets, also if it has the ID or
+// the address of one: it is kept apart until its target is declared.
+//
 // # Replication
 //
 // A Registry numbers its changes. A follower sends the number of the last change that it
@@ -34,7 +40,7 @@
 )
 
 // goneRetention is how long the record of an endpoint that is gone is kept: longer than a
-// registration can be delayed in transit.
+// registration can be delayed in transit. A silent endpoint of an undeclared target is kept as long.
 const goneRetention = 2 * time.Minute
 
 // minSilence is the age of a registration from which its endpoint makes room for others: several
@@ -105,6 +111,9 @@
 	Now func() time.Duration
 	// MaxEndpoints limits the endpoints that are not gone. 0 means no limit.
 	MaxEndpoints int
+	// DeclaredOnly keeps the registrations of targets apart that SetTargets has not named. Otherwise all
+	// targets count as declared.
+	DeclaredOnly bool
 }
 
 // MergeResult is the effect of a registration on a Registry.
@@ -120,6 +129,9 @@
 	Changed
 	// Full means that there is no room for the registration of another endpoint.
 	Full
+	// Undeclared means that the target of the registration is not declared, so that the registration is
+	// kept apart.
+	Undeclared
 )
 
 // record is a registration with the cursor of its last change, and of the last one that
@@ -143,11 +155,17 @@
 	// calls may be sent to which endpoint. routingChanged is closed at the next one.
 	routingCursor  uint64
 	routingChanged chan struct{}
+	// targets are those that SetTargets has named, and undeclared holds the registrations of others.
+	targets    map[string]bool
+	undeclared map[undeclaredKey]Endpoint
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(cfg Config) *Registry {
-	return &Registry{cfg: cfg, records: map[string]*record{}, idByAddress: map[string]string{}, routingChanged: make(chan struct{})}
+	return &Registry{
+		cfg: cfg, records: map[string]*record{}, idByAddress: map[string]string{}, routingChanged: make(chan struct{}),
+		undeclared: map[undeclaredKey]Endpoint{},
+	}
 }
 
 // Merge records a registration that was received from an endpoint or from another registry,
@@ -155,6 +173,19 @@
 func (r *Registry) Merge(e Endpoint) MergeResult {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	switch {
+	case r.isDeclared(e):
+		return r.merge(e)
+	case e.State == Gone:
+		// The incarnation is gone whatever its target is, but it has no claim to an address.
+		e.Address = ""
+		return r.merge(e)
+	}
+	return r.keepApart(e)
+}
+
+// merge is Merge for a registration of a declared target. r.mu must be held.
+func (r *Registry) merge(e Endpoint) MergeResult {
 	old := r.records[e.ID]
 	if old != nil && !supersedes(e, old.endpoint) {
 		return Stale
@@ -224,6 +255,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.records[id]
+	if old == nil && startUnixMillis == 0 {
+		startUnixMillis = r.latestUndeclaredStart(id)
+	}
 	var gone Endpoint
 	switch {
 	case old != nil && (startUnixMillis == 0 || startUnixMillis == old.endpoint.StartUnixMillis):
@@ -366,6 +400,7 @@
 			}
 		}
 	}
+	r.expireUndeclared()
 	slices.SortFunc(list, func(a, b Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/bluebellcore/internal/bluebellcontrol/control.go
+++ b/bluebellcore/internal/bluebellcontrol/control.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"time"
@@ -270,6 +271,13 @@
 		return failure(fasthttp.StatusServiceUnavailable, errors.New("too many endpoints"))
 	case bluebellfleet.Stale:
 		s.cfg.Logger.Debug("outdated registration ignored", "ID", id, "Born", e.StartUnixMillis, "Sequence", e.Sequence)
+	case bluebellfleet.Undeclared:
+		s.cfg.Logger.Debug("registration of an undeclared target kept apart", "ID", id, "Target", e.Target, "Address", e.Address, "State", e.State)
+		if e.State == bluebellfleet.Draining {
+			// Departures are recorded by ID, and the ID may be that of an endpoint of a declared target.
+			return failure(fasthttp.StatusServiceUnavailable, fmt.Errorf("the target %q is not declared", e.Target))
+		}
+		return ok()
 	}
 	current, _ := s.cfg.Registry.Endpoint(id)
 	if current.State == bluebellfleet.Draining && current.StartUnixMillis == e.StartUnixMillis {
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -134,7 +134,7 @@
 	}
 	n.openUsage(s.GetBounds())
 	n.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: n.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
-	n.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: n.now, MaxEndpoints: bluebellcontrol.MaxEndpoints})
+	n.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: n.now, MaxEndpoints: bluebellcontrol.MaxEndpoints, DeclaredOnly: true})
 	directory := bluebelldirectory.New()
 	declared := &declaredDeployment{deployment: func() (*pb.Deployment, uint64) { return n.source.Deployment() }}
 	n.declared = declared
@@ -213,15 +213,22 @@
 	})
 	n.voter, err = bluebellvoter.New(bluebellvoter.Config{
 		ID: identity.ID, Members: identity.Members, FS: fs, Folder: filepath.Join(s.DataFolder, "log"),
-		Send:        n.outboxes.Send,
-		Publish:     func(v *pb.View) { n.source.SetDeployment(v.Revision, v.Deployment) },
-		PublishCore: n.applyCoreState,
+		Send: n.outboxes.Send, Publish: n.applyView, PublishCore: n.applyCoreState,
 		Now:         n.now, WallClock: time.Now, Rand: rand.Int64N,
 		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, KeepEntries: keepEntries, Logger: n.cfg.Logger,
 	})
 	return err
 }
 
+// applyView passes a new deployment to the followers and its targets to the registry. The voter calls it with each new
+// view.
+func (n *Node) applyView(v *pb.View) {
+	n.source.SetDeployment(v.Revision, v.Deployment)
+	for _, e := range n.registry.SetTargets(n.declared.current().TargetNames()) {
+		n.cfg.Logger.Info("endpoint registration changed", "ID", e.ID, "Target", e.Target, "Address", e.Address, "State", e.State, "Source", "declaration")
+	}
+}
+
 // assumedVoters returns the first voters of the log as far as present seeds show them, for a voter whose data folder
 // does not record them. Seeds may lack VMs that were down when they were written, also this one. It returns nil if
 // they are fewer than a quorum, since this process could otherwise agree with itself alone.
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -127,7 +127,7 @@
 	g.routing.Store(&bluebellfrontend.Routing{})
 	g.otherFetches.Store(&map[string]bluebelltier.Load{})
 	g.pool = bluebellpeer.NewPool(bluebellpeer.PoolConfig{Name: g.address, Secret: []byte(s.Secret), Dial: cfg.Dial})
-	g.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: g.now})
+	g.registry = bluebellfleet.NewRegistry(bluebellfleet.Config{Now: g.now, DeclaredOnly: true})
 	g.newLinks(s)
 	followerConfig := bluebellfeed.FollowerConfig{
 		Process: g.address, Entry: true, FailureDomain: s.FailureDomain, MaxSources: maxSources, Registry: g.registry,
@@ -281,6 +281,9 @@
 	g.mu.Unlock()
 	g.applyQuarantines(d.Quarantines)
 	g.routing.Store(next)
+	for _, e := range g.registry.SetTargets(next.Deployment.TargetNames()) {
+		g.cfg.Logger.Info("endpoint registration changed", "ID", e.ID, "Target", e.Target, "Address", e.Address, "State", e.State, "Source", "declaration")
+	}
 	g.updatePlacer()
 	g.cfg.Logger.Info("deployment in force", "Revision", revision, "Version", d.Version, "DomainsOut", d.DomainsOut, "Weights", d.Weights)
 }
