--- a/bluebell/bluebellfeed/feed_test.go
+++ b/bluebell/bluebellfeed/feed_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"bluebellhaven.org/bluebell/bluebelldirectory"
 	"bluebellhaven.org/bluebell/bluebellfeed"
@@ -411,3 +412,46 @@
 	e := d.follow(t, "e1", "c1", "c2")
 	eventually(t, "one source knows a leader", e.KnowsLeader)
 }
+
+// Guards against an entry that takes its deployment for the latest one although its sources cannot know that: none
+// answers, or none has heard from the others lately. A source of an earlier release says only whether it has a leader.
+func TestAgeOfDeployment(t *testing.T) {
+	ago := func(d time.Duration) func(*pb.FollowReply) {
+		return func(r *pb.FollowReply) { r.CurrentAgo = durationpb.New(d) }
+	}
+	for name, c := range map[string]struct {
+		first, second func(*pb.FollowReply)
+		min, max      time.Duration
+		unknown       bool
+	}{
+		"Current":               {first: ago(0), second: ago(time.Hour), max: time.Second},
+		"Behind":                {first: ago(time.Minute), second: ago(time.Hour), min: time.Minute, max: time.Minute + time.Second},
+		"EarlierRelease":        {first: func(*pb.FollowReply) {}, second: ago(time.Hour), max: time.Second},
+		"EarlierWithoutLeader":  {first: func(r *pb.FollowReply) { r.Leaderless = true }, second: func(r *pb.FollowReply) { r.Leaderless = true }, unknown: true},
+		"LaterThanTheRevision":  {first: func(r *pb.FollowReply) { r.Revision, r.Deployment = 9, nil }, second: func(r *pb.FollowReply) { r.Leaderless = true }, unknown: true},
+		"WithoutAnyDeclaration": {first: func(r *pb.FollowReply) { r.Revision = 0 }, second: func(r *pb.FollowReply) { r.Revision = 0 }, unknown: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment("c1", "c2")
+			for _, core := range d.cores {
+				core.SetDeployment(5, &pb.Deployment{Version: 1})
+			}
+			d.cores["c1"].alter, d.cores["c2"].alter = c.first, c.second
+			e := d.follow(t, "e1", "c1", "c2")
+			eventually(t, "both sources answer twice", func() bool { return d.cores["c1"].polls.Load() > 2 && d.cores["c2"].polls.Load() > 2 })
+			age, known := e.DeploymentAge()
+			require.Equal(t, !c.unknown, known)
+			if known {
+				require.GreaterOrEqual(t, age, c.min)
+				require.Less(t, age, c.max)
+				for _, core := range d.cores {
+					core.down.Store(true)
+				}
+				time.Sleep(1200 * time.Millisecond)
+				later, _ := e.DeploymentAge()
+				require.GreaterOrEqual(t, later-age, 500*time.Millisecond)
+			}
+		})
+	}
+}
--- a/bluebell/bluebellfeed/follower.go
+++ b/bluebell/bluebellfeed/follower.go
@@ -91,11 +91,20 @@
 	// Objective returns the shortest declared objective of calls to models, 0 if there is none.
 	// It sets how often loads are exchanged; see IntervalsFor. If nil, there is none.
 	Objective func() time.Duration
-	// Now returns the time of a monotonic clock.
+	// Now returns the time of a monotonic clock. Uptime is one that goes on while the VM is suspended; if nil, it is
+	// Now.
 	Now    func() time.Duration
+	Uptime func() time.Duration
 	Logger *log.Logger
 }
 
+func (c FollowerConfig) uptime() time.Duration {
+	if c.Uptime == nil {
+		return c.Now()
+	}
+	return c.Uptime()
+}
+
 // source is the state of one core process that is polled.
 type source struct {
 	cancel context.CancelFunc
@@ -157,6 +166,10 @@
 	known    map[string]knownEntry
 	others   []EntryState
 	revision uint64
+	// currentAt is the latest time, on the clock Uptime, at which nothing newer than the deployment in force was agreed
+	// on. It is valid if currentKnown is set.
+	currentAt    time.Duration
+	currentKnown bool
 }
 
 // NewFollower returns a follower without sources. Run starts polling.
@@ -200,6 +213,32 @@
 	return false
 }
 
+// DeploymentAge returns the time since nothing newer than the deployment in force was agreed on, as far as sources have
+// told, and whether they have told of such a time. Without it, a core process may have agreed on changes that are
+// unknown here: it cannot be reached, or it cannot reach the others itself.
+func (f *Follower) DeploymentAge() (age time.Duration, known bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg.uptime() - f.currentAt, f.currentKnown
+}
+
+// recordCurrent records how recent the deployment of a reply is, once it is in force. A source of an earlier release
+// does not tell, but whether it knows a leader.
+func (f *Follower) recordCurrent(reply *pb.FollowReply, requestedUptime time.Duration) {
+	if reply.CurrentAgo == nil && reply.Leaderless {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if reply.Revision == 0 || f.revision < reply.Revision {
+		return
+	}
+	at := requestedUptime - max(reply.CurrentAgo.AsDuration(), 0)
+	if !f.currentKnown || at > f.currentAt {
+		f.currentAt, f.currentKnown = at, true
+	}
+}
+
 // Revision returns the revision of the last deployment that was passed to OnDeployment.
 func (f *Follower) Revision() uint64 {
 	f.mu.Lock()
@@ -386,7 +425,7 @@
 	for ctx.Err() == nil {
 		request := f.nextRequest(address, position)
 		f.addUsage(request, &usage)
-		requestedAt := f.cfg.Now()
+		requestedAt, requestedUptime := f.cfg.Now(), f.cfg.uptime()
 		callCtx, cancel := context.WithTimeout(ctx, maxWait+pollSlack)
 		reply, err := f.cfg.Poll(callCtx, address, request)
 		cancel()
@@ -412,6 +451,7 @@
 			f.applyDirectory(address, reply, reset)
 		}
 		f.applyReply(ctx, address, request, reply)
+		f.recordCurrent(reply, requestedUptime)
 		position = pollPosition{epoch: reply.Epoch, cursor: reply.Cursor}
 		if request.Primary {
 			position.directoryCursor = reply.DirectoryCursor
--- a/bluebell/bluebellfeed/source.go
+++ b/bluebell/bluebellfeed/source.go
@@ -94,6 +94,9 @@
 	WallClock func() time.Time
 	// HasLeader reports whether a leader of the core processes is known. It may be nil.
 	HasLeader func() bool
+	// CurrentAgo returns the time since this process is known to have had all that the core processes have agreed on,
+	// and whether there was such a time. It may be nil.
+	CurrentAgo func() (age time.Duration, known bool)
 	// Objective is that of FollowerConfig.
 	Objective func() time.Duration
 	// Now returns the time of a monotonic clock. After is time.After, or a fake in tests.
@@ -202,6 +205,12 @@
 	}
 	now := s.cfg.Now()
 	reply := &pb.FollowReply{Epoch: s.cfg.Epoch, Cores: s.cfg.Cores()}
+	if s.cfg.CurrentAgo != nil {
+		// Before the revision is read, so that the reply has at least what was agreed on then.
+		if age, known := s.cfg.CurrentAgo(); known {
+			reply.CurrentAgo = durationpb.New(age)
+		}
+	}
 	reply.Leaderless = s.cfg.HasLeader != nil && !s.cfg.HasLeader()
 	if s.cfg.WallClock != nil {
 		reply.UnixNanos = s.cfg.WallClock().UnixNano()
--- a/bluebell/bluebellraft/node.go
+++ b/bluebell/bluebellraft/node.go
@@ -124,7 +124,10 @@
 	// lastContact is the time of the latest message from a leader. On a leader it is the
 	// start of the latest heartbeat round that a quorum has acknowledged, or before that
 	// the time at which it became leader.
-	lastContact     time.Duration
+	lastContact time.Duration
+	// currentAt is the time of the latest message from a leader by which this node had all
+	// entries that the leader knew to be committed, 0 before the first one.
+	currentAt       time.Duration
 	nextHeartbeatAt time.Duration
 	// grantedVotes holds the voters that granted this node a pre-vote or vote.
 	grantedVotes map[string]bool
@@ -207,6 +210,15 @@
 // It is 0 if the log holds no members, so that the initial ones are in force.
 func (n *Node) MembersIndex() uint64 { return n.log.lastMembersIndex() }
 
+// CurrentAt returns the latest time at which this node is known to have had all committed entries, or 0 if there is
+// none. On a follower it may be too late by up to an election timeout, while its leader has lost the quorum.
+func (n *Node) CurrentAt() time.Duration {
+	if n.role == Leader && n.log.commitIndex >= n.termStartIndex {
+		return max(n.currentAt, n.lastContact)
+	}
+	return n.currentAt
+}
+
 // HasLease reports whether this node is the leader and its lease has not expired, so that
 // no other node can be leader now.
 func (n *Node) HasLease(now time.Duration) bool {
--- a/bluebell/bluebellraft/replication.go
+++ b/bluebell/bluebellraft/replication.go
@@ -41,6 +41,10 @@
 		n.followLeader(now, m)
 		if m.Kind == pb.RaftKind_Append {
 			n.handleAppend(m)
+			// A new leader learns what earlier ones have committed with the first entry of its own term.
+			if n.log.commitIndex >= m.Commit && n.log.term(n.log.commitIndex) == n.term {
+				n.currentAt = now
+			}
 		} else {
 			n.handleInstall(m)
 		}
--- a/bluebell/bluebellraft/step_test.go
+++ b/bluebell/bluebellraft/step_test.go
@@ -108,3 +108,27 @@
 		}
 	})
 }
+
+// Guards against a node that takes itself for up to date although entries may be committed that it lacks or does not
+// know to be committed.
+func TestNodeIsCurrentOnceItHasWhatTheLeaderCommitted(t *testing.T) {
+	n := newNode(t)
+	entries := []*pb.LogEntry{{Index: 1, Term: 1}, {Index: 2, Term: 3}}
+	appendTo := func(now time.Duration, previous, commit uint64, entries ...*pb.LogEntry) time.Duration {
+		term := uint64(0)
+		if previous > 0 {
+			term = []uint64{1, 3}[previous-1]
+		}
+		require.NoError(t, n.Step(now, &pb.RaftMessage{Kind: pb.RaftKind_Append, From: "b", To: "a", Term: 3, LogIndex: previous, LogTerm: term, Entries: entries, Commit: commit}))
+		return n.CurrentAt()
+	}
+	require.Zero(t, appendTo(second, 1, 2, entries[1]), "an entry is missing")
+	require.Zero(t, appendTo(2*second, 0, 1, entries[0]), "the leader has committed no entry of its term")
+	require.Zero(t, appendTo(3*second, 1, 1), "the leader has committed no entry of its term")
+	require.Equal(t, 4*second, appendTo(4*second, 1, 2, entries[1]))
+	require.Equal(t, 5*second, appendTo(5*second, 2, 2))
+	n.Tick(9 * second)
+	require.Equal(t, 5*second, n.CurrentAt(), "no leader is heard")
+	leader := newLeader(t)
+	require.Zero(t, leader.CurrentAt(), "a new leader does not know what is committed")
+}
--- a/bluebell/bluebellvoter/voter.go
+++ b/bluebell/bluebellvoter/voter.go
@@ -68,6 +68,8 @@
 	PublishCore func(core *pb.CoreState)
 	// Now returns the time on a monotonic clock, from any fixed starting point.
 	Now func() time.Duration
+	// Uptime is a clock that goes on while the VM is suspended. If nil, it is Now.
+	Uptime func() time.Duration
 	// WallClock returns the time that is recorded in commands.
 	WallClock func() time.Time
 	// Rand returns a random number in [0, n).
@@ -89,6 +91,13 @@
 	return defaultKeepEntries
 }
 
+func (c Config) uptime() time.Duration {
+	if c.Uptime == nil {
+		return c.Now()
+	}
+	return c.Uptime()
+}
+
 // Status describes the log and its leader as seen by this voter.
 type Status struct {
 	// Leader is the identity of the current term's leader, or "" if it is not known.
@@ -107,6 +116,9 @@
 	// LeaderLastKnownAt is the latest time, on the clock Now, at which this voter had a
 	// known leader.
 	LeaderLastKnownAt time.Duration
+	// CurrentAt is the latest time, on the clock Uptime, at which this voter is known to have
+	// applied all committed entries; 0 if there is none. See bluebellraft.Node.
+	CurrentAt time.Duration
 	// LogBytes is the size of the write-ahead log in bytes.
 	LogBytes uint64
 	// CaughtUpLearners are the learners that store all committed entries. The list is empty
@@ -167,6 +179,8 @@
 	// loggedRole is the role in the latest log line about it.
 	loggedRole        bluebellraft.Role
 	leaderLastKnownAt time.Duration
+	// currentAt is that of the Raft node, and currentUptime the same time on the clock Uptime.
+	currentAt, currentUptime time.Duration
 }
 
 // New restores the voter's state from its folder, publishes the view that was in force
@@ -472,12 +486,15 @@
 	if v.node.LeaderID() != "" {
 		v.leaderLastKnownAt = now
 	}
+	if at := v.node.CurrentAt(); at != v.currentAt {
+		v.currentAt, v.currentUptime = at, v.cfg.uptime()-(now-at)
+	}
 	if v.node.Role() != bluebellraft.Leader {
 		v.failPending()
 	}
 	v.status.Store(&Status{
 		Leader: v.node.LeaderID(), Term: v.node.Term(), CommitIndex: v.node.CommitIndex(), AppliedIndex: v.appliedIndex,
-		Members: v.node.Members(), MembersIndex: v.node.MembersIndex(), LeaseUntil: v.node.LeaseUntil(), LeaderLastKnownAt: v.leaderLastKnownAt,
+		Members: v.node.Members(), MembersIndex: v.node.MembersIndex(), LeaseUntil: v.node.LeaseUntil(), LeaderLastKnownAt: v.leaderLastKnownAt, CurrentAt: v.currentUptime,
 		LogBytes: v.wal.Size(), CaughtUpLearners: v.caughtUpLearners(),
 	})
 }
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -143,6 +143,7 @@
 		Registry: n.registry, Directory: directory, Epoch: rand.Uint64(), Cores: n.recentCores, Domain: n.domainOf,
 		PeerLoads: func() []bluebellfeed.PeerLoads { return n.follower.PeerLoads() }, Suspects: suspects, Now: n.now, After: time.After,
 		HasLeader: func() bool { return n.voter.Status().Leader != "" }, Objective: declared.shortestObjective,
+		CurrentAgo:  n.currentAgo,
 		RecordUsage: n.recordUsage, WallClock: n.statedClock(),
 	})
 	if err := n.openVoter(s); err != nil {
@@ -214,7 +215,7 @@
 	n.voter, err = bluebellvoter.New(bluebellvoter.Config{
 		ID: identity.ID, Members: identity.Members, FS: fs, Folder: filepath.Join(s.DataFolder, "log"),
 		Send: n.outboxes.Send, Publish: n.applyView, PublishCore: n.applyCoreState,
-		Now:         n.now, WallClock: time.Now, Rand: rand.Int64N,
+		Now: n.now, Uptime: bluebellprocess.Uptime, WallClock: time.Now, Rand: rand.Int64N,
 		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval, KeepEntries: keepEntries, Logger: n.cfg.Logger,
 	})
 	return err
@@ -297,6 +298,13 @@
 	n.cfg.Logger.Error("handler of a peer's call panicked", "Method", method, "Panic", value, "Stack", string(stack))
 }
 
+// currentAgo returns the time since this process is known to have applied all that was agreed on, and whether there was
+// such a time.
+func (n *Node) currentAgo() (time.Duration, bool) {
+	at := n.voter.Status().CurrentAt
+	return bluebellprocess.Uptime() - at, at > 0
+}
+
 // isLeader reports whether this process regards itself as the leader. Another process may
 // already have been elected.
 func (n *Node) isLeader() bool { return n.voter.Status().Leader == n.id }
--- a/bluebellgate/internal/bluebellgateway/cluster_test.go
+++ b/bluebellgate/internal/bluebellgateway/cluster_test.go
@@ -77,6 +77,8 @@
 	usageWindow time.Duration
 	// others are addresses of further endpoints that the test has registered.
 	others []string
+	// coreBehind is set while the core process cannot reach the others.
+	coreBehind atomic.Bool
 }
 
 // follower serves the polls of entries.
@@ -105,6 +107,12 @@
 	coreAddress := bluebellprocess.HostPort(c.coreHost, c.port)
 	c.core = bluebellfeed.NewSource(bluebellfeed.SourceConfig{
 		Registry: c.registry, Directory: bluebelldirectory.New(), Epoch: 1, Cores: func() []string { return []string{coreAddress} },
+		CurrentAgo: func() (time.Duration, bool) {
+			if c.coreBehind.Load() {
+				return time.Minute, true
+			}
+			return 0, true
+		},
 		Suspects: c.suspects, Now: c.now, After: time.After, WallClock: time.Now,
 		RecordUsage: func(entry string, r *pb.UsageReport) { c.usage.Record(time.Now(), entry, r) },
 	})
@@ -318,11 +326,11 @@
 	return conn, nil
 }
 
-// setCoreCut cuts the entry off from the core processes.
-func (g *gate) setCoreCut() {
+// setCoreCut cuts the entry off from the core processes, or connects it again.
+func (g *gate) setCoreCut(cut bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.coreCut = true
+	g.coreCut = cut
 	for _, conn := range g.toCore {
 		_ = conn.Close()
 	}
--- a/bluebellgate/internal/bluebellgateway/crash_test.go
+++ b/bluebellgate/internal/bluebellgateway/crash_test.go
@@ -93,7 +93,7 @@
 		c.replaceEndpoint(i, replaced)
 	}
 	time.Sleep(time.Second) // The entry knows the new incarnations.
-	a.setCoreCut()
+	a.setCoreCut(true)
 	require.Eventually(t, func() bool {
 		got := a.do(http.MethodPost, "/read/deadly", "deadly")
 		return got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != "" && c.ended() == 3
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -10,6 +10,7 @@
 package bluebellgateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -63,6 +64,10 @@
 	// weights. A new version becomes known only at the next poll, and the clocks of a call
 	// and its answer differ.
 	weightsMargin = 1500 * time.Millisecond
+	// defaultDeclarationDue is the time within which a declaration must be in force if the settings name none.
+	// declarationMargin is subtracted from it: a call reaches its endpoint a moment after it was sent.
+	defaultDeclarationDue = 2 * time.Second
+	declarationMargin     = 200 * time.Millisecond
 )
 
 // Config holds the settings and dependencies of a Gateway.
@@ -146,7 +151,7 @@
 		Poll: func(ctx context.Context, source string, r *pb.FollowRequest) (*pb.FollowReply, error) {
 			return g.pool.Client(source).Follow(ctx, r)
 		},
-		Now: g.now, Logger: cfg.Logger,
+		Now: g.now, Uptime: bluebellprocess.Uptime, Logger: cfg.Logger,
 	}
 	bounds := s.GetBounds()
 	g.countUsage(bounds.GetUsageWindow().AsDuration(), &followerConfig)
@@ -191,9 +196,9 @@
 	scoped := func(target string) tally.Scope { return g.metrics.Scope.Tagged(map[string]string{"target": target}) }
 	return bluebellrelay.New(bluebellrelay.Config{
 		Placer: g.placer, Client: g.client, CachePlanner: g.cachePlanner, Guard: g.guard, Now: g.now, Random: rand.Float64, Logger: g.cfg.Logger,
-		Deployment: func() *bluebelldeployment.Deployment { return g.routing.Load().Deployment },
-		Usage:      bluebellrelay.UsageConfig{Counter: g.usage, Now: g.timeOfDay},
-		Links:      g.links, Handover: bluebellrelay.HandoverConfig{Helpers: g.helpers, Client: g.entries},
+		Deployment: func() *bluebelldeployment.Deployment { return g.routing.Load().Deployment }, KnowsSharing: g.deploymentCurrent,
+		Usage: bluebellrelay.UsageConfig{Counter: g.usage, Now: g.timeOfDay},
+		Links: g.links, Handover: bluebellrelay.HandoverConfig{Helpers: g.helpers, Client: g.entries},
 		RetryLimits: bluebellrelay.RetryLimits{
 			Ratio: bounds.GetRetryRatio(), Window: bounds.GetRetryWindow().AsDuration(), Slack: bounds.GetRetrySlack(),
 		},
@@ -325,6 +330,13 @@
 	}
 }
 
+// deploymentCurrent reports whether all declarations are known here that have to be in force everywhere.
+func (g *Gateway) deploymentCurrent() bool {
+	due := cmp.Or(milliseconds(g.cfg.Settings().GetBounds().GetDeclarationMillis()), defaultDeclarationDue)
+	age, known := g.follower.DeploymentAge()
+	return known && age < due-declarationMargin
+}
+
 // noteLoads makes refreshPlacer use loads that have arrived, where they are exchanged more often than it does so anyway.
 func (g *Gateway) noteLoads() {
 	if bluebellfeed.IntervalsFor(g.shortestObjective(), len(g.follower.Entries())).EntryWait >= refreshInterval {
--- a/bluebellgate/internal/bluebellgateway/handover_test.go
+++ b/bluebellgate/internal/bluebellgateway/handover_test.go
@@ -210,7 +210,7 @@
 	a := c.startGate("a")
 	c.startGate("b")
 	time.Sleep(time.Second) // The list of entries has reached both.
-	a.setCoreCut()
+	a.setCoreCut(true)
 	time.Sleep(2 * time.Second)
 	a.cutOff(hanging)
 	calls := a.load(20*time.Millisecond, 0, time.Second)
--- a/bluebellgate/internal/bluebellrelay/finish.go
+++ b/bluebellgate/internal/bluebellrelay/finish.go
@@ -11,22 +11,29 @@
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
-// unknownWeightsScope begins the scopes of calls to endpoints whose weights are not known.
-const unknownWeightsScope = "unknown-weights/"
+const (
+	// unknownWeightsScope begins the scopes of calls to endpoints whose weights are not known.
+	unknownWeightsScope = "unknown-weights/"
+	// unknownCustomerScope begins the scopes of calls without a customer while it is not known who is isolated.
+	unknownCustomerScope = "unknown-customer/"
+)
 
 // sharing is with whom a call shares cached blocks.
 type sharing struct {
-	// group is that of the deployment, and isolated the name of the customer if it is isolated.
-	group, isolated string
+	// group is that of the deployment. alone is the name of the customer if it shares blocks with no other one.
+	group, alone string
+	// unknown is set while it is not known who is isolated.
+	unknown bool
 }
 
 // currentSharing returns with whom the call shares cached blocks by the deployment in force: a customer may have
-// become isolated since the call arrived.
+// become isolated since the call arrived. While newer declarations may be in force elsewhere, each customer may be
+// isolated, so it shares blocks with its own calls only.
 func (c *activeCall) currentSharing() sharing {
 	deployment := c.relay.cfg.Deployment()
-	s := sharing{group: deployment.SharingGroup()}
-	if customer := c.request.Customer; customer != nil && (customer.Isolated || deployment.Isolates(customer.Name)) {
-		s.isolated = customer.Name
+	s := sharing{group: deployment.SharingGroup(), unknown: c.relay.cfg.KnowsSharing != nil && !c.relay.cfg.KnowsSharing()}
+	if customer := c.request.Customer; customer != nil && (s.unknown || customer.Isolated || deployment.Isolates(customer.Name)) {
+		s.alone = customer.Name
 	}
 	return s
 }
@@ -39,8 +46,10 @@
 	switch {
 	case weights == 0:
 		customer = unknownWeightsScope + c.request.Call.ID
-	case c.sharing.isolated != "":
-		customer = c.sharing.isolated
+	case c.sharing.alone != "":
+		customer = c.sharing.alone
+	case c.sharing.unknown:
+		customer = unknownCustomerScope + c.request.Call.ID
 	}
 	return bluebelldirectory.Scope(customer, c.request.Call.Model, weights)
 }
--- a/bluebellgate/internal/bluebellrelay/relay.go
+++ b/bluebellgate/internal/bluebellrelay/relay.go
@@ -60,6 +60,9 @@
 	Guard *bluebellquarantine.Guard
 	// Deployment returns the deployment in force, which may be newer than that of a call.
 	Deployment func() *bluebelldeployment.Deployment
+	// KnowsSharing reports whether the deployment says who shares cached blocks with whom now. While this entry receives
+	// no declarations, a customer may have become isolated. If nil, it always does.
+	KnowsSharing func() bool
 	// Links holds the state of the links to endpoints, and Handover what is needed to hand calls
 	// over while they are lost. Without them, no links are ever lost and no calls handed over.
 	Links    *bluebelllink.Tracker
@@ -471,6 +474,9 @@
 // endpoint fetches and saves.
 func (c *activeCall) requestHeader(choice bluebellplacement.Choice, timeLeft time.Duration) http.Header {
 	c.sharing = c.currentSharing()
+	if c.sharing.unknown {
+		c.relay.cfg.CountEvent("sharing_unknown", c.request.Target.Name)
+	}
 	outgoing := bluebellplatform.OutgoingCall{
 		Endpoint: choice.Endpoint.ID, TimeLeft: timeLeft, WeightsVersion: choice.Weights, Priority: c.request.priority(),
 		ModelCall: c.request.Target.Engine != nil, ResumeAfter: c.order.last, CacheScope: c.cacheScope(choice.Weights),
--- a/bluebellsoak/bluebellchaos/isolation.go
+++ b/bluebellsoak/bluebellchaos/isolation.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -41,10 +40,12 @@
 	{"AllEntriesKilled", func(d *deployment) error { return restartAtOnce(d.gates) }},
 	{"CoreProcessKilled", func(d *deployment) error { return restartAtOnce(d.cores[:1]) }},
 	{"AllCoreProcessesKilled", func(d *deployment) error { return restartAtOnce(d.cores) }},
-	{"CoreProcessPaused", func(d *deployment) error {
-		d.cores[1].signal(syscall.SIGSTOP)
+	{"CoreProcessPaused", func(d *deployment) error { return pause(d.cores[1], isolationPause) }},
+	{"EntryPaused", func(d *deployment) error { return pause(d.gates[0], isolationPause) }},
+	{"CoreLinkSilent", func(d *deployment) error {
+		d.links[0].setMode(modeDropAll)
 		time.Sleep(isolationPause)
-		d.cores[1].signal(syscall.SIGCONT)
+		d.links[0].setMode(modePass)
 		return nil
 	}},
 }
@@ -66,6 +67,7 @@
 // checks that no blocks are shared with an isolated customer.
 func RunIsolation(ctx context.Context, cfg Config, trouble IsolationTrouble) (report IsolationReport, err error) {
 	d := newDeployment(cfg)
+	d.declarationDue = isolationNotice
 	err = d.whileServing(ctx, func(*backend) error { return nil }, func(ctx context.Context) {
 		calls := conc.NewWaitGroup()
 		callCtx, stop := context.WithCancel(ctx)
--- a/bluebellsoak/bluebellchaos/run.go
+++ b/bluebellsoak/bluebellchaos/run.go
@@ -147,6 +147,8 @@
 	callers          *callers
 	operator         *operator
 	timeline         *timeline
+	// declarationDue is the time in which the gates must have declarations in force, 0 for the default.
+	declarationDue time.Duration
 	// otherPrograms holds the programs of every second process, if it is not "".
 	otherPrograms string
 	// varied is set if the versions of the declaration differ and some endpoints are of spare targets.
@@ -412,6 +414,9 @@
 	if d.limitMemory {
 		settings["MemoryMB"] = gateMemoryMB
 	}
+	if d.declarationDue > 0 {
+		settings["Bounds"].(map[string]any)["DeclarationMillis"] = d.declarationDue.Milliseconds()
+	}
 	p, err := newProcess(d.programs(n), gateName(n), "bluebellgate", d.callers.gates[n], settings)
 	if err != nil {
 		return err
