--- a/bluebell/bluebellfeed/feed_test.go
+++ b/bluebell/bluebellfeed/feed_test.go
@@ -46,6 +46,8 @@
 	alter func(*pb.FollowReply)
 	// peers returns the loads of the other core processes.
 	peers func() []bluebellfeed.PeerLoads
+	// settled is that of the source. It may be nil.
+	settled func() (age time.Duration, known bool, voters []string)
 }
 
 // poll answers a poll, or fails while the core process is down.
@@ -93,6 +95,12 @@
 		c.Source = bluebellfeed.NewSource(bluebellfeed.SourceConfig{
 			Registry: c.registry, Directory: c.directory, Epoch: uint64(i + 1), Cores: func() []string { return names }, Now: d.now, After: time.After,
 			Domain: domainOf, PeerLoads: func() []bluebellfeed.PeerLoads { return c.peers() },
+			Settled: func() (time.Duration, bool, []string) {
+				if c.settled == nil {
+					return 0, false, nil
+				}
+				return c.settled()
+			},
 		})
 		d.cores[name] = c
 	}
@@ -415,7 +423,7 @@
 
 // Guards against an entry that takes its deployment for the latest one although its sources cannot know that: none
 // answers, or none has heard from the others lately. A source of an earlier release says only whether it has a leader.
-func TestAgeOfDeployment(t *testing.T) {
+func TestAgeOfDeclaration(t *testing.T) {
 	ago := func(d time.Duration) func(*pb.FollowReply) {
 		return func(r *pb.FollowReply) { r.CurrentAgo = durationpb.New(d) }
 	}
@@ -440,7 +448,7 @@
 			d.cores["c1"].alter, d.cores["c2"].alter = c.first, c.second
 			e := d.follow(t, "e1", "c1", "c2")
 			eventually(t, "both sources answer twice", func() bool { return d.cores["c1"].polls.Load() > 2 && d.cores["c2"].polls.Load() > 2 })
-			age, known := e.DeploymentAge()
+			age, known := e.DeclarationAge()
 			require.Equal(t, !c.unknown, known)
 			if known {
 				require.GreaterOrEqual(t, age, c.min)
@@ -449,9 +457,48 @@
 					core.down.Store(true)
 				}
 				time.Sleep(1200 * time.Millisecond)
-				later, _ := e.DeploymentAge()
+				later, _ := e.DeclarationAge()
 				require.GreaterOrEqual(t, later-age, 500*time.Millisecond)
 			}
 		})
 	}
 }
+
+// Guards against an entry that waits for a leader although a majority of the voters shows that no newer declaration was
+// agreed on, and against one that believes fewer voters, or voters that may have been replaced.
+func TestMajorityOfVotersShowsThatDeclarationIsCurrent(t *testing.T) {
+	three, other := []string{"c1", "c2", "c3"}, []string{"c1", "c2", "c4"}
+	for name, c := range map[string]struct {
+		settled map[string][]string
+		age     map[string]time.Duration
+		current bool
+	}{
+		"Majority":         {settled: map[string][]string{"c1": three, "c2": {"c3", "c2", "c1"}}, current: true},
+		"All":              {settled: map[string][]string{"c1": three, "c2": three, "c3": three}, age: map[string]time.Duration{"c2": time.Hour}, current: true},
+		"OneOfThree":       {settled: map[string][]string{"c1": three}},
+		"OtherVoters":      {settled: map[string][]string{"c1": three, "c2": other}},
+		"OneLongAgo":       {settled: map[string][]string{"c1": three, "c2": three}, age: map[string]time.Duration{"c2": time.Hour}},
+		"TwoOfFour":        {settled: map[string][]string{"c1": {"c1", "c2", "c3", "c4"}, "c2": {"c1", "c2", "c3", "c4"}}},
+		"OnlyVoter":        {settled: map[string][]string{"c1": {"c1"}}, current: true},
+		"NoVoterIsSettled": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment("c1", "c2", "c3")
+			for process, core := range d.cores {
+				core.SetDeployment(5, &pb.Deployment{Version: 1})
+				core.settled = func() (time.Duration, bool, []string) {
+					voters := c.settled[process]
+					return c.age[process], voters != nil, voters
+				}
+				core.alter = func(r *pb.FollowReply) { r.Leaderless = true }
+			}
+			e := d.follow(t, "e1", "c1", "c2", "c3")
+			eventually(t, "all sources answer twice", func() bool {
+				return d.cores["c1"].polls.Load() > 2 && d.cores["c2"].polls.Load() > 2 && d.cores["c3"].polls.Load() > 2
+			})
+			age, known := e.DeclarationAge()
+			require.Equal(t, c.current, known && age < 2*time.Second, "known %v, age %v", known, age)
+		})
+	}
+}
--- a/bluebell/bluebellfeed/follower.go
+++ b/bluebell/bluebellfeed/follower.go
@@ -1,6 +1,7 @@
 package bluebellfeed
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math"
@@ -121,6 +122,11 @@
 	epoch, cursor uint64
 	// leaderless is set if the source knew no leader at its last reply.
 	leaderless bool
+	// voters and voterSet are those of the last reply of a voter, and settledAt is the time on the clock Uptime of which
+	// it said that it was settled. voters is 0 before the first one.
+	voters    uint32
+	voterSet  uint64
+	settledAt time.Duration
 	// names are the names that the source has sent in its epoch. uses and entries are from
 	// the last reply as a primary source, without what this process had reported.
 	names          []string
@@ -166,7 +172,7 @@
 	known    map[string]knownEntry
 	others   []EntryState
 	revision uint64
-	// currentAt is the latest time, on the clock Uptime, at which nothing newer than the deployment in force was agreed
+	// currentAt is the latest time, on the clock Uptime, at which no newer declaration than the one in force was agreed
 	// on. It is valid if currentKnown is set.
 	currentAt    time.Duration
 	currentKnown bool
@@ -213,10 +219,10 @@
 	return false
 }
 
-// DeploymentAge returns the time since nothing newer than the deployment in force was agreed on, as far as sources have
+// DeclarationAge returns the time since no newer declaration than the one in force was agreed on, as far as sources have
 // told, and whether they have told of such a time. Without it, a core process may have agreed on changes that are
 // unknown here: it cannot be reached, or it cannot reach the others itself.
-func (f *Follower) DeploymentAge() (age time.Duration, known bool) {
+func (f *Follower) DeclarationAge() (age time.Duration, known bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.cfg.uptime() - f.currentAt, f.currentKnown
@@ -224,21 +230,44 @@
 
 // recordCurrent records how recent the deployment of a reply is, once it is in force. A source of an earlier release
 // does not tell, but whether it knows a leader.
-func (f *Follower) recordCurrent(reply *pb.FollowReply, requestedUptime time.Duration) {
-	if reply.CurrentAgo == nil && reply.Leaderless {
-		return
-	}
+func (f *Follower) recordCurrent(address string, reply *pb.FollowReply, requestedUptime time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if reply.Revision == 0 || f.revision < reply.Revision {
 		return
 	}
-	at := requestedUptime - max(reply.CurrentAgo.AsDuration(), 0)
+	if reply.CurrentAgo != nil || !reply.Leaderless {
+		f.raiseCurrent(requestedUptime - max(reply.CurrentAgo.AsDuration(), 0))
+	}
+	if s := f.sources[address]; s != nil && reply.SettledAgo != nil {
+		s.voters, s.voterSet, s.settledAt = reply.Voters, reply.VoterSet, requestedUptime-max(reply.SettledAgo.AsDuration(), 0)
+		f.raiseBySettled(s)
+	}
+}
+
+// raiseCurrent records that no newer declaration than the one in force was agreed on at a time. f.mu must be held.
+func (f *Follower) raiseCurrent(at time.Duration) {
 	if !f.currentKnown || at > f.currentAt {
 		f.currentAt, f.currentKnown = at, true
 	}
 }
 
+// raiseBySettled records what a majority of the voters prove, also while they have no leader: what was agreed on at a
+// time was in the log of one of them, and they have applied it. They must have the same voters, since one with other
+// voters may have been replaced. f.mu must be held.
+func (f *Follower) raiseBySettled(latest *source) {
+	var times []time.Duration
+	for _, s := range f.sources {
+		if s.voters == latest.voters && s.voterSet == latest.voterSet {
+			times = append(times, s.settledAt)
+		}
+	}
+	slices.SortFunc(times, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	if majority := int(latest.voters)/2 + 1; latest.voters > 0 && len(times) >= majority {
+		f.raiseCurrent(times[majority-1])
+	}
+}
+
 // Revision returns the revision of the last deployment that was passed to OnDeployment.
 func (f *Follower) Revision() uint64 {
 	f.mu.Lock()
@@ -451,7 +480,7 @@
 			f.applyDirectory(address, reply, reset)
 		}
 		f.applyReply(ctx, address, request, reply)
-		f.recordCurrent(reply, requestedUptime)
+		f.recordCurrent(address, reply, requestedUptime)
 		position = pollPosition{epoch: reply.Epoch, cursor: reply.Cursor}
 		if request.Primary {
 			position.directoryCursor = reply.DirectoryCursor
--- a/bluebell/bluebellfeed/source.go
+++ b/bluebell/bluebellfeed/source.go
@@ -39,9 +39,11 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"bluebellhaven.org/bluebell/bluebelldirectory"
@@ -97,6 +99,9 @@
 	// CurrentAgo returns the time since this process is known to have had all that the core processes have agreed on,
 	// and whether there was such a time. It may be nil.
 	CurrentAgo func() (age time.Duration, known bool)
+	// Settled returns the time since this process was a voter whose log held no declaration and no change of members that
+	// it had not applied, and whether there was such a time; and the voters. It may be nil.
+	Settled func() (age time.Duration, known bool, voters []string)
 	// Objective is that of FollowerConfig.
 	Objective func() time.Duration
 	// Now returns the time of a monotonic clock. After is time.After, or a fake in tests.
@@ -205,12 +210,7 @@
 	}
 	now := s.cfg.Now()
 	reply := &pb.FollowReply{Epoch: s.cfg.Epoch, Cores: s.cfg.Cores()}
-	if s.cfg.CurrentAgo != nil {
-		// Before the revision is read, so that the reply has at least what was agreed on then.
-		if age, known := s.cfg.CurrentAgo(); known {
-			reply.CurrentAgo = durationpb.New(age)
-		}
-	}
+	s.addEvidence(reply)
 	reply.Leaderless = s.cfg.HasLeader != nil && !s.cfg.HasLeader()
 	if s.cfg.WallClock != nil {
 		reply.UnixNanos = s.cfg.WallClock().UnixNano()
@@ -234,6 +234,23 @@
 	return reply
 }
 
+// addEvidence adds how recent the deployment is. It is called before the revision is read, so that the reply has at least
+// what was agreed on then.
+func (s *Source) addEvidence(reply *pb.FollowReply) {
+	if s.cfg.CurrentAgo != nil {
+		if age, known := s.cfg.CurrentAgo(); known {
+			reply.CurrentAgo = durationpb.New(age)
+		}
+	}
+	if s.cfg.Settled == nil {
+		return
+	}
+	if age, known, voters := s.cfg.Settled(); known {
+		reply.SettledAgo, reply.Voters = durationpb.New(age), uint32(len(voters))
+		reply.VoterSet = xxhash.Sum64String(strings.Join(slices.Sorted(slices.Values(voters)), "\x00"))
+	}
+}
+
 // addSuspicions adds what the entries of this source have observed to the reply to a core process,
 // and the subjects that are suspect to that to an entry.
 func (s *Source) addSuspicions(reply *pb.FollowReply, r *pb.FollowRequest, now time.Duration) {
--- a/bluebell/bluebellraft/node.go
+++ b/bluebell/bluebellraft/node.go
@@ -219,6 +219,11 @@
 	return n.currentAt
 }
 
+// EntriesAfter returns the log entries that follow index, committed or not. The caller must not modify them.
+func (n *Node) EntriesAfter(index uint64) []*pb.LogEntry {
+	return n.log.entriesAfter(index, int(n.log.lastIndex()-index))
+}
+
 // HasLease reports whether this node is the leader and its lease has not expired, so that
 // no other node can be leader now.
 func (n *Node) HasLease(now time.Duration) bool {
--- a/bluebell/bluebellstate/core.go
+++ b/bluebell/bluebellstate/core.go
@@ -88,6 +88,23 @@
 	return d != nil && !departsAfter(r, d.Registration)
 }
 
+// MayDeclare reports whether an encoded command may change the declaration. It does so for commands that it does not know.
+func MayDeclare(data []byte) bool {
+	if len(data) == 0 {
+		return false
+	}
+	var c pb.Command
+	if err := proto.Unmarshal(data, &c); err != nil {
+		return true
+	}
+	switch c.Body.(type) {
+	case *pb.Command_Barrier, *pb.Command_RecordDeparture, *pb.Command_SetCommandVersion, *pb.Command_OrderDomain,
+		*pb.Command_NameWeights, *pb.Command_SetQuarantine, *pb.Command_DecideUsage, *pb.Command_RecordUsageSent, *pb.Command_OrderScale:
+		return false
+	}
+	return true
+}
+
 // IsOrder reports whether a command is an operator's order that has no version of its own: of two contrary ones
 // the one that is later in the log is in force. Such an order must not be proposed behind another one that was
 // sent after it.
--- a/bluebell/bluebellvoter/voter.go
+++ b/bluebell/bluebellvoter/voter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -119,6 +120,9 @@
 	// CurrentAt is the latest time, on the clock Uptime, at which this voter is known to have
 	// applied all committed entries; 0 if there is none. See bluebellraft.Node.
 	CurrentAt time.Duration
+	// SettledAt is the latest time, on the clock Uptime, at which this member was a voter and its log held no
+	// declaration and no change of members that it had not applied; 0 if there is none.
+	SettledAt time.Duration
 	// LogBytes is the size of the write-ahead log in bytes.
 	LogBytes uint64
 	// CaughtUpLearners are the learners that store all committed entries. The list is empty
@@ -181,6 +185,10 @@
 	leaderLastKnownAt time.Duration
 	// currentAt is that of the Raft node, and currentUptime the same time on the clock Uptime.
 	currentAt, currentUptime time.Duration
+	settledAt                time.Duration
+	// settled is valid for a log with the last index settledLast of which settledApplied was applied.
+	settled                     bool
+	settledLast, settledApplied uint64
 }
 
 // New restores the voter's state from its folder, publishes the view that was in force
@@ -489,16 +497,32 @@
 	if at := v.node.CurrentAt(); at != v.currentAt {
 		v.currentAt, v.currentUptime = at, v.cfg.uptime()-(now-at)
 	}
+	if v.isSettled() {
+		v.settledAt = v.cfg.uptime()
+	}
 	if v.node.Role() != bluebellraft.Leader {
 		v.failPending()
 	}
 	v.status.Store(&Status{
 		Leader: v.node.LeaderID(), Term: v.node.Term(), CommitIndex: v.node.CommitIndex(), AppliedIndex: v.appliedIndex,
-		Members: v.node.Members(), MembersIndex: v.node.MembersIndex(), LeaseUntil: v.node.LeaseUntil(), LeaderLastKnownAt: v.leaderLastKnownAt, CurrentAt: v.currentUptime,
+		Members: v.node.Members(), MembersIndex: v.node.MembersIndex(), LeaseUntil: v.node.LeaseUntil(), LeaderLastKnownAt: v.leaderLastKnownAt, CurrentAt: v.currentUptime, SettledAt: v.settledAt,
 		LogBytes: v.wal.Size(), CaughtUpLearners: v.caughtUpLearners(),
 	})
 }
 
+// isSettled reports whether this member is a voter whose log holds no declaration and no change of members that it has
+// not applied.
+func (v *Voter) isSettled() bool {
+	last := v.node.LastIndex()
+	if last != v.settledLast || v.appliedIndex != v.settledApplied {
+		v.settledLast, v.settledApplied = last, v.appliedIndex
+		v.settled = !slices.ContainsFunc(v.node.EntriesAfter(v.appliedIndex), func(e *pb.LogEntry) bool {
+			return e.Members != nil || bluebellstate.MayDeclare(e.Data)
+		})
+	}
+	return v.settled && slices.Contains(v.node.Members().GetVoters(), v.cfg.ID)
+}
+
 // caughtUpLearners returns the learners that store all committed entries.
 func (v *Voter) caughtUpLearners() []string {
 	var ids []string
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -143,7 +143,7 @@
 		Registry: n.registry, Directory: directory, Epoch: rand.Uint64(), Cores: n.recentCores, Domain: n.domainOf,
 		PeerLoads: func() []bluebellfeed.PeerLoads { return n.follower.PeerLoads() }, Suspects: suspects, Now: n.now, After: time.After,
 		HasLeader: func() bool { return n.voter.Status().Leader != "" }, Objective: declared.shortestObjective,
-		CurrentAgo:  n.currentAgo,
+		CurrentAgo: n.currentAgo, Settled: n.settled,
 		RecordUsage: n.recordUsage, WallClock: n.statedClock(),
 	})
 	if err := n.openVoter(s); err != nil {
@@ -305,6 +305,13 @@
 	return bluebellprocess.Uptime() - at, at > 0
 }
 
+// settled returns the time since this process was a voter without declarations or changes of members in its log that it
+// had not applied, whether there was such a time, and the voters.
+func (n *Node) settled() (age time.Duration, known bool, voters []string) {
+	status := n.voter.Status()
+	return bluebellprocess.Uptime() - status.SettledAt, status.SettledAt > 0, status.Members.GetVoters()
+}
+
 // isLeader reports whether this process regards itself as the leader. Another process may
 // already have been elected.
 func (n *Node) isLeader() bool { return n.voter.Status().Leader == n.id }
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -196,7 +196,7 @@
 	scoped := func(target string) tally.Scope { return g.metrics.Scope.Tagged(map[string]string{"target": target}) }
 	return bluebellrelay.New(bluebellrelay.Config{
 		Placer: g.placer, Client: g.client, CachePlanner: g.cachePlanner, Guard: g.guard, Now: g.now, Random: rand.Float64, Logger: g.cfg.Logger,
-		Deployment: func() *bluebelldeployment.Deployment { return g.routing.Load().Deployment }, KnowsSharing: g.deploymentCurrent,
+		Deployment: func() *bluebelldeployment.Deployment { return g.routing.Load().Deployment }, KnowsSharing: g.declarationCurrent,
 		Usage: bluebellrelay.UsageConfig{Counter: g.usage, Now: g.timeOfDay},
 		Links: g.links, Handover: bluebellrelay.HandoverConfig{Helpers: g.helpers, Client: g.entries},
 		RetryLimits: bluebellrelay.RetryLimits{
@@ -330,10 +330,10 @@
 	}
 }
 
-// deploymentCurrent reports whether all declarations are known here that have to be in force everywhere.
-func (g *Gateway) deploymentCurrent() bool {
+// declarationCurrent reports whether all declarations are known here that have to be in force everywhere.
+func (g *Gateway) declarationCurrent() bool {
 	due := cmp.Or(milliseconds(g.cfg.Settings().GetBounds().GetDeclarationMillis()), defaultDeclarationDue)
-	age, known := g.follower.DeploymentAge()
+	age, known := g.follower.DeclarationAge()
 	return known && age < due-declarationMargin
 }
 
