--- a/bluebell/bluebellfeed/follower.go
+++ b/bluebell/bluebellfeed/follower.go
@@ -245,6 +245,17 @@
 	}
 }
 
+// ApplyRelayed applies the deployment and its age that another entry has sent, as a reply to a request at a time on the
+// clock Uptime. It helps an entry that reaches other entries but no core process.
+func (f *Follower) ApplyRelayed(reply *pb.FollowReply, requestedAt time.Duration) {
+	f.applyDeployment(reply)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if reply.CurrentAgo != nil && reply.Revision > 0 && f.revision >= reply.Revision {
+		f.raiseCurrent(requestedAt - max(reply.CurrentAgo.AsDuration(), 0))
+	}
+}
+
 // raiseCurrent records that no newer declaration than the one in force was agreed on at a time. f.mu must be held.
 func (f *Follower) raiseCurrent(at time.Duration) {
 	if !f.currentKnown || at > f.currentAt {
--- a/bluebellgate/internal/bluebellfrontend/frontend.go
+++ b/bluebellgate/internal/bluebellfrontend/frontend.go
@@ -104,6 +104,9 @@
 	// Stranded reports whether the entry can neither reach endpoints nor hand calls over, so that
 	// callers had better connect to another one. It may be nil.
 	Stranded func() bool
+	// Deployment encodes the deployment in force for another entry that has the given revision of it. If nil, other
+	// entries are told nothing.
+	Deployment func(revision uint64) ([]byte, error)
 	// MaxHandedOver limits the calls of other entries that are run at a time. If 0, it is 200.
 	MaxHandedOver int
 	// StopTimeout limits the duration of a planned stop.
--- a/bluebellgate/internal/bluebellfrontend/peers.go
+++ b/bluebellgate/internal/bluebellfrontend/peers.go
@@ -15,7 +15,7 @@
 )
 
 // A third listener takes the calls that other entries hand over. They are declined rather than refused
-// whenever another entry may run them.
+// whenever another entry may run them. It also tells entries that reach no core process the deployment in force.
 
 const (
 	// defaultMaxHandedOver limits the calls of other entries that are run at a time if Config sets no
@@ -64,6 +64,10 @@
 // servePeerCall runs a call for another entry, or declines it.
 func (f *Frontend) servePeerCall(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
+	if revision, ok := bluebellhandover.DeploymentQuery(r.Header); ok && f.cfg.Deployment != nil {
+		f.answerDeploymentQuery(w, revision)
+		return
+	}
 	offer, err := bluebellhandover.DecodeOffer(r.Header)
 	if err != nil {
 		f.decline(w, r, offer, err)
@@ -110,6 +114,18 @@
 	f.cfg.Relay.Serve(r.Context(), request, f.sink(w, func(int) {}))
 }
 
+// answerDeploymentQuery tells another entry the deployment in force.
+func (f *Frontend) answerDeploymentQuery(w http.ResponseWriter, revision uint64) {
+	reply, err := f.cfg.Deployment(revision)
+	if err != nil {
+		f.cfg.Logger.Error("failed to encode the deployment", "Error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	// An entry that has gone gets an error at its next connection.
+	_, _ = w.Write(reply)
+}
+
 // awaitRouting returns the deployment by which calls are routed, once it has a revision or the time is
 // over.
 func (f *Frontend) awaitRouting(ctx context.Context, revision uint64, until time.Time) Routing {
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -10,7 +10,6 @@
 package bluebellgateway
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -64,10 +63,6 @@
 	// weights. A new version becomes known only at the next poll, and the clocks of a call
 	// and its answer differ.
 	weightsMargin = 1500 * time.Millisecond
-	// defaultDeclarationDue is the time within which a declaration must be in force if the settings name none.
-	// declarationMargin is subtracted from it: a call reaches its endpoint a moment after it was sent.
-	defaultDeclarationDue = 2 * time.Second
-	declarationMargin     = 200 * time.Millisecond
 )
 
 // Config holds the settings and dependencies of a Gateway.
@@ -181,7 +176,7 @@
 	g.relay = g.newRelay(bounds)
 	g.frontend = bluebellfrontend.New(bluebellfrontend.Config{
 		Routing: func() bluebellfrontend.Routing { return *g.routing.Load() }, Relay: g.relay, Ready: g.ready, Stranded: g.stranded,
-		StopTimeout: bounds.GetStop().AsDuration(), Random: rand.Float64,
+		Deployment: g.encodeDeployment, StopTimeout: bounds.GetStop().AsDuration(), Random: rand.Float64,
 		CountStatus: func(status int) {
 			g.metrics.Scope.Tagged(map[string]string{"status": strconv.Itoa(status)}).Counter("answers").Inc(1)
 		},
@@ -238,6 +233,7 @@
 	components := pool.New().WithContext(componentsCtx).WithCancelOnError().WithFirstError()
 	components.Go(func(ctx context.Context) error { g.follower.Run(ctx); return nil })
 	components.Go(func(ctx context.Context) error { g.refreshPlacer(ctx); return nil })
+	components.Go(func(ctx context.Context) error { g.askEntries(ctx); return nil })
 	components.Go(func(ctx context.Context) error {
 		return bluebellprocess.ServeMetrics(ctx, s.Address, s.MetricsPort, g.metrics.Handler())
 	})
@@ -330,13 +326,6 @@
 	}
 }
 
-// declarationCurrent reports whether all declarations are known here that have to be in force everywhere.
-func (g *Gateway) declarationCurrent() bool {
-	due := cmp.Or(milliseconds(g.cfg.Settings().GetBounds().GetDeclarationMillis()), defaultDeclarationDue)
-	age, known := g.follower.DeclarationAge()
-	return known && age < due-declarationMargin
-}
-
 // noteLoads makes refreshPlacer use loads that have arrived, where they are exchanged more often than it does so anyway.
 func (g *Gateway) noteLoads() {
 	if bluebellfeed.IntervalsFor(g.shortestObjective(), len(g.follower.Entries())).EntryWait >= refreshInterval {
--- a/bluebellgate/internal/bluebellgateway/outoftouch_test.go
+++ b/bluebellgate/internal/bluebellgateway/outoftouch_test.go
@@ -105,3 +105,26 @@
 		})
 	}
 }
+
+// Guards against an entry that is cut off from the core processes, but not from other entries, and goes on with the owner
+// of a key, a key, a route or an isolation of before.
+func TestEntryCutOffFromCoreLearnsDeclarationsFromOthers(t *testing.T) {
+	t.Parallel()
+	c := startModelCluster(t)
+	g := c.startGate("a")
+	c.startGate("b")
+	c.startGate("c")
+	require.Eventually(t, func() bool { return g.run("/read/x", "k").CacheScope == g.run("/read/x", "l").CacheScope }, testTimeout, 50*time.Millisecond)
+	time.Sleep(time.Second) // The entries are known to each other.
+	require.Equal(t, "c", g.run("/read/x", "k").Customer)
+	g.setCoreCut(true)
+	c.core.SetDeployment(3, &pb.Deployment{Version: 3, Document: modelDocument(t, 3, true, true)})
+	time.Sleep(2 * time.Second)
+	first, second := g.run("/read/x", "k"), g.run("/read/x", "l")
+	require.Equal(t, "d", first.Customer)
+	require.Equal(t, "c", second.Customer)
+	require.True(t, strings.HasPrefix(second.CacheScope, "c/"), second.CacheScope)
+	require.False(t, strings.HasPrefix(first.CacheScope, "d/"), "who is isolated is known: %s", first.CacheScope)
+	c.core.SetDeployment(4, &pb.Deployment{Version: 4, Document: modelDocument(t, 4, false, false)})
+	require.Eventually(t, func() bool { return g.run("/read/x", "k").Customer == "c" }, 2*time.Second, 50*time.Millisecond)
+}
--- a/bluebellgate/internal/bluebellhandover/header.go
+++ b/bluebellgate/internal/bluebellhandover/header.go
@@ -26,6 +26,7 @@
 	headerEndpoints   = prefix + "Endpoints"
 	headerReceived    = prefix + "Received"
 	headerRetryAfter  = prefix + "Retry-After"
+	headerDeployment  = prefix + "Deployment"
 )
 
 // maxMillis bounds durations in headers.
@@ -189,3 +190,14 @@
 		elements, rest = append(elements, e), strings.TrimPrefix(rest[len(quoted):], " ")
 	}
 }
+
+// SetDeploymentQuery makes a request to another entry ask for its deployment, if that is newer than a revision.
+func SetDeploymentQuery(h http.Header, revision uint64) {
+	h.Set(headerDeployment, strconv.FormatUint(revision, 10))
+}
+
+// DeploymentQuery returns the revision of a request that SetDeploymentQuery has made, and whether it is one.
+func DeploymentQuery(h http.Header) (revision uint64, ok bool) {
+	revision, err := strconv.ParseUint(h.Get(headerDeployment), 10, 64)
+	return revision, err == nil
+}
