--- a/bluebellcore/internal/bluebellinventory/inventory.go
+++ b/bluebellcore/internal/bluebellinventory/inventory.go
@@ -29,6 +29,7 @@
 
 	"bluebellhaven.org/bluebell/bluebelldeployment"
 	"bluebellhaven.org/bluebell/bluebelldirectory"
+	"bluebellhaven.org/bluebell/bluebellhead"
 	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
@@ -273,6 +274,9 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := bluebellhead.CheckResponse(response); err != nil {
+		return err
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, smallResponseBytes))
 	if err != nil {
 		return err
@@ -295,6 +299,9 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s: store returned status %d", r.URL.Path, response.StatusCode)
 	}
+	if err := bluebellhead.CheckFields(response.Trailer); err != nil {
+		return err
+	}
 	return use(body)
 }
 
--- a/bluebellcore/internal/bluebellorder/order.go
+++ b/bluebellcore/internal/bluebellorder/order.go
@@ -34,6 +34,7 @@
 	"github.com/sourcegraph/conc"
 
 	"bluebellhaven.org/bluebell/bluebellfleet"
+	"bluebellhaven.org/bluebell/bluebellhead"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellprocess"
 	"bluebellhaven.org/bluebell/bluebellstate"
@@ -376,7 +377,13 @@
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := bluebellhead.CheckResponse(response); err != nil {
+		return 0, nil, err
+	}
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err == nil {
+		err = bluebellhead.CheckFields(response.Trailer)
+	}
 	if err != nil {
 		return response.StatusCode, nil, fmt.Errorf("read answer of endpoint %s: %w", endpoint.ID, err)
 	}
--- a/bluebellcore/internal/bluebellsender/sender.go
+++ b/bluebellcore/internal/bluebellsender/sender.go
@@ -30,6 +30,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
+	"bluebellhaven.org/bluebell/bluebellhead"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellprovider"
 	"bluebellhaven.org/bluebellcore/internal/bluebellduty"
@@ -295,7 +296,8 @@
 	if _, err := conn.Write(request); err != nil {
 		return bluebellprovider.Unanswered, 0, err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxResponseBytes)), nil)
+	source := bluebellhead.NewReader(io.LimitReader(conn, maxResponseBytes))
+	response, err := source.ReadResponse(bufio.NewReader(source), nil)
 	if err != nil {
 		return bluebellprovider.Unanswered, 0, err
 	}
--- a/bluebellctl/internal/bluebelloperate/client.go
+++ b/bluebellctl/internal/bluebelloperate/client.go
@@ -14,6 +14,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/url"
 	"slices"
 	"time"
@@ -22,6 +23,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"bluebellhaven.org/bluebell/bluebellhead"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 )
 
@@ -60,7 +62,16 @@
 // NewClient returns a client that authenticates with the operator's key. Each of addresses
 // is the IP address and port of an entry.
 func NewClient(addresses []string, key string) *Client {
-	return &Client{addresses: addresses, key: key, http: fasthttp.Client{MaxResponseBodySize: maxBodyBytes}}
+	return &Client{addresses: addresses, key: key, http: fasthttp.Client{MaxResponseBodySize: maxBodyBytes, Dial: dial}}
+}
+
+// dial opens a connection whose responses are checked: the client takes a status of 000 for 200.
+func dial(address string) (net.Conn, error) {
+	conn, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return bluebellhead.NewConn(conn), nil
 }
 
 // SubmitChange sends a change and returns the verdict on it. It retries if no entry answers
--- a/bluebellctl/quarantine.go
+++ b/bluebellctl/quarantine.go
@@ -11,6 +11,7 @@
 	"text/tabwriter"
 	"time"
 
+	"bluebellhaven.org/bluebell/bluebellhead"
 	"bluebellhaven.org/bluebell/bluebellquarantine"
 )
 
@@ -75,7 +76,7 @@
 		return nil, err
 	}
 	body, err := io.ReadAll(response.Body)
-	if err := errors.Join(err, response.Body.Close()); err != nil {
+	if err := errors.Join(err, response.Body.Close(), bluebellhead.CheckResponse(response)); err != nil {
 		return nil, err
 	}
 	switch {
--- a/bluebellentry/internal/bluebellupstream/client.go
+++ b/bluebellentry/internal/bluebellupstream/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bluebellhaven.org/bluebell/bluebellbody"
+	"bluebellhaven.org/bluebell/bluebellhead"
 )
 
 const (
@@ -115,6 +116,7 @@
 // is incomplete.
 type headerLimitReader struct {
 	reader io.Reader
+	heads  bluebellhead.Recorder
 	// remaining is how many bytes may still be read while the limit is enabled.
 	remaining int
 	enabled   bool
@@ -127,6 +129,7 @@
 		return 0, errors.New("the header of the answer is too large")
 	}
 	n, err := l.reader.Read(b)
+	l.heads.Record(b[:n])
 	l.remaining -= n
 	l.eof = l.eof || errors.Is(err, io.EOF)
 	return n, err
@@ -162,7 +165,7 @@
 	x.conn.headerLimit.enabled, x.conn.headerLimit.remaining = true, maxHeaderBytes
 	defer func() { x.conn.headerLimit.enabled = false }()
 	for {
-		response, err := http.ReadResponse(x.conn.reader, nil)
+		response, err := x.conn.headerLimit.heads.ReadResponse(x.conn.reader, nil)
 		if err != nil {
 			return err
 		}
--- a/bluebellfake/bluebellload/load.go
+++ b/bluebellfake/bluebellload/load.go
@@ -20,12 +20,15 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+
+	"bluebellhaven.org/bluebell/bluebellhead"
 )
 
 // Config configures a load.
@@ -99,7 +102,7 @@
 		Versions: map[string]int{}, Endpoints: map[string]int{}, Errors: map[string]int{},
 	}}
 	r.client = &fasthttp.Client{
-		StreamResponseBody: true, MaxConnsPerHost: 4 * cfg.Callers, ReadTimeout: requestTimeout,
+		Dial: dial, StreamResponseBody: true, MaxConnsPerHost: 4 * cfg.Callers, ReadTimeout: requestTimeout,
 		MaxIdleConnDuration: time.Second, NoDefaultUserAgentHeader: true,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
@@ -114,6 +117,15 @@
 	return r.report
 }
 
+// dial opens a connection whose responses are checked: the client takes a status of 000 for 200.
+func dial(address string) (net.Conn, error) {
+	conn, err := fasthttp.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	return bluebellhead.NewConn(conn), nil
+}
+
 // nextEntry returns the entry for the next request, round robin.
 func (r *runner) nextEntry() string {
 	r.mu.Lock()
--- a/bluebellgate/internal/bluebellgateway/declaration.go
+++ b/bluebellgate/internal/bluebellgateway/declaration.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"bluebellhaven.org/bluebell/bluebellhead"
 	pb "bluebellhaven.org/bluebell/bluebellpb"
 	"bluebellhaven.org/bluebell/bluebellpeer"
 	"bluebellhaven.org/bluebell/bluebellprocess"
@@ -126,7 +128,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxDeploymentBytes))
-	if err != nil {
+	if err = errors.Join(err, bluebellhead.CheckResponse(response)); err != nil {
 		return err
 	}
 	if response.StatusCode != http.StatusOK {
--- a/bluebellgate/internal/bluebelltransport/earlyanswer_test.go
+++ b/bluebellgate/internal/bluebelltransport/earlyanswer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -53,3 +54,23 @@
 	}
 	return conn, conn.(*net.TCPConn).SetWriteBuffer(4 << 10)
 }
+
+// readEvents sends a call and returns the text of the events of its response.
+func readEvents(c *bluebelltransport.Client, r bluebelltransport.Request) (string, error) {
+	x, err := c.Do(context.Background(), r)
+	if err != nil {
+		return "", err
+	}
+	defer x.Close()
+	text := ""
+	for {
+		event, err := x.NextEvent(time.Now().Add(testTimeout))
+		if errors.Is(err, io.EOF) {
+			return text, nil
+		}
+		if err != nil {
+			return "", err
+		}
+		text += string(event.Text)
+	}
+}
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"bluebellhaven.org/bluebell/bluebellhead"
 )
 
 const (
@@ -186,7 +188,7 @@
 	x.conn.limitHead()
 	start := x.conn.consumed()
 	for x.skipped <= maxSkippedResponses && x.conn.consumed()-start <= maxAllSkippedBytes {
-		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
+		response, err := x.conn.heads.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return framingError(err)
 		}
@@ -256,6 +258,9 @@
 		return nil, x.fail(ReadingAnswer, err)
 	}
 	body, err := x.readBody(limit, deadline)
+	if err == nil {
+		err = x.checkEnd()
+	}
 	if err != nil {
 		return nil, x.fail(ReadingAnswer, err)
 	}
@@ -263,6 +268,14 @@
 	return body, nil
 }
 
+// checkEnd returns an error if the end of a body is not that of a whole response: its trailer is malformed.
+func (x *Exchange) checkEnd() error {
+	if err := bluebellhead.CheckFields(x.response.Trailer); err != nil {
+		return framingError(err)
+	}
+	return nil
+}
+
 // Discard reads the rest of a response that is not needed, so that the connection can be reused. It
 // fails like ReadAll, and does not extend the deadline.
 func (x *Exchange) Discard(limit int64, deadline time.Time) error {
@@ -305,6 +318,9 @@
 		x.streamed += int64(len(piece))
 		switch {
 		case errors.Is(err, io.EOF) && len(e.Text) == 0:
+			if err := x.checkEnd(); err != nil {
+				return Event{}, x.fail(ReadingAnswer, err)
+			}
 			x.complete = true
 			return Event{}, io.EOF
 		case errors.Is(err, io.EOF):
--- a/bluebellgate/internal/bluebelltransport/pool.go
+++ b/bluebellgate/internal/bluebelltransport/pool.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bluebellhaven.org/bluebell/bluebellhead"
 )
 
 const (
@@ -106,6 +108,8 @@
 	headLeft atomic.Int64
 	// received is the number of bytes that have been read.
 	received int64
+	// heads checks the heads of responses.
+	heads bluebellhead.Recorder
 	// aliveAt is when the connection was opened, or when bytes were last read.
 	aliveAt time.Time
 	// usableUntil is the time after which the endpoint may close the idle connection.
@@ -236,6 +240,7 @@
 		n, err := c.Conn.Read(b)
 		if n > 0 && err == nil {
 			c.received += int64(n)
+			c.heads.Record(b[:n])
 			c.aliveAt = time.Now()
 			err = c.countHead(n)
 		}
