--- a/bluebellgate/internal/bluebelltransport/earlyanswer_test.go
+++ b/bluebellgate/internal/bluebelltransport/earlyanswer_test.go
@@ -74,3 +74,55 @@
 		text += string(event.Text)
 	}
 }
+
+// Guards against a part of a response that is taken for a whole one: the endpoint answers a long upload at once, without
+// a length, and ends the connection while the upload is being written, by a reset or otherwise.
+func TestResponseThatEndsBeforeCallIsWrittenIsIncomplete(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 1<<16)
+	for name, end := range map[string]func(conn *net.TCPConn){
+		"Reset":      func(conn *net.TCPConn) { _ = conn.SetLinger(0); _ = conn.Close() },
+		"ResetLater": func(conn *net.TCPConn) { time.Sleep(20 * time.Millisecond); _ = conn.SetLinger(0); _ = conn.Close() },
+		"Closed":     func(conn *net.TCPConn) { _ = conn.Close() },
+		"HalfClosed": func(conn *net.TCPConn) { _ = conn.CloseWrite(); time.Sleep(200 * time.Millisecond) },
+	} {
+		for media, read := range map[string]func(c *bluebelltransport.Client, r bluebelltransport.Request) (string, error){
+			"Body": func(c *bluebelltransport.Client, r bluebelltransport.Request) (string, error) { return do(t, c, r) }, "Events": readEvents,
+		} {
+			t.Run(name+media, func(t *testing.T) {
+				t.Parallel()
+				s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+					call, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\ndata: a part\n\n", call.Header.Get("Id"))
+					end(conn.(*net.TCPConn))
+				})
+				c := bluebelltransport.NewClient(bluebelltransport.Config{Dial: smallBufferDial})
+				for range 20 {
+					got, err := read(c, request(s, "call", body))
+					require.Error(t, err, "%q", got)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a whole response without a length that is not believed.
+func TestResponseThatEndsBehindCallIsComplete(t *testing.T) {
+	body := strings.Repeat("0123456789abcdef", 1<<16)
+	s := serve(t, func(conn net.Conn, r *bufio.Reader) {
+		if id, ok := readCall(r); ok {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\ndata: all\n\n", id)
+		}
+	})
+	c := bluebelltransport.NewClient(bluebelltransport.Config{Dial: smallBufferDial})
+	for _, text := range []string{body, "short", ""} {
+		got, err := do(t, c, request(s, "call", text))
+		require.NoError(t, err)
+		require.Equal(t, "data: all\n\n", got)
+		got, err = readEvents(c, request(s, "call", text))
+		require.NoError(t, err)
+		require.Equal(t, "data: all\n\n", got)
+	}
+}
--- a/bluebellgate/internal/bluebelltransport/exchange.go
+++ b/bluebellgate/internal/bluebelltransport/exchange.go
@@ -73,8 +73,9 @@
 	conn       *conn
 	response   *http.Response
 	stopCancel func() bool
-	// written is closed when the whole call has been written.
+	// written is closed when the whole call has been written, and unwritten when that has failed.
 	written     chan struct{}
+	unwritten   chan struct{}
 	eventReader *bufio.Reader
 	// buffer is the memory of the response, and streamed the number of bytes of its events, of which there may be
 	// maxStreamBytes.
@@ -100,7 +101,7 @@
 		return nil, &Error{Stage: Connecting, Timeout: isTimeout(err), Err: err}
 	}
 	opened.extendDeadline = r.ExtendDeadline
-	x := &Exchange{client: c, conn: opened, written: make(chan struct{}), buffer: c.buffers.open(r.Address, ctx.Done())}
+	x := &Exchange{client: c, conn: opened, written: make(chan struct{}), unwritten: make(chan struct{}), buffer: c.buffers.open(r.Address, ctx.Done())}
 	x.singleUse = r.singleUse()
 	x.maxStreamBytes = cmp.Or(r.MaxStreamBytes, defaultMaxStreamBytes)
 	x.usage = opened.use(r.CallID)
@@ -148,12 +149,14 @@
 	if err := x.conn.SetWriteDeadline(time.Time{}); err != nil {
 		return x.fail(Sending, err)
 	}
-	opened, written := x.conn, x.written
+	opened, written, unwritten := x.conn, x.written, x.unwritten
 	go func() {
-		// If the write fails, reading the response fails too.
-		if _, err := opened.Write(r.Body); err == nil {
-			close(written)
+		// If the write fails, reading the response fails too, unless the end of the connection ends it.
+		if _, err := opened.Write(r.Body); err != nil {
+			close(unwritten)
+			return
 		}
+		close(written)
 	}()
 	return nil
 }
@@ -268,8 +271,13 @@
 	return body, nil
 }
 
-// checkEnd returns an error if the end of a body is not that of a whole response: its trailer is malformed.
+// checkEnd returns an error if the end of a body is not that of a whole response: its trailer is malformed, or the
+// connection has ended a response without a length while the call was still being written. The write then gets the
+// error of a connection that was reset, which the system reports once, and the read finds its end.
 func (x *Exchange) checkEnd() error {
+	if x.Unframed() && !x.waitWritten() {
+		return errUnwritten
+	}
 	if err := bluebellhead.CheckFields(x.response.Trailer); err != nil {
 		return framingError(err)
 	}
@@ -379,9 +387,10 @@
 	select {
 	case <-x.written:
 		return true
+	case <-x.unwritten:
 	case <-time.After(writeDoneTimeout):
-		return false
 	}
+	return false
 }
 
 // Close ends the exchange. If the response was read in full and the connection can be reused, it
--- a/bluebellgate/internal/bluebelltransport/limit.go
+++ b/bluebellgate/internal/bluebelltransport/limit.go
@@ -49,6 +49,7 @@
 	errSkippedTooLarge  = fmt.Errorf("%w: it answers another call", ErrMalformed)
 	errTooManySkipped   = fmt.Errorf("%w: too many responses to other calls", ErrMalformed)
 	errSiblingMalformed = fmt.Errorf("%w: another one of the endpoint was", ErrMalformed)
+	errUnwritten        = fmt.Errorf("%w: the response ended before the call was written", io.ErrUnexpectedEOF)
 	errNotEvent         = errors.New("stream has a line that belongs to no event")
 	ErrBufferFull       = errors.New("buffered responses exceed the limit of this process")
 )
