--- a/bluebellfake/bluebellstub/endpoint.go
+++ b/bluebellfake/bluebellstub/endpoint.go
@@ -75,6 +75,11 @@
 	// Pausing is silent for a second, or as SetPauseTime demands, before the answer or in the middle
 	// of a stream, and then completes it.
 	Pausing
+	// OddHead runs calls and answers with a head that is no HTTP, another one for each call.
+	OddHead
+	// ResettingEarly answers calls with long bodies at once with a status of 200 and no length, sends a part of
+	// the answer and resets the connection while the body is still being sent.
+	ResettingEarly
 )
 
 const (
@@ -142,6 +147,8 @@
 
 	mu        sync.Mutex
 	behaviour Behaviour
+	// oddHeads counts the answers of OddHead.
+	oddHeads int
 	// processing replaces Config.ProcessingTime if it is not 0.
 	processing time.Duration
 	// pause replaces defaultPauseTime if it is not 0.
@@ -355,6 +362,10 @@
 }
 
 func (e *Endpoint) serveCall(w http.ResponseWriter, r *http.Request) {
+	if e.currentBehaviour() == ResettingEarly && (r.ContentLength < 0 || r.ContentLength >= longBodyBytes) {
+		resetEarly(w, r)
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -564,6 +575,8 @@
 	}
 	text := AnswerBody(run.Call.CallID)
 	switch b {
+	case OddHead:
+		return e.writeOddHead(w, header, text)
 	case Truncating:
 		header.Set("Content-Length", strconv.Itoa(len(text)))
 		writeHeader(w, header, http.StatusOK)
@@ -638,6 +651,9 @@
 		first = last + 1
 	}
 	h.Set("Content-Type", "text/event-stream")
+	if b == OddHead {
+		return e.writeOddHead(w, h, Event(run.Call.CallID, first))
+	}
 	if b == UnframedStream || b == UnframedEmptyStream {
 		var text strings.Builder
 		for n := first; n <= StreamEvents && b == UnframedStream; n++ {
--- a/bluebellsoak/bluebellchaos/caller.go
+++ b/bluebellsoak/bluebellchaos/caller.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"bluebellhaven.org/bluebell/bluebellhead"
 	"bluebellhaven.org/platform/bluebellplatform"
 )
 
@@ -61,6 +62,7 @@
 type connection struct {
 	conn   net.Conn
 	reader *bufio.Reader
+	heads  *bluebellhead.Reader
 	opened time.Time
 	// used is set once a call has been sent, and finished once no other one can be.
 	used, finished bool
@@ -74,7 +76,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{conn: conn, reader: bufio.NewReader(conn), opened: opened}, nil
+	heads := bluebellhead.NewReader(conn)
+	return &connection{conn: conn, reader: bufio.NewReader(heads), heads: heads, opened: opened}, nil
 }
 
 // close closes the connection.
@@ -102,8 +105,9 @@
 		o.sent = time.Now()
 	}
 	// A gate may answer before it has read the whole call, and then close the connection.
-	response, err := http.ReadResponse(c.reader, r)
+	response, err := c.heads.ReadResponse(c.reader, r)
 	if err != nil {
+		o.oddHead = errors.Is(err, bluebellhead.ErrMalformed)
 		o.gaveUp = errors.Is(err, os.ErrDeadlineExceeded)
 		return
 	}
--- a/bluebellsoak/bluebellchaos/check.go
+++ b/bluebellsoak/bluebellchaos/check.go
@@ -66,6 +66,9 @@
 			report("ran for customer %q, key passed on: %v", r.Call.Customer, r.Call.HasKey)
 		}
 	}
+	if o.oddHead {
+		report("the head of the answer is no HTTP")
+	}
 	if o.status == http.StatusOK {
 		checkAnswer(o, len(executions), report)
 	}
--- a/bluebellsoak/bluebellchaos/faults.go
+++ b/bluebellsoak/bluebellchaos/faults.go
@@ -411,11 +411,16 @@
 func makeEndpointMisbehave(d *deployment, n int, hold time.Duration) error {
 	b := d.backends[n%len(d.backends)]
 	e := b.endpoint()
-	behaviour := []bluebellstub.Behaviour{
+	behaviours := []bluebellstub.Behaviour{
 		bluebellstub.Unresponsive, bluebellstub.Declining, bluebellstub.Failing, bluebellstub.Truncating,
 		bluebellstub.Unsealed, bluebellstub.Duplicating, bluebellstub.Unavailable, bluebellstub.Unframed,
-	}[n%8]
-	if behaviour == bluebellstub.Truncating {
+	}
+	// Programs of earlier releases pass odd heads on.
+	if d.cfg.OtherProgramFolder == "" {
+		behaviours = append(behaviours, bluebellstub.OddHead, bluebellstub.ResettingEarly)
+	}
+	behaviour := behaviours[n%len(behaviours)]
+	if behaviour == bluebellstub.Truncating || behaviour == bluebellstub.OddHead || behaviour == bluebellstub.ResettingEarly {
 		end := d.timeline.begin(bluebellanswer.EndpointInterrupted, b.name())
 		defer end(0)
 	}
--- a/bluebellsoak/bluebellchaos/load.go
+++ b/bluebellsoak/bluebellchaos/load.go
@@ -60,6 +60,8 @@
 	body string
 	// complete is set if the answer was read to its end, and gaveUp if the caller did not wait for it.
 	complete, gaveUp bool
+	// oddHead is set if the head of the answer is no HTTP.
+	oddHead bool
 	// reused is set if the connection had carried a call before.
 	reused bool
 	// opened, began, sent and ended are the times of the same names of bluebellanswer.Call.
