--- a/bluebell/bluebelldeployment/deployment.go
+++ b/bluebell/bluebelldeployment/deployment.go
@@ -174,7 +174,10 @@
 	Targets   []Target
 	Stores    []Store
 	Customers []Customer
-	Limits    Limits
+	// KeysRequired means that calls on routes that are not public need a key. They do also if any customer is
+	// declared; without one, all of them are refused then.
+	KeysRequired bool
+	Limits       Limits
 }
 
 // Findings are the errors found in a declaration.
@@ -334,9 +337,10 @@
 // Limits returns the limits on the requests and connections of callers.
 func (d *Deployment) Limits() Limits { return d.declaration.Limits }
 
-// RequiresKeys reports whether calls on routes that are not public need a key, which is so
-// if any customer is declared.
-func (d *Deployment) RequiresKeys() bool { return len(d.declaration.Customers) > 0 }
+// RequiresKeys reports whether calls on routes that are not public need a key.
+func (d *Deployment) RequiresKeys() bool {
+	return d.declaration.KeysRequired || len(d.declaration.Customers) > 0
+}
 
 // Target returns the target of the given name, or nil if there is none or d is nil.
 func (d *Deployment) Target(name string) *Target {
