--- a/bluebell/bluebellprocess/process.go
+++ b/bluebell/bluebellprocess/process.go
@@ -13,7 +13,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -46,6 +45,8 @@
 	// metricsHeaderTimeout limits the time to read the header of a scrape request, and maxMetricsHeaderBytes its size.
 	metricsHeaderTimeout  = 5 * time.Second
 	maxMetricsHeaderBytes = 8 << 10
+	// metricsRetryInterval is how often the listener for metrics is tried again.
+	metricsRetryInterval = 5 * time.Second
 )
 
 // OptionalSettings is the environment variable with settings, in the same format, that are added to those of the
@@ -224,20 +225,25 @@
 	return peers
 }
 
-// ServeMetrics serves a handler until ctx is done. With port 0 it serves nothing and only
-// waits for ctx.
-func ServeMetrics(ctx context.Context, address string, port uint32, handler http.Handler) error {
+// ServeMetrics serves a handler until ctx is done. With port 0 it serves nothing and only waits for ctx. If the port is
+// in use, it tries again now and then: a process must do its work without metrics.
+func ServeMetrics(ctx context.Context, address string, port uint32, handler http.Handler, logger *log.Logger) error {
 	if port == 0 {
 		<-ctx.Done()
 		return nil
 	}
-	server := &http.Server{
-		Addr: HostPort(address, port), Handler: handler, ReadHeaderTimeout: metricsHeaderTimeout, MaxHeaderBytes: maxMetricsHeaderBytes,
-	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve metrics: %w", err)
+	for failed := false; ctx.Err() == nil; {
+		server := &http.Server{
+			Addr: HostPort(address, port), Handler: handler, ReadHeaderTimeout: metricsHeaderTimeout, MaxHeaderBytes: maxMetricsHeaderBytes,
+		}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		err := server.ListenAndServe()
+		stop()
+		if ctx.Err() == nil && !failed {
+			failed = true
+			logger.Error("metrics are not served", "Address", server.Addr, "Error", err)
+		}
+		Sleep(ctx, metricsRetryInterval)
 	}
 	return nil
 }
--- a/bluebellcore/internal/bluebellcorenode/node.go
+++ b/bluebellcore/internal/bluebellcorenode/node.go
@@ -282,7 +282,7 @@
 	tasks.Go(func(ctx context.Context) error { n.inventory.Run(ctx); return nil })
 	tasks.Go(func(ctx context.Context) error { return n.control.Serve(ctx, control) })
 	tasks.Go(func(ctx context.Context) error {
-		return bluebellprocess.ServeMetrics(ctx, s.Address, s.MetricsPort, n.metrics.Handler())
+		return bluebellprocess.ServeMetrics(ctx, s.Address, s.MetricsPort, n.metrics.Handler(), n.cfg.Logger)
 	})
 	err = tasks.Wait()
 	n.outboxes.Wait()
--- a/bluebellgate/internal/bluebellgateway/gateway.go
+++ b/bluebellgate/internal/bluebellgateway/gateway.go
@@ -235,7 +235,7 @@
 	components.Go(func(ctx context.Context) error { g.refreshPlacer(ctx); return nil })
 	components.Go(func(ctx context.Context) error { g.askEntries(ctx); return nil })
 	components.Go(func(ctx context.Context) error {
-		return bluebellprocess.ServeMetrics(ctx, s.Address, s.MetricsPort, g.metrics.Handler())
+		return bluebellprocess.ServeMetrics(ctx, s.Address, s.MetricsPort, g.metrics.Handler(), g.cfg.Logger)
 	})
 	components.Go(func(context.Context) error {
 		return g.frontend.ServePeers(bluebellpeer.NewListener(peers, []byte(s.Secret), g.address))
