--- a/bluebellcore/internal/bluebellorder/order.go
+++ b/bluebellcore/internal/bluebellorder/order.go
@@ -329,6 +329,8 @@
 		return 0, err
 	}
 	defer func() { _ = conn.Close() }()
+	// The next holder waits no longer than CallTimeout for this call to arrive.
+	bluebellduty.DiscardOnClose(conn, CallTimeout)
 	proof, err := o.cfg.Duty.Prove(ctx, order.fencing)
 	if err != nil {
 		return 0, err
--- a/bluebellcore/internal/bluebellsender/sender.go
+++ b/bluebellcore/internal/bluebellsender/sender.go
@@ -24,7 +24,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -52,8 +51,6 @@
 	// recordVersion is the version of commands that has RecordUsageSent.
 	recordVersion    = 2
 	maxResponseBytes = 64 << 10
-	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, which the syscall package lacks.
-	tcpUserTimeout = 0x12
 )
 
 // Config sets up a Sender.
@@ -282,7 +279,7 @@
 	// If this process ends or its machine stops, the system must not deliver the call later: another
 	// holder may have acted by then. Closing with a reset discards only what was not sent, since the
 	// response is read before.
-	discardOnClose(conn)
+	bluebellduty.DiscardOnClose(conn, CallTimeout)
 	proof, err := s.cfg.Duty.Prove(ctx, call.Fencing)
 	if err != nil {
 		return bluebellprovider.NotSent, 0, err
@@ -304,21 +301,6 @@
 	return bluebellplatform.DecodeProviderStatus(response.StatusCode), response.StatusCode, nil
 }
 
-// discardOnClose makes the system discard what it has not delivered of a call when the connection is closed, and
-// when it has not been acknowledged for CallTimeout.
-func discardOnClose(conn net.Conn) {
-	c, ok := conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	_ = c.SetLinger(0)
-	if raw, err := c.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(CallTimeout.Milliseconds()))
-		})
-	}
-}
-
 // encode returns the bytes of a request.
 func (s *Sender) encode(call bluebellprovider.Call) ([]byte, error) {
 	path, header, body, err := bluebellplatform.EncodeProviderCall(bluebellplatform.ProviderCall{Holder: s.cfg.Name, Call: call})
