--- a/bluebellcore/internal/bluebellcorenode/seeds_test.go
+++ b/bluebellcore/internal/bluebellcorenode/seeds_test.go
@@ -201,3 +201,34 @@
 	}
 	g.requireServing()
 }
+
+// Guards against a process that lost its disk and does not join again, whatever its settings name: the others know its
+// address.
+func TestProcessWithoutDiskJoinsWhateverItsSeeds(t *testing.T) {
+	number := 130
+	for name, seeds := range laterSeeds {
+		number++
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := startCore(t, number)
+			g.declare(0)
+			s := g.settings[2]
+			g.stop(2)
+			require.NoError(t, os.RemoveAll(s.DataFolder))
+			s.Bootstrap, s.Seeds = false, seeds(s.Seeds, s.ControlAddress)
+			g.start(2)
+			g.requireServing()
+			// It is a voter again once the core bears the loss of another process.
+			require.Eventually(t, func() bool {
+				g.stop(1)
+				defer g.start(1)
+				for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+					if status, _ := g.read(0); status == http.StatusOK {
+						return true
+					}
+				}
+				return false
+			}, 40*time.Second, 5*time.Second)
+		})
+	}
+}
