--- a/bluebellcore/internal/bluebellcorenode/seeds_test.go
+++ b/bluebellcore/internal/bluebellcorenode/seeds_test.go
@@ -129,10 +129,11 @@
 	for name, seeds := range laterSeeds {
 		for _, order := range []string{"InTurn", "Together"} {
 			for _, bootstrap := range []bool{false, true} {
+				own := number
 				number++
 				t.Run(fmt.Sprint(name, order, "Bootstrap", bootstrap), func(t *testing.T) {
 					t.Parallel()
-					g := startCore(t, number)
+					g := startCore(t, own)
 					g.declare(0)
 					all := g.settings[0].Seeds
 					for i, s := range g.settings {
@@ -207,10 +208,11 @@
 func TestProcessWithoutDiskJoinsWhateverItsSeeds(t *testing.T) {
 	number := 130
 	for name, seeds := range laterSeeds {
+		own := number
 		number++
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			g := startCore(t, number)
+			g := startCore(t, own)
 			g.declare(0)
 			s := g.settings[2]
 			g.stop(2)
