--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -16,7 +16,7 @@
 
 // cases are the cases by name. With trouble unset they run without the disruption.
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
-	"moved": runMoved, "poison": runPoison, "cold": runCold, "brittle": runBrittle,
+	"moved": runMoved, "poison": runPoison, "cold": runCold, "brittle": runBrittle, "waves": runWaves,
 }
 
 func main() {
