--- a/review/standin-3/waves.go
+++ b/review/standin-3/waves.go
@@ -87,18 +87,14 @@
 		return verdict{}, err
 	}
 	time.Sleep(2 * contactTime)
-	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	clients.Go(func() {
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(80 * time.Millisecond):
-			}
-			q := request{method: "GET", host: "read.example", path: fmt.Sprintf("/a/%d", i), timeLeft: 1500 * time.Millisecond}
+	poison := request{method: "GET", host: "read.example", path: "/a/poison", timeLeft: 1500 * time.Millisecond}
+	for second := range 27 {
+		// Sound requests, some at a time at each gate.
+		for k := range 12 * len(s.fronts) {
+			q := request{method: "GET", host: "read.example", path: fmt.Sprintf("/a/%d", 100*second+k), timeLeft: 1500 * time.Millisecond}
 			clients.Go(func() {
-				x := attempt(rec, s.fronts[i%len(s.fronts)], q)
+				x := attempt(rec, s.fronts[k%len(s.fronts)], q)
 				mu.Lock()
 				defer mu.Unlock()
 				sound++
@@ -107,25 +103,23 @@
 				}
 			})
 		}
-	})
-	time.Sleep(2 * time.Second)
-	poison := request{method: "GET", host: "read.example", path: "/a/poison", timeLeft: 1500 * time.Millisecond}
-	for i := range 6 {
-		clients.Go(func() {
-			for k := range 1 + repeats {
-				x := attempt(rec, s.fronts[(i+k)%len(s.fronts)], poison)
-				if x.served() || x.status == http.StatusServiceUnavailable {
-					return
-				}
-				if !trouble {
-					// A client that does not repeat at once.
-					time.Sleep(time.Second)
+		time.Sleep(500 * time.Millisecond)
+		if second%4 == 2 {
+			clients.Go(func() {
+				for k := range 1 + repeats {
+					x := attempt(rec, s.fronts[(second/4+k)%len(s.fronts)], poison)
+					if x.served() || x.status == http.StatusServiceUnavailable {
+						return
+					}
+					if !trouble {
+						// A client that does not repeat at once.
+						time.Sleep(time.Second)
+					}
 				}
-			}
-		})
-		time.Sleep(4 * time.Second)
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
 	}
-	close(stop)
 	clients.Wait()
 	if gone := s.ended(); len(gone) > 0 {
 		return verdict{}, fmt.Errorf("processes ended: %v", gone)
