--- a/review/standin-3/brittle.go
+++ b/review/standin-3/brittle.go
@@ -6,6 +6,12 @@
 	"time"
 )
 
+// brittleServers is the number of servers, and brittleReplaced that of those that are replaced.
+const (
+	brittleServers  = 5
+	brittleReplaced = 2
+)
+
 // runBrittle makes the replicas of a service brittle under less load than they can take, and replaces them one after the
 // other meanwhile.
 func runBrittle(rec *record, trouble bool) (verdict, error) {
@@ -60,8 +66,8 @@
 		}
 	}()
 	var first []*server
-	for _, zone := range zones {
-		x, err := boot(zone)
+	for i := range brittleServers {
+		x, err := boot(zones[i%len(zones)])
 		if err != nil {
 			return verdict{}, err
 		}
@@ -72,7 +78,7 @@
 	}
 	time.Sleep(contactTime)
 	replace := func(i int) error {
-		if _, err := boot(zones[i]); err != nil {
+		if _, err := boot(zones[i%len(zones)]); err != nil {
 			return err
 		}
 		time.Sleep(time.Second)
@@ -87,7 +93,7 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(6 * time.Millisecond):
+			case <-time.After(3500 * time.Microsecond):
 			}
 			clients.Go(func() {
 				x := attempt(rec, s.fronts[i%len(s.fronts)], q)
@@ -110,8 +116,8 @@
 	before := falls
 	mu.Unlock()
 	if trouble {
-		// Half of them are replaced, one after the other: the new one starts first, the old one drains.
-		for i := range (len(zones) + 1) / 2 {
+		// Two of five are replaced, one after the other: the new one starts first, the old one drains.
+		for i := range brittleReplaced {
 			if err := replace(i); err != nil {
 				close(stop)
 				clients.Wait()
@@ -127,7 +133,7 @@
 	}
 	mu.Lock()
 	defer mu.Unlock()
-	bound := 2 + 0.1*float64(len(zones))
+	bound := 2 + 0.1*float64(brittleServers)
 	return verdict{
 		broken: float64(falls) > bound,
 		text: fmt.Sprintf("brittle servers fell over %d times, %d of them before the replacement (bound %.1f), with %d requests at work; %d of %d requests were served",
--- a/review/standin-3/cold.go
+++ b/review/standin-3/cold.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// coldServers is the number of servers, of which one crashes.
+const coldServers = 7
+
 // coldRate is cold_per_s, and coldBound the number of requests that a cold replica may get in a second. A cold replica
 // crashes when it gets coldCrash in a second, which is well above that.
 const (
@@ -37,9 +40,11 @@
 			x.end("is stopped")
 		}
 	}()
-	configs := []serverConfig{
-		{id: "i-floor1", service: "floor", zone: "gyor", address: join(s.host(), 8080), work: 30 * time.Millisecond, coldFor: coldFor},
-		{id: "i-floor2", service: "floor", zone: "papa", address: join(s.host(), 8080), work: 30 * time.Millisecond, coldFor: coldFor},
+	var configs []serverConfig
+	for i := range coldServers {
+		configs = append(configs, serverConfig{
+			id: fmt.Sprintf("i-floor%d", i+1), service: "floor", zone: zones[i%len(zones)], address: join(s.host(), 8080), work: 30 * time.Millisecond, coldFor: coldFor,
+		})
 	}
 	if trouble {
 		configs[0].transit = func() time.Duration { return 3 * time.Second }
@@ -78,7 +83,7 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(8 * time.Millisecond):
+			case <-time.After(2500 * time.Microsecond):
 			}
 			clients.Go(func() {
 				x := attempt(rec, s.fronts[i%len(s.fronts)], q)
