--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -189,6 +189,9 @@
 		return
 	}
 	id := r.Header.Get("Try-Id")
+	if since := s.brittleSince(); !since.IsZero() {
+		w.Header().Set("Server-Brittle", strconv.Itoa(brittleRejections))
+	}
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("Instance-Id", s.cfg.id)
 		return
@@ -208,9 +211,6 @@
 		s.rec.log("request %s reaches server %s, which answers 421", id, s.cfg.id)
 		return
 	}
-	if since := s.brittleSince(); !since.IsZero() {
-		w.Header().Set("Server-Brittle", strconv.Itoa(brittleRejections))
-	}
 	if !s.begin(id) {
 		s.reject(w, id)
 		return
